--- /dev/null
+++ b/packages/cli/src/dykeswitch/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/packages/cli/src/dykeswitch/cli/main.py
@@ -0,0 +1,43 @@
+"""`dykeswitch`: one command line for all."""
+
+import argparse
+import asyncio
+import json
+import sys
+import typing
+
+import dykeswitch.cli.daemons as daemons
+import dykeswitch.settings as settings
+import dykeswitch.standin.fleet as fleets
+
+
+def parser() -> argparse.ArgumentParser:
+    top = argparse.ArgumentParser(prog="dykeswitch", description="An API gateway that repairs itself.")
+    words = top.add_subparsers(dest="word", required=True, metavar="COMMAND")
+    for program, text in (
+        ("proxy", "run a proxy: carries exchanges to endpoints"),
+        ("registry", "run a registry: takes beats, layouts and queries"),
+        ("store", "run a store: keeps the register on disk"),
+    ):
+        sub = words.add_parser(program, help=text, description=text)
+        settings.add_flags(sub)
+    text = "start a whole fleet on this machine, send it traffic, print the figures"
+    sub = words.add_parser("fleet", help=text, description=text)
+    sub.add_argument("shape", choices=["ghent", "lima"])
+    sub.add_argument("--span", type=float, default=20.0, help="seconds of traffic (default 20)")
+    sub.add_argument("--scale", type=float, default=1.0, help="times the shape's rate (default 1)")
+    sub.add_argument("--seed", type=int, default=1)
+    return top
+
+
+def main(argv: typing.Sequence[str] | None = None) -> int:
+    spoken = parser().parse_args(argv)
+    if spoken.word == "fleet":
+        figures = asyncio.run(fleets.show(spoken.shape, spoken.span, spoken.seed, spoken.scale))
+        print(json.dumps(figures, indent=2))
+        return 0
+    return daemons.run(spoken.word, spoken)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/packages/frames/src/dykeswitch/frames/__init__.py
@@ -0,0 +1,191 @@
+"""Frames between members: cbor2 with a length, a size cap and a version tag."""
+
+import asyncio
+import collections
+import struct
+import typing
+
+import cbor2
+
+import dykeswitch.outcome as outcome
+import dykeswitch.ports as ports
+
+MAGIC: typing.Final = b"dk"
+VERSION: typing.Final = 1
+HEAD: typing.Final = struct.Struct(">2sBI")
+FRAME_MOST: typing.Final = 48 * 1024 * 1024
+READ_SIZE: typing.Final = 262144
+IDLE_MOST: typing.Final = 4
+
+Body = dict[str, typing.Any]
+Result = outcome.Good[Body] | outcome.Bad
+Handle = typing.Callable[[Body], typing.Awaitable[Result]]
+
+
+class FrameFault(Exception):
+    """Bytes that are no frame of ours."""
+
+    def __init__(self, bad: outcome.Bad) -> None:
+        super().__init__(bad.code.text)
+        self.bad = bad
+
+
+class FramePipe:
+    """A pipe that carries whole frames."""
+
+    def __init__(self, pipe: ports.Pipe) -> None:
+        self._pipe = pipe
+        self._held = bytearray()
+
+    async def _fill(self, size: int) -> bool:
+        while len(self._held) < size:
+            data = await self._pipe.read(READ_SIZE)
+            if not data:
+                return False
+            self._held += data
+        return True
+
+    async def read(self) -> Body | None:
+        """The next frame, or nothing when the pipe has ended."""
+        if not await self._fill(HEAD.size):
+            return None
+        magic, version, size = HEAD.unpack(bytes(self._held[: HEAD.size]))
+        if magic != MAGIC:
+            raise FrameFault(outcome.bad("bad_frame", "not a dykeswitch frame"))
+        if version != VERSION:
+            raise FrameFault(outcome.bad("other_version", f"version {version}, not {VERSION}"))
+        # The length is checked before a single byte of the body is held.
+        if size > FRAME_MOST:
+            raise FrameFault(outcome.bad("frame_too_big", f"{size} bytes"))
+        if not await self._fill(HEAD.size + size):
+            return None
+        data = bytes(self._held[HEAD.size : HEAD.size + size])
+        del self._held[: HEAD.size + size]
+        try:
+            body = cbor2.loads(data)
+        except (cbor2.CBORDecodeError, ValueError, TypeError, RecursionError) as flaw:
+            raise FrameFault(outcome.bad("bad_frame", "not cbor")) from flaw
+        if not isinstance(body, dict) or not isinstance(body.get("kind"), str):
+            raise FrameFault(outcome.bad("bad_frame", "no kind"))
+        return body
+
+    async def write(self, body: Body) -> None:
+        data = cbor2.dumps(body)
+        if len(data) > FRAME_MOST:
+            raise FrameFault(outcome.bad("frame_too_big", f"{len(data)} bytes"))
+        await self._pipe.write(HEAD.pack(MAGIC, VERSION, len(data)) + data)
+
+    def close(self) -> None:
+        self._pipe.close()
+
+    def ended(self) -> bool:
+        return self._pipe.ended() or bool(self._held)
+
+
+def _bad_body(bad: outcome.Bad) -> Body:
+    return {"kind": "bad", "tag": bad.code.tag, "why": bad.why}
+
+
+def _result(body: Body) -> Result:
+    if body["kind"] == "bad":
+        tag = str(body.get("tag"))
+        return outcome.bad(tag if tag in outcome.TABLE else "broke", str(body.get("why", "")))
+    return outcome.Good(body)
+
+
+class Ear:
+    """Serves calls: one task for each pipe, one call at a time on each."""
+
+    def __init__(self, kinds: dict[str, Handle], note: typing.Callable[[str, str], None]) -> None:
+        self._kinds = kinds
+        self._note = note
+
+    async def serve(self, pipe: ports.Pipe) -> None:
+        frames = FramePipe(pipe)
+        try:
+            while True:
+                body = await frames.read()
+                if body is None:
+                    return
+                await frames.write(await self._reply(body))
+        except FrameFault as flaw:
+            self._note("frame refused", flaw.bad.code.tag)
+            await frames.write(_bad_body(flaw.bad))
+        except OSError:
+            return
+        finally:
+            frames.close()
+
+    async def _reply(self, body: Body) -> Body:
+        handle = self._kinds.get(body["kind"])
+        if handle is None:
+            return _bad_body(outcome.bad("no_kind", str(body["kind"])[:80]))
+        try:
+            result = await handle(body)
+        except (KeyError, TypeError, ValueError, IndexError, AttributeError) as flaw:
+            # A malformed body is the sender's fault, never a reason to fall over.
+            self._note("call refused", f"{body['kind']}: {type(flaw).__name__}: {flaw}")
+            return _bad_body(outcome.bad("bad_frame", f"{type(flaw).__name__}"))
+        if isinstance(result, outcome.Bad):
+            return _bad_body(result)
+        return {"kind": "good", **result.value}
+
+
+class Caller:
+    """Makes calls; idle pipes are kept for the next call to the same member."""
+
+    def __init__(self, net: ports.Network) -> None:
+        self._net = net
+        self._idle: dict[str, collections.deque[FramePipe]] = {}
+
+    def close(self) -> None:
+        for pipes in self._idle.values():
+            for pipe in pipes:
+                pipe.close()
+        self._idle.clear()
+
+    async def ask(self, spot: str, kind: str, body: Body, wait: float) -> Result:
+        """One call, answered or given up on within the wait."""
+        try:
+            async with asyncio.timeout(wait):
+                return await self._ask(spot, {**body, "kind": kind}, wait)
+        except TimeoutError:
+            return outcome.bad("no_answer", spot)
+        except FrameFault as flaw:
+            return flaw.bad
+        except OSError as flaw:
+            return outcome.bad("no_answer", f"{spot}: {flaw}")
+
+    async def _ask(self, spot: str, body: Body, wait: float) -> Result:
+        idle = self._idle.setdefault(spot, collections.deque())
+        while idle:
+            pipe = idle.pop()
+            if pipe.ended():
+                pipe.close()
+                continue
+            result = await self._once(spot, pipe, body)
+            # A pipe kept idle may have died unseen: every call may be repeated
+            # safely, so a fresh pipe gets it once more.
+            if result is not None:
+                return result
+        pipe = FramePipe(await self._net.dial(spot, wait))
+        result = await self._once(spot, pipe, body)
+        return outcome.bad("no_answer", f"{spot}: closed") if result is None else result
+
+    async def _once(self, spot: str, pipe: FramePipe, body: Body) -> Result | None:
+        done = False
+        try:
+            await pipe.write(body)
+            reply = await pipe.read()
+            if reply is None:
+                return None
+            done = True
+            return _result(reply)
+        except OSError:
+            return None
+        finally:
+            idle = self._idle.setdefault(spot, collections.deque())
+            if done and len(idle) < IDLE_MOST:
+                idle.append(pipe)
+            else:
+                pipe.close()
--- /dev/null
+++ b/packages/layout/src/dykeswitch/layout/__init__.py
@@ -0,0 +1,285 @@
+"""Layouts: what operators send, checked as a whole and compiled into rules."""
+
+import dataclasses
+import json
+import typing
+
+import dykeswitch.outcome as outcome
+
+
+class ServiceDoc(typing.TypedDict, total=False):
+    """One service as the operator writes it."""
+
+    probe: str
+    expiry_s: float
+    request_s: float
+    max_tries: int
+
+
+class RuleDoc(typing.TypedDict, total=False):
+    """One rule as the operator writes it."""
+
+    name: str
+    host: str
+    path: str
+    methods: list[str]
+    service: str
+    writing: bool
+    expiry_s: float
+    request_s: float
+    max_tries: int
+
+
+class LayoutDoc(typing.TypedDict):
+    """A whole layout as the operator writes it."""
+
+    services: dict[str, ServiceDoc]
+    rules: list[RuleDoc]
+
+
+# Methods that the HTTP standard calls safe: they may be run any number of times.
+READING: typing.Final = frozenset({"GET", "HEAD", "OPTIONS", "TRACE"})
+METHODS: typing.Final = frozenset(
+    {"GET", "HEAD", "POST", "PUT", "DELETE", "PATCH", "OPTIONS", "TRACE"}
+)
+TOKEN: typing.Final = frozenset("abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.")
+FAULTS_MOST: typing.Final = 200
+DEFAULT_PROBE: typing.Final = "/healthz"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Service:
+    """A service as the programs use it."""
+
+    name: str
+    probe: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Rule:
+    """A rule as the programs use it."""
+
+    name: str
+    host: str
+    path: str
+    methods: frozenset[str]
+    service: str
+    writing: bool | None
+    expiry_s: float | None
+    request_s: float | None
+    max_tries: int | None
+
+    def writes(self, method: str) -> bool:
+        """Stated by the rule, else told by the method."""
+        return self.writing if self.writing is not None else method not in READING
+
+
+class Layout:
+    """A checked layout, indexed so that a match costs the depth of the path."""
+
+    def __init__(self, services: dict[str, Service], rules: list[Rule], doc: LayoutDoc) -> None:
+        self.services = services
+        self.rules = rules
+        self.doc = doc
+        self._index: dict[str, dict[str, list[Rule]]] = {}
+        for rule in rules:
+            self._index.setdefault(rule.host, {}).setdefault(rule.path, []).append(rule)
+
+    def match(self, host: str, path: str, method: str) -> Rule | None:
+        """The most particular rule: host before none, longer path, then methods."""
+        for name in (host.partition(":")[0].lower(), ""):
+            paths = self._index.get(name)
+            if paths is None:
+                continue
+            for prefix in prefixes(path):
+                rules = paths.get(prefix)
+                if rules is None:
+                    continue
+                for rule in rules:
+                    if method in rule.methods:
+                        return rule
+                for rule in rules:
+                    if not rule.methods:
+                        return rule
+        return None
+
+
+def prefixes(path: str) -> typing.Iterator[str]:
+    """Every prefix of a path that ends at a segment, the longest first."""
+    yield path
+    at = len(path)
+    while at > 0:
+        cut = path.rfind("/", 0, at)
+        if cut < 0:
+            return
+        # "/a/b" is under both "/a/" and "/a".
+        if cut + 1 != len(path):
+            yield path[: cut + 1]
+        if cut > 0:
+            yield path[:cut]
+        at = cut
+
+
+class _Checker:
+    """Collects every fault with the path of where it stands."""
+
+    def __init__(self) -> None:
+        self.faults: list[str] = []
+
+    def fault(self, path: str, text: str) -> None:
+        if len(self.faults) < FAULTS_MOST:
+            self.faults.append(f"{path}: {text}")
+
+    def keys(self, path: str, raw: dict[str, object], known: typing.Collection[str]) -> None:
+        for key in raw:
+            if key not in known:
+                self.fault(f"{path}.{key}" if path else key, "unknown key")
+
+    def text(self, path: str, raw: object, default: str = "") -> str:
+        if raw is None:
+            return default
+        if not isinstance(raw, str):
+            self.fault(path, "must be text")
+            return default
+        return raw
+
+    def name(self, path: str, raw: object) -> str:
+        text = self.text(path, raw)
+        if isinstance(raw, str) and (not text or len(text) > 128 or not set(text) <= TOKEN):
+            self.fault(path, "must be 1 to 128 letters, digits, '-', '_' or '.'")
+        return text
+
+    def span(self, path: str, raw: object) -> float | None:
+        if raw is None:
+            return None
+        if isinstance(raw, bool) or not isinstance(raw, (int, float)) or not 0 < raw <= 3600:
+            self.fault(path, "must be a number of seconds over 0 and up to 3600")
+            return None
+        return float(raw)
+
+    def tries(self, path: str, raw: object) -> int | None:
+        if raw is None:
+            return None
+        if isinstance(raw, bool) or not isinstance(raw, int) or not 1 <= raw <= 10:
+            self.fault(path, "must be a whole number from 1 to 10")
+            return None
+        return raw
+
+    def path(self, path: str, raw: object, default: str) -> str:
+        text = self.text(path, raw, default)
+        if not text.startswith("/") or any(c in text for c in "?#") or not text.isascii() or " " in text:
+            self.fault(path, "must start with '/' and hold no '?', '#', blank or non-ASCII letter")
+        return text
+
+
+def read(data: bytes) -> outcome.Good[Layout] | outcome.Bad:
+    """A layout out of JSON, or every fault in it by its path."""
+    try:
+        raw = json.loads(data)
+    except (ValueError, RecursionError) as flaw:
+        return outcome.bad("bad_json", str(flaw)[:200])
+    return check(raw)
+
+
+def check(raw: object) -> outcome.Good[Layout] | outcome.Bad:
+    """Check a layout as a whole."""
+    see = _Checker()
+    if not isinstance(raw, dict):
+        return outcome.bad("bad_layout", faults=("layout: must be an object",))
+    see.keys("", raw, LayoutDoc.__annotations__)
+    services = _services(see, raw.get("services"))
+    rules = _rules(see, raw.get("rules"), services)
+    if see.faults:
+        return outcome.bad("bad_layout", faults=tuple(see.faults))
+    return outcome.Good(Layout(services, rules, typing.cast(LayoutDoc, raw)))
+
+
+def _services(see: _Checker, raw: object) -> dict[str, Service]:
+    services: dict[str, Service] = {}
+    if not isinstance(raw, dict):
+        see.fault("services", "must be an object" if raw is not None else "missing")
+        return services
+    for name, doc in raw.items():
+        path = f"services.{name}"
+        see.name(path, name)
+        if not isinstance(doc, dict):
+            see.fault(path, "must be an object")
+            continue
+        see.keys(path, doc, ServiceDoc.__annotations__)
+        see.span(f"{path}.expiry_s", doc.get("expiry_s"))
+        see.span(f"{path}.request_s", doc.get("request_s"))
+        see.tries(f"{path}.max_tries", doc.get("max_tries"))
+        services[name] = Service(name, see.path(f"{path}.probe", doc.get("probe"), DEFAULT_PROBE))
+    return services
+
+
+def _rules(see: _Checker, raw: object, services: dict[str, Service]) -> list[Rule]:
+    rules: list[Rule] = []
+    taken: dict[tuple[str, str, str], int] = {}
+    if not isinstance(raw, list):
+        see.fault("rules", "must be a list" if raw is not None else "missing")
+        return rules
+    for n, doc in enumerate(raw):
+        path = f"rules[{n}]"
+        if not isinstance(doc, dict):
+            see.fault(path, "must be an object")
+            continue
+        rule = _rule(see, path, doc, n)
+        if rule.service and rule.service not in services:
+            see.fault(f"{path}.service", f"no such service '{rule.service}'")
+        # Two rules for the same requests would leave the choice to chance.
+        for method in sorted(rule.methods) or [""]:
+            first = taken.setdefault((rule.host, rule.path, method), n)
+            if first != n:
+                see.fault(path, f"matches the same requests as rules[{first}]")
+        rules.append(rule)
+    return rules
+
+
+def _rule(see: _Checker, path: str, doc: dict[str, object], n: int) -> Rule:
+    see.keys(path, doc, RuleDoc.__annotations__)
+    host = see.text(f"{path}.host", doc.get("host")).lower()
+    if host and (not set(host) <= TOKEN or len(host) > 253):
+        see.fault(f"{path}.host", "must be a host's name without a port")
+    if "service" not in doc:
+        see.fault(f"{path}.service", "missing")
+    methods = doc.get("methods", [])
+    if not isinstance(methods, list) or not all(isinstance(m, str) and m in METHODS for m in methods):
+        see.fault(f"{path}.methods", f"must be a list out of {', '.join(sorted(METHODS))}")
+        methods = []
+    writing = doc.get("writing")
+    if writing is not None and not isinstance(writing, bool):
+        see.fault(f"{path}.writing", "must be true or false")
+        writing = None
+    return Rule(
+        name=see.name(f"{path}.name", doc["name"]) if "name" in doc else f"rule-{n}",
+        host=host,
+        path=see.path(f"{path}.path", doc.get("path"), "/"),
+        methods=frozenset(methods),
+        service=see.name(f"{path}.service", doc.get("service")),
+        writing=writing,
+        expiry_s=see.span(f"{path}.expiry_s", doc.get("expiry_s")),
+        request_s=see.span(f"{path}.request_s", doc.get("request_s")),
+        max_tries=see.tries(f"{path}.max_tries", doc.get("max_tries")),
+    )
+
+
+def pack(layout: Layout) -> bytes:
+    """The one spelling of a layout by which two are told to be the same."""
+    return json.dumps(layout.doc, sort_keys=True, separators=(",", ":"), ensure_ascii=True).encode()
+
+
+def limits(layout: Layout, rule: Rule) -> ServiceDoc:
+    """A rule's bounds, with its service's where it has none of its own."""
+    doc = layout.doc["services"][rule.service]
+    merged: ServiceDoc = {}
+    expiry = rule.expiry_s if rule.expiry_s is not None else doc.get("expiry_s")
+    request = rule.request_s if rule.request_s is not None else doc.get("request_s")
+    tries = rule.max_tries if rule.max_tries is not None else doc.get("max_tries")
+    if expiry is not None:
+        merged["expiry_s"] = float(expiry)
+    if request is not None:
+        merged["request_s"] = float(request)
+    if tries is not None:
+        merged["max_tries"] = tries
+    return merged
--- /dev/null
+++ b/packages/layout/src/dykeswitch/layout/papers.py
@@ -0,0 +1,80 @@
+"""Papers: the documents of the register that every proxy carries.
+
+A paper is taken up only at a higher version than the one held, and only versions
+that a majority of stores confirmed are ever named on the timeline.
+"""
+
+import asyncio
+import typing
+
+import dykeswitch.frames as frames
+import dykeswitch.outcome as outcome
+import dykeswitch.timeline as timeline
+
+LAYOUT: typing.Final = "layout"
+PAUSES: typing.Final = "pauses"
+NAMES: typing.Final = (LAYOUT, PAUSES)
+
+Taken = typing.Callable[[str, int, bytes], bool]
+
+
+class Papers:
+    """The newest confirmed papers this member holds."""
+
+    def __init__(self, line: timeline.Timeline, caller: frames.Caller, call_s: float, taken: Taken) -> None:
+        self._line = line
+        self._caller = caller
+        self._call_s = call_s
+        self._taken = taken
+        self._held: dict[str, tuple[int, bytes]] = {}
+        self._lock = asyncio.Lock()
+
+    def version(self, name: str) -> int:
+        return self._held.get(name, (0, b""))[0]
+
+    def body(self, name: str) -> bytes:
+        return self._held.get(name, (0, b""))[1]
+
+    def kinds(self) -> dict[str, frames.Handle]:
+        return {"paper": self._on_paper}
+
+    async def _on_paper(self, body: frames.Body) -> frames.Result:
+        name = str(body["name"])
+        if name not in self._held:
+            return outcome.bad("no_such", name)
+        version, data = self._held[name]
+        # Who asks for a version we have not reached is better served elsewhere.
+        if version < int(body["want"]):
+            return outcome.bad("no_such", f"{name} {version}")
+        return outcome.Good({"version": version, "body": data})
+
+    def take(self, name: str, version: int, data: bytes) -> bool:
+        """Take up a confirmed version; never an equal or lower one."""
+        if version <= self.version(name):
+            return False
+        if not self._taken(name, version, data):
+            return False
+        self._held[name] = (version, data)
+        return True
+
+    def behind(self) -> list[tuple[str, int]]:
+        """Papers named on the timeline at a version we do not hold yet."""
+        return [
+            (e.key, int(e.fields["version"]))
+            for e in self._line.all(timeline.PAPER)
+            if e.key in NAMES and int(e.fields["version"]) > self.version(e.key)
+        ]
+
+    async def catch_up(self, spots: typing.Sequence[str]) -> bool:
+        """Fetch what we are behind on from the first member that has it."""
+        async with self._lock:
+            for name, want in self.behind():
+                for spot in spots:
+                    # Someone may have moved us on while we asked.
+                    if self.version(name) >= want:
+                        break
+                    ask = {"name": name, "want": want}
+                    result = await self._caller.ask(spot, "paper", ask, self._call_s)
+                    if isinstance(result, outcome.Good):
+                        self.take(name, int(result.value["version"]), result.value["body"])
+            return not self.behind()
--- /dev/null
+++ b/packages/logs/src/dykeswitch/logs/__init__.py
@@ -0,0 +1,45 @@
+"""Logs: one JSON object a line, on standard error."""
+
+import json
+import typing
+
+import picologging
+
+import dykeswitch.ports as ports
+
+LEVELS: typing.Final = {"debug": 10, "info": 20, "warning": 30, "error": 40}
+
+
+class Log:
+    """Writes events with their fields."""
+
+    def __init__(self, program: str, name: str, level: str, clock: ports.Clock) -> None:
+        self._head = {"program": program, "name": name}
+        self._clock = clock
+        self._level = LEVELS[level]
+        self._out: picologging.Logger = picologging.Logger(f"{program}.{name}", self._level)
+        hand = picologging.StreamHandler()
+        hand.setFormatter(picologging.Formatter("%(message)s"))
+        self._out.addHandler(hand)
+
+    def _write(self, level: str, event: str, fields: dict[str, typing.Any]) -> None:
+        if LEVELS[level] < self._level:
+            return
+        line = {"time": round(self._clock.wall(), 3), "level": level, **self._head, "event": event, **fields}
+        self._out.log(LEVELS[level], json.dumps(line, default=str))
+
+    def debug(self, event: str, **fields: typing.Any) -> None:
+        self._write("debug", event, fields)
+
+    def info(self, event: str, **fields: typing.Any) -> None:
+        self._write("info", event, fields)
+
+    def warning(self, event: str, **fields: typing.Any) -> None:
+        self._write("warning", event, fields)
+
+    def error(self, event: str, **fields: typing.Any) -> None:
+        self._write("error", event, fields)
+
+    def note(self, event: str, what: str) -> None:
+        """For parts that know nothing of levels."""
+        self._write("warning", event, {"what": what})
--- /dev/null
+++ b/packages/membership/src/dykeswitch/membership/__init__.py
@@ -0,0 +1,260 @@
+"""How members know each other: partial views shuffled between neighbours.
+
+Over the same neighbours the timeline spreads: at once when news is urgent, and with
+every shuffle for the rest. Cores are known to all by entries of their own, since
+every proxy polls every core.
+"""
+
+import asyncio
+import dataclasses
+import random
+import secrets
+import typing
+
+import dykeswitch.frames as frames
+import dykeswitch.outcome as outcome
+import dykeswitch.ports as ports
+import dykeswitch.timeline as timeline
+
+VIEW_MOST: typing.Final = 8
+SAMPLE: typing.Final = 4
+AGE_MOST: typing.Final = 12
+
+
+@dataclasses.dataclass(slots=True)
+class Member:
+    """A neighbour in the partial view."""
+
+    name: str
+    kind: str
+    spot: str
+    age: int = 0
+
+    def wire(self) -> list[typing.Any]:
+        return [self.name, self.kind, self.spot, self.age]
+
+
+@dataclasses.dataclass(slots=True)
+class Cursor:
+    """How far we and one other member know each other's timelines."""
+
+    boot: str = ""
+    theirs: int = 0
+    ours: int = 0
+
+
+class Spread:
+    """One member's part in the shuffle and in the spreading of the timeline."""
+
+    def __init__(
+        self,
+        me: Member,
+        line: timeline.Timeline,
+        machine: ports.Machine,
+        caller: frames.Caller,
+        dice: random.Random,
+        shuffle_s: float,
+        call_s: float,
+        hold_s: float,
+        seeds: typing.Sequence[str],
+        note: typing.Callable[[str, str], None],
+    ) -> None:
+        self.me = me
+        self.boot = secrets.token_hex(6)
+        self.line = line
+        self._clock = machine.clock
+        self._caller = caller
+        self._dice = dice
+        self._shuffle_s = shuffle_s
+        self._call_s = call_s
+        self._hold_s = hold_s
+        self._seeds = [seed for seed in seeds if seed != me.spot]
+        self._note = note
+        self.view: dict[str, Member] = {}
+        self._cursors: dict[str, Cursor] = {}
+        self.heard = -1e9
+        self._tasks: dict[tuple[str, str], asyncio.Task[None]] = {}
+
+    def kinds(self) -> dict[str, frames.Handle]:
+        return {"shuffle": self._on_shuffle, "tell": self._on_tell, "poll": self._on_poll}
+
+    # The calls we answer.
+
+    def _head(self) -> frames.Body:
+        return {"name": self.me.name, "boot": self.boot, "seq": self.line.seq}
+
+    async def _on_shuffle(self, body: frames.Body) -> frames.Result:
+        self.heard = self._clock.now()
+        sample = self._sample(str(body["name"]))
+        self._learn(body["view"])
+        self.line.merge(body["items"])
+        items = self._fresh_for(body)
+        return outcome.Good({**self._head(), "view": sample, "items": items})
+
+    async def _on_tell(self, body: frames.Body) -> frames.Result:
+        self.heard = self._clock.now()
+        self.line.merge(body["items"])
+        return outcome.Good(self._head())
+
+    async def _on_poll(self, body: frames.Body) -> frames.Result:
+        self.heard = self._clock.now()
+        self.line.merge(body["items"])
+        boot, seq = body["cursor"]
+        seq = int(seq) if boot == self.boot else 0
+        if boot == self.boot and self.line.urgent <= seq:
+            # No news: hold the answer until there is some or the hold is over.
+            async with self.line.news:
+                await ports.wait_for(
+                    self.line.news, lambda: self.line.urgent > seq, min(float(body["hold"]), self._hold_s)
+                )
+        head = self._head()
+        return outcome.Good({**head, "items": self.line.wire_since(seq)})
+
+    def _fresh_for(self, body: frames.Body) -> list[timeline.Wire]:
+        boot, seq = body["cursor"]
+        return self.line.wire_since(int(seq) if boot == self.boot else 0)
+
+    # The view.
+
+    def _sample(self, but: str) -> list[list[typing.Any]]:
+        others = [m for m in self.view.values() if m.name != but]
+        picked = self._dice.sample(others, min(SAMPLE - 1, len(others)))
+        return [[self.me.name, self.me.kind, self.me.spot, 0], *(m.wire() for m in picked)]
+
+    def _learn(self, raw: typing.Iterable[typing.Any]) -> None:
+        for name, kind, spot, age in raw:
+            if name == self.me.name or spot == self.me.spot:
+                continue
+            old = self.view.get(name)
+            # The younger word wins: it was heard from the member itself later.
+            if old is None or int(age) < old.age or old.spot != spot and int(age) <= old.age:
+                self.view[str(name)] = Member(str(name), str(kind), str(spot), int(age))
+        for member in list(self.view.values()):
+            if member.age > AGE_MOST:
+                del self.view[member.name]
+        while len(self.view) > VIEW_MOST:
+            oldest = max(self.view.values(), key=lambda m: (m.age, m.name))
+            del self.view[oldest.name]
+
+    def cores(self) -> dict[str, str]:
+        """Every registry known, by name, with its address."""
+        return {
+            e.key: str(e.fields["spot"]) for e in self.line.all(timeline.CORE) if e.key != self.me.name
+        }
+
+    # The tasks.
+
+    async def run(self) -> None:
+        """Shuffle for ever, and keep one task for each member we push to or poll."""
+        async with asyncio.TaskGroup() as group:
+            turn = 0
+            while True:
+                await self._shuffle(turn)
+                self._tend(group)
+                self.line.tidy()
+                turn += 1
+                # A short first while: a new member should be known soon.
+                span = self._shuffle_s * (0.2 if turn < 5 else 1.0)
+                await self._clock.sleep(span * (0.75 + self._dice.random() / 2))
+
+    async def _shuffle(self, turn: int) -> None:
+        for member in self.view.values():
+            member.age += 1
+        known = list(self.view.values())
+        seeds = [s for s in self._seeds if s not in {m.spot for m in known}]
+        # Islands that forgot each other meet again through seeds, so ask one now and then.
+        if seeds and (len(known) < 2 or turn % 4 == 0):
+            spots = seeds if not known else [self._dice.choice(seeds)]
+            await asyncio.gather(*(self._trade(spot, "") for spot in spots))
+            return
+        if not known:
+            return
+        oldest = max(known, key=lambda m: (m.age, m.name))
+        if not await self._trade(oldest.spot, oldest.name):
+            self.view.pop(oldest.name, None)
+
+    async def _trade(self, spot: str, name: str) -> bool:
+        cursor = self._cursors.get(spot) or Cursor()
+        seq = self.line.seq
+        body = {
+            **self._head(),
+            "view": self._sample(name),
+            "items": self.line.wire_since(cursor.ours),
+            "cursor": [cursor.boot, cursor.theirs],
+        }
+        result = await self._caller.ask(spot, "shuffle", body, self._call_s)
+        if isinstance(result, outcome.Bad):
+            # What it missed while away is sent again.
+            self._cursors.pop(spot, None)
+            return False
+        self.heard = self._clock.now()
+        reply = result.value
+        self._learn(reply["view"])
+        self.line.merge(reply["items"])
+        same = reply["boot"] == cursor.boot
+        # A member that started anew has forgotten what it was told.
+        self._cursors[spot] = Cursor(str(reply["boot"]), int(reply["seq"]), seq if same else 0)
+        if name and reply["name"] != name:
+            self.view.pop(name, None)
+        return True
+
+    def _tend(self, group: asyncio.TaskGroup) -> None:
+        cores = self.cores()
+        wanted: dict[tuple[str, str], typing.Callable[[str], typing.Awaitable[None]]] = {}
+        for spot in [*cores.values(), *(m.spot for m in self.view.values())]:
+            if spot != self.me.spot:
+                wanted[("push", spot)] = self._push
+        if self.me.kind == "proxy":
+            # Seeds are polled too until cores are known by their own entries.
+            for spot in cores.values():
+                wanted[("pull", spot)] = self._pull
+        for key, task in list(self._tasks.items()):
+            if key not in wanted:
+                task.cancel()
+                del self._tasks[key]
+        for key, work in wanted.items():
+            if key not in self._tasks or self._tasks[key].done():
+                self._tasks[key] = group.create_task(_coroutine(work(key[1])))
+
+    async def _push(self, spot: str) -> None:
+        """Tell one member of urgent news as it comes."""
+        sent = self.line.seq if spot in self._cursors else 0
+        while True:
+            async with self.line.news:
+                while self.line.urgent <= sent:
+                    await self.line.news.wait()
+            upto = self.line.seq
+            body = {**self._head(), "items": self.line.wire_since(sent)}
+            result = await self._caller.ask(spot, "tell", body, self._call_s)
+            if isinstance(result, outcome.Bad):
+                # Shuffles and polls carry the rest once it is back.
+                await self._clock.sleep(self._shuffle_s)
+                continue
+            self.heard = self._clock.now()
+            sent = upto
+
+    async def _pull(self, spot: str) -> None:
+        """Ask one core with what we have; it answers when there is news."""
+        cursor = Cursor()
+        while True:
+            seq = self.line.seq
+            body = {
+                **self._head(),
+                "items": self.line.wire_since(cursor.ours),
+                "cursor": [cursor.boot, cursor.theirs],
+                "hold": self._hold_s,
+            }
+            result = await self._caller.ask(spot, "poll", body, self._hold_s + self._call_s)
+            if isinstance(result, outcome.Bad):
+                cursor = Cursor()
+                await self._clock.sleep(self._shuffle_s)
+                continue
+            self.heard = self._clock.now()
+            reply = result.value
+            self.line.merge(reply["items"])
+            same = reply["boot"] == cursor.boot
+            cursor = Cursor(str(reply["boot"]), int(reply["seq"]), seq if same else 0)
+
+
+async def _coroutine(work: typing.Awaitable[None]) -> None:
+    await work
--- /dev/null
+++ b/packages/outcome/src/dykeswitch/outcome/__init__.py
@@ -0,0 +1,107 @@
+"""Tagged outcomes and the numbered result codes that every program speaks."""
+
+import dataclasses
+import typing
+
+T = typing.TypeVar("T")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Code:
+    """One numbered result code; `docs/result-codes.md` lists them all."""
+
+    number: int
+    tag: str
+    status: int
+    text: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Good(typing.Generic[T]):
+    """The work was done and this is what came of it."""
+
+    value: T
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Bad:
+    """The work was not done, or what became of it is unknown."""
+
+    code: Code
+    why: str = ""
+    faults: tuple[str, ...] = ()
+
+    def page(self) -> dict[str, object]:
+        """The JSON body that tells a person or a program what happened."""
+        page: dict[str, object] = {
+            "code": self.code.number,
+            "result": self.code.tag,
+            "text": self.code.text,
+        }
+        if self.why:
+            page["why"] = self.why
+        if self.faults:
+            page["faults"] = list(self.faults)
+        return page
+
+
+def _table(*codes: Code) -> dict[str, Code]:
+    # A number or tag used twice would make a log line ambiguous: refuse at import.
+    if len({c.number for c in codes}) != len(codes):
+        raise ValueError("a result code's number is used twice")
+    table = {c.tag: c for c in codes}
+    if len(table) != len(codes):
+        raise ValueError("a result code's tag is used twice")
+    return table
+
+
+# 1xx: told to callers. 2xx: endpoints. 3xx: layouts and operators.
+# 4xx: the register. 5xx: between members. 6xx: starting up.
+TABLE: typing.Final[dict[str, Code]] = _table(
+    Code(101, "no_rule", 404, "no rule sends this request anywhere"),
+    Code(102, "no_layout", 503, "no confirmed layout yet; the request did not run"),
+    Code(103, "no_endpoint", 503, "no endpoint could take it; the request did not run"),
+    Code(104, "too_busy", 503, "too many exchanges at once; the request did not run"),
+    Code(105, "body_too_big", 413, "the request's body is over the bound"),
+    Code(106, "head_too_big", 431, "the request's headers are over the bound"),
+    Code(107, "bad_expiry", 400, "the expiry header is not a whole number of milliseconds"),
+    Code(108, "outcome_unknown", 502, "the pipe broke after the request was sent; outcome unknown"),
+    Code(109, "timed_out", 504, "no reply in time after the request was sent; outcome unknown"),
+    Code(110, "bad_reply", 502, "the endpoint's reply was garbage or cut short; outcome unknown"),
+    Code(111, "not_run", 503, "given up on; the request did not run and will not"),
+    Code(112, "expired", 504, "the expiry passed before anything was sent; the request did not run"),
+    Code(113, "wrong_owner", 502, "the reply came from another endpoint; outcome unknown"),
+    Code(114, "stopping", 503, "this proxy is stopping; the request did not run"),
+    Code(115, "caller_left", 499, "the caller left before the request was sent"),
+    Code(201, "bad_beat", 400, "the beat is malformed"),
+    Code(202, "beat_gone", 409, "this id has left or was displaced; announce with a new id"),
+    Code(301, "bad_layout", 422, "the layout has faults"),
+    Code(302, "lost_race", 412, "the version to match is not the newest"),
+    Code(303, "no_such", 404, "there is no such thing here"),
+    Code(304, "bad_json", 400, "the body is not JSON"),
+    Code(305, "bad_match", 400, "If-Match takes one version number"),
+    Code(306, "too_big", 413, "the body is over the bound"),
+    Code(307, "bad_query", 400, "the query is malformed"),
+    Code(401, "no_majority", 503, "no majority of stores answered; nothing was changed"),
+    Code(402, "unknown", 504, "outcome unknown: a repeat of the same change settles it"),
+    Code(403, "conflict", 503, "another change went first; nothing was changed"),
+    Code(404, "other_disk", 409, "the store at this address holds another disk"),
+    Code(405, "not_seated", 409, "this disk is in no member set and has no vote"),
+    Code(406, "old_epoch", 409, "the member set is newer than the one asked under"),
+    Code(407, "disk_fault", 500, "the disk refused or damaged a write"),
+    Code(408, "outvoted", 409, "a higher ballot was promised"),
+    Code(501, "bad_frame", 400, "a frame is malformed"),
+    Code(502, "frame_too_big", 413, "a frame is over the bound"),
+    Code(503, "other_version", 400, "a frame is of another version"),
+    Code(504, "no_answer", 504, "the member did not answer in time"),
+    Code(505, "no_kind", 400, "the member does not know this kind of call"),
+    Code(506, "broke", 500, "the member failed on this call"),
+    Code(601, "bad_settings", 500, "the settings have faults"),
+    Code(602, "port_taken", 500, "an address can not be listened on"),
+    Code(603, "no_folder", 500, "the data folder is missing or not writable"),
+)
+
+
+def bad(tag: str, why: str = "", faults: tuple[str, ...] = ()) -> Bad:
+    """A bad outcome by its tag."""
+    return Bad(TABLE[tag], why, faults)
--- /dev/null
+++ b/packages/ports/src/dykeswitch/ports/__init__.py
@@ -0,0 +1,142 @@
+"""The ports: what the programs ask of clock, network, disk and web server.
+
+Each has one adapter for real machines (`dykeswitch.ports.real`) and one for the
+simulator; nothing else in the programs touches the operating system.
+"""
+
+import asyncio
+import pathlib
+import typing
+
+T = typing.TypeVar("T")
+
+Scope = typing.MutableMapping[str, typing.Any]
+Message = typing.MutableMapping[str, typing.Any]
+Receive = typing.Callable[[], typing.Awaitable[Message]]
+Send = typing.Callable[[Message], typing.Awaitable[None]]
+# Libraries type their own scopes more narrowly, so the call itself is left open.
+App = typing.Callable[..., typing.Coroutine[typing.Any, typing.Any, None]]
+
+
+class Clock(typing.Protocol):
+    """Time: `now` never jumps, `wall` may."""
+
+    def now(self) -> float: ...
+
+    def wall(self) -> float: ...
+
+    async def sleep(self, span: float) -> None: ...
+
+
+class Pipe(typing.Protocol):
+    """A two-way stream of bytes."""
+
+    async def read(self, most: int) -> bytes: ...
+
+    async def write(self, data: bytes) -> None: ...
+
+    def close(self) -> None: ...
+
+    def ended(self) -> bool: ...
+
+
+Serve = typing.Callable[[Pipe], typing.Awaitable[None]]
+
+
+class Listener(typing.Protocol):
+    """An open ear; `close` stops taking new pipes."""
+
+    def close(self) -> None: ...
+
+
+class Network(typing.Protocol):
+    """Pipes by address; an address is `ip:port`."""
+
+    async def dial(self, spot: str, wait: float) -> Pipe: ...
+
+    async def listen(self, spot: str, serve: Serve) -> Listener: ...
+
+
+class Disk(typing.Protocol):
+    """The steps that make a file last; the files themselves lie under `root`."""
+
+    @property
+    def root(self) -> pathlib.Path: ...
+
+    def sync_file(self, path: pathlib.Path) -> None: ...
+
+    def sync_folder(self, path: pathlib.Path) -> None: ...
+
+    def rename(self, old: pathlib.Path, new: pathlib.Path) -> None: ...
+
+    def drop(self, path: pathlib.Path) -> None: ...
+
+    async def run(self, work: typing.Callable[[], T]) -> T: ...
+
+
+class Points(typing.Protocol):
+    """Numbered points at which a test may inject a fault."""
+
+    def hit(self, number: int) -> None: ...
+
+
+class NoPoints:
+    """In production nothing happens at a numbered point."""
+
+    def hit(self, number: int) -> None:
+        return None
+
+
+class Reply(typing.NamedTuple):
+    """What a web call brought back."""
+
+    status: int
+    heads: list[tuple[str, str]]
+    body: bytes
+
+    def head(self, name: str) -> str | None:
+        for key, text in self.heads:
+            if key.lower() == name:
+                return text
+        return None
+
+
+class Web(typing.Protocol):
+    """Web calls out, and an application served to the outside."""
+
+    async def serve(self, spot: str, app: App) -> "WebServer": ...
+
+    async def ask(
+        self,
+        method: str,
+        spot: str,
+        path: str,
+        heads: list[tuple[str, str]],
+        body: bytes,
+        wait: float,
+    ) -> Reply: ...
+
+
+class WebServer(typing.Protocol):
+    """A served application."""
+
+    async def stop(self, grace: float) -> None: ...
+
+
+class Machine(typing.NamedTuple):
+    """All the ports of one machine, handed to a program as one."""
+
+    clock: Clock
+    net: Network
+    web: Web
+    points: Points
+
+
+async def wait_for(cond: asyncio.Condition, test: typing.Callable[[], bool], span: float) -> bool:
+    """Wait on a held condition until the test holds or the span is over."""
+    try:
+        async with asyncio.timeout(span):
+            await cond.wait_for(test)
+        return True
+    except TimeoutError:
+        return False
--- /dev/null
+++ b/packages/ports/src/dykeswitch/ports/real.py
@@ -0,0 +1,234 @@
+"""The adapters for real machines."""
+
+import asyncio
+import collections.abc
+import contextlib
+import os
+import pathlib
+import shutil
+import socket
+import time
+import typing
+
+import httpx
+import uvicorn
+
+import dykeswitch.ports as ports
+
+T = typing.TypeVar("T")
+
+READ_SIZE: typing.Final = 65536
+
+
+def split_spot(spot: str) -> tuple[str, int]:
+    """An `ip:port` in its two parts."""
+    host, _, port = spot.rpartition(":")
+    return host, int(port)
+
+
+class RealClock:
+    """The machine's own clocks."""
+
+    def now(self) -> float:
+        return time.monotonic()
+
+    def wall(self) -> float:
+        return time.time()
+
+    async def sleep(self, span: float) -> None:
+        await asyncio.sleep(span)
+
+
+class RealPipe:
+    """A TCP stream."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._reader = reader
+        self._writer = writer
+        sock = writer.get_extra_info("socket")
+        if sock is not None:
+            # Frames and small requests must not wait for a fuller packet.
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+    async def read(self, most: int) -> bytes:
+        return await self._reader.read(most)
+
+    async def write(self, data: bytes) -> None:
+        self._writer.write(data)
+        await self._writer.drain()
+
+    def close(self) -> None:
+        with contextlib.suppress(Exception):
+            self._writer.close()
+
+    def ended(self) -> bool:
+        # Unread bytes on an idle pipe are as bad as its end: nobody asked for them.
+        return (
+            self._reader.at_eof()
+            or self._writer.is_closing()
+            or bool(getattr(self._reader, "_buffer", b""))
+        )
+
+
+class RealListener:
+    """An asyncio server and the pipes it has open."""
+
+    def __init__(self) -> None:
+        self.server: asyncio.Server | None = None
+        self.pipes: set[RealPipe] = set()
+
+    def close(self) -> None:
+        if self.server is not None:
+            self.server.close()
+        for pipe in list(self.pipes):
+            pipe.close()
+
+
+class RealNetwork:
+    """TCP by IP numbers."""
+
+    async def dial(self, spot: str, wait: float) -> ports.Pipe:
+        host, port = split_spot(spot)
+        async with asyncio.timeout(wait):
+            reader, writer = await asyncio.open_connection(host, port)
+        return RealPipe(reader, writer)
+
+    async def listen(self, spot: str, serve: ports.Serve) -> ports.Listener:
+        host, port = split_spot(spot)
+        ear = RealListener()
+
+        async def opened(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            pipe = RealPipe(reader, writer)
+            ear.pipes.add(pipe)
+            try:
+                await serve(pipe)
+            except (OSError, asyncio.CancelledError):
+                return
+            finally:
+                ear.pipes.discard(pipe)
+                pipe.close()
+
+        ear.server = await asyncio.start_server(opened, host, port, reuse_address=True)
+        return ear
+
+
+class RealDisk:
+    """A folder on a real disk."""
+
+    def __init__(self, root: pathlib.Path) -> None:
+        self._root = root
+
+    @property
+    def root(self) -> pathlib.Path:
+        return self._root
+
+    def sync_file(self, path: pathlib.Path) -> None:
+        hand = os.open(path, os.O_RDONLY)
+        try:
+            os.fsync(hand)
+        finally:
+            os.close(hand)
+
+    def sync_folder(self, path: pathlib.Path) -> None:
+        self.sync_file(path)
+
+    def rename(self, old: pathlib.Path, new: pathlib.Path) -> None:
+        os.rename(old, new)
+
+    def drop(self, path: pathlib.Path) -> None:
+        if path.is_dir():
+            shutil.rmtree(path, ignore_errors=True)
+        else:
+            path.unlink(missing_ok=True)
+
+    async def run(self, work: typing.Callable[[], T]) -> T:
+        return await asyncio.to_thread(work)
+
+
+class _Server(uvicorn.Server):
+    """Uvicorn without its own signal handlers: the program has its own."""
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> collections.abc.Generator[None, None, None]:
+        yield
+
+
+class RealWebServer:
+    """One application served by uvicorn in this process."""
+
+    def __init__(self, server: uvicorn.Server, task: "asyncio.Task[None]") -> None:
+        self._server = server
+        self._task = task
+
+    async def stop(self, grace: float) -> None:
+        self._server.config.timeout_graceful_shutdown = max(1, int(grace))
+        self._server.should_exit = True
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(grace + 1):
+                await asyncio.wait([self._task])
+
+
+class RealWeb:
+    """Uvicorn inward, httpx outward."""
+
+    def __init__(self, head_most: int = 32768) -> None:
+        self._head_most = head_most
+        self._client: httpx.AsyncClient | None = None
+
+    async def serve(self, spot: str, app: ports.App) -> ports.WebServer:
+        host, port = split_spot(spot)
+        # Bind first, so that a taken port is told as one plain line.
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            sock.bind((host, port))
+        except OSError:
+            sock.close()
+            raise
+        config = uvicorn.Config(
+            typing.cast(typing.Any, app),
+            http="h11",
+            ws="none",
+            lifespan="off",
+            log_config=None,
+            access_log=False,
+            server_header=False,
+            date_header=False,
+            proxy_headers=False,
+            h11_max_incomplete_event_size=self._head_most,
+            timeout_keep_alive=60,
+            backlog=1024,
+        )
+        server = _Server(config)
+        task = asyncio.create_task(server.serve(sockets=[sock]))
+        while not server.started:
+            if task.done():
+                await task
+                raise OSError(f"cannot serve on {spot}")
+            await asyncio.sleep(0.005)
+        return RealWebServer(server, task)
+
+    async def ask(
+        self,
+        method: str,
+        spot: str,
+        path: str,
+        heads: list[tuple[str, str]],
+        body: bytes,
+        wait: float,
+    ) -> ports.Reply:
+        if self._client is None:
+            self._client = httpx.AsyncClient(trust_env=False, limits=httpx.Limits(max_connections=1000))
+        try:
+            async with asyncio.timeout(wait):
+                reply = await self._client.request(
+                    method, f"http://{spot}{path}", headers=heads, content=body, timeout=wait
+                )
+        except httpx.HTTPError as flaw:
+            raise OSError(f"{type(flaw).__name__}: {flaw}") from flaw
+        return ports.Reply(reply.status_code, list(reply.headers.multi_items()), reply.content)
+
+
+def machine(head_most: int = 32768) -> ports.Machine:
+    """The ports of this machine."""
+    return ports.Machine(RealClock(), RealNetwork(), RealWeb(head_most), ports.NoPoints())
--- /dev/null
+++ b/packages/proxy/src/dykeswitch/proxy/__init__.py
@@ -0,0 +1,1 @@
+"""The proxy: carries exchanges to endpoints that have no mark."""
--- /dev/null
+++ b/packages/proxy/src/dykeswitch/proxy/carrier.py
@@ -0,0 +1,474 @@
+"""The carrier: the passes that bring an exchange from request to reply."""
+
+import asyncio
+import json
+import math
+import random
+import typing
+
+import dykeswitch.layout as layouts
+import dykeswitch.logs as logs
+import dykeswitch.outcome as outcome
+import dykeswitch.ports as ports
+import dykeswitch.proxy.budget as budgets
+import dykeswitch.proxy.exchange as exchanges
+import dykeswitch.proxy.selection as selection
+import dykeswitch.settings as settings
+import dykeswitch.soundness as soundness
+import dykeswitch.soundness.pipe as pipes
+import dykeswitch.timeline as timeline
+
+# Fields of one hop, which the HTTP standard forbids to pass on.
+HOP: typing.Final = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    }
+)
+EXPIRY: typing.Final = b"dykeswitch-expiry-ms"
+EXCHANGE: typing.Final = b"dykeswitch-exchange"
+# Pipes that failed before anything was sent cost the endpoint nothing; still one
+# exchange does not try the whole fleet.
+MISSES_MOST: typing.Final = 6
+IDLE_MOST: typing.Final = 16
+
+Stage = exchanges.Stage
+
+
+class BrokenReply(Exception):
+    """A reply that can't be finished: the caller's pipe must break."""
+
+
+def kept_heads(heads: pipes.Heads) -> pipes.Heads:
+    """Header fields that go on to the next hop."""
+    named = {
+        part.strip().lower()
+        for key, text in heads
+        if key.lower() == b"connection"
+        for part in text.split(b",")
+    }
+    return [(k, v) for k, v in heads if k.lower() not in HOP and k.lower() not in named]
+
+
+class Carrier:
+    """Holds the table of exchanges and runs the passes over it."""
+
+    def __init__(
+        self,
+        bounds: settings.Settings,
+        machine: ports.Machine,
+        line: timeline.Timeline,
+        marks: timeline.Marks,
+        log: logs.Log,
+        dice: random.Random,
+        sure: typing.Callable[[], typing.Awaitable[None]],
+        gapped: typing.Callable[[], bool],
+    ) -> None:
+        self._bounds = bounds
+        self._net = machine.net
+        self._clock = machine.clock
+        self._line = line
+        self._marks = marks
+        self._log = log
+        self._sure = sure
+        self._gapped = gapped
+        self.layout: layouts.Layout | None = None
+        self.selector = selection.Selector(line, marks, bounds.zone, dice)
+        self.table: dict[str, exchanges.Exchange] = {}
+        self._idle: dict[str, list[pipes.EndpointPipe]] = {}
+        self._busy: dict[str, set[pipes.EndpointPipe]] = {}
+        self._budgets: dict[str, budgets.Budget] = {}
+        self._strikes = soundness.Strikes(bounds.mark_s)
+        self.closing = False
+        self.counts: dict[str, int] = {}
+        line.on_change(self._on_entry)
+        self._passes: dict[Stage, typing.Callable[[exchanges.Exchange], typing.Awaitable[Stage]]] = {
+            Stage.MATCH: self._match,
+            Stage.SELECT: self._select,
+            Stage.DELIVER: self._deliver,
+            Stage.JUDGE: self._judge,
+            Stage.RETRY: self._retry,
+            Stage.REPLY: self._reply,
+        }
+
+    def count(self, name: str) -> None:
+        self.counts[name] = self.counts.get(name, 0) + 1
+
+    def _on_entry(self, entry: timeline.Entry) -> None:
+        """Pipes to an endpoint that is leaving, gone or moved are closed at once."""
+        if entry.kind != timeline.ENDPOINT:
+            return
+        for pipe in self._idle.get(entry.key, []):
+            if entry.fields["state"] != timeline.UP or pipe.spot != entry.fields["address"]:
+                pipe.close()
+        if entry.fields["state"] != timeline.UP:
+            self._idle.pop(entry.key, None)
+
+    async def carry(self, x: exchanges.Exchange) -> None:
+        """Run the passes over one exchange until it is done."""
+        self.table[x.name] = x
+        self.count("exchanges")
+        try:
+            while x.stage is not Stage.DONE:
+                x.stage = await self._passes[x.stage](x)
+        finally:
+            del self.table[x.name]
+            if x.pipe is not None:
+                self._put_away(x, sound=False)
+            self._log.info(
+                "exchange",
+                exchange=x.name,
+                method=x.method,
+                host=x.host,
+                path=x.path,
+                rule=x.rule.name if x.rule else None,
+                service=x.service or None,
+                endpoint=x.endpoint.key if x.endpoint else None,
+                goes=x.goes,
+                misses=x.misses,
+                status=x.status,
+                result=x.bad.code.number if x.bad else 0,
+                span_ms=round((self._clock.now() - x.born) * 1000, 1),
+            )
+
+    def _end(self, x: exchanges.Exchange, tag: str, why: str = "") -> Stage:
+        x.bad = outcome.bad(tag, why)
+        return Stage.REPLY
+
+    # The passes.
+
+    async def _match(self, x: exchanges.Exchange) -> Stage:
+        # After a freeze the layout and list in hand may be long out of date.
+        await self._sure()
+        found = self._find_rule(x)
+        if found is not None:
+            return self._end(x, found)
+        self._budget(x.service).request()
+        return Stage.SELECT
+
+    def _find_rule(self, x: exchanges.Exchange) -> str | None:
+        if self.layout is None:
+            x.retry_after = 1
+            return "no_layout"
+        rule = self.layout.match(x.host, x.path, x.method)
+        if rule is None:
+            return "no_rule"
+        limits = layouts.limits(self.layout, rule)
+        x.rule = rule
+        x.service = rule.service
+        x.writing = rule.writes(x.method)
+        x.request_s = limits.get("request_s", self._bounds.request_s)
+        x.max_tries = limits.get("max_tries", self._bounds.max_tries)
+        # The earlier of the caller's own expiry and the rule's holds.
+        span = limits.get("expiry_s", self._bounds.request_s)
+        x.expiry = x.born + (span if x.asked_s is None else min(span, x.asked_s))
+        return None
+
+    def _budget(self, service: str) -> budgets.Budget:
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = self._budgets[service] = budgets.Budget(self._bounds, self._clock.now())
+        return budget
+
+    async def _select(self, x: exchanges.Exchange) -> Stage:
+        await self._sure()
+        # A layout may have come since: the rule of this moment decides.
+        found = self._find_rule(x)
+        if found is not None:
+            return self._end(x, found) if not x.unknown else Stage.REPLY
+        now = self._clock.now()
+        if now >= x.expiry:
+            return self._give_up(x, "expired")
+        entry = self.selector.select(x.service, x.tried)
+        if entry is None:
+            return self._give_up(x, "no_endpoint")
+        x.endpoint = entry
+        x.tried.add(entry.key)
+        flights = self.selector.flights
+        flights[entry.key] = flights.get(entry.key, 0) + 1
+        try:
+            x.pipe = await self._pipe_to(x, entry)
+        except pipes.Flaw as flaw:
+            # Nothing was sent: this is no go, and another endpoint may be selected.
+            self._land(entry.key)
+            x.misses += 1
+            self._mark(entry.key, soundness.Fault(flaw.reason))
+            if x.misses >= MISSES_MOST:
+                return self._give_up(x, "no_endpoint")
+            return Stage.SELECT
+        except BaseException:
+            self._land(entry.key)
+            raise
+        # Extra go's are paid for from the shared budget, right before they are made.
+        if x.goes and not self._budget(x.service).take(self._clock.now()):
+            self.count("over_budget")
+            self._put_away(x, sound=True)
+            return self._give_up(x, "not_run")
+        return Stage.DELIVER
+
+    async def _pipe_to(self, x: exchanges.Exchange, entry: timeline.Entry) -> pipes.EndpointPipe:
+        spot = str(entry.fields["address"])
+        now = self._clock.now()
+        held = self._idle.get(entry.key, [])
+        while held:
+            pipe = held.pop()
+            # A pipe that lay idle may by now lead to whoever took the address over
+            # without our hearing of it: only a fresh proof tells.
+            young = now - pipe.used < self._bounds.drain_s / 4
+            if pipe.usable() and pipe.spot == spot and young:
+                return pipe
+            pipe.close()
+        assert self.layout is not None
+        probe = self.layout.services[x.service].probe
+        left = max(0.0, x.expiry - now)
+        return await pipes.open_proven(
+            self._net,
+            self._clock,
+            entry.key,
+            spot,
+            probe,
+            min(self._bounds.dial_s, left),
+            min(self._bounds.probe_wait_s, left),
+        )
+
+    def _land(self, endpoint: str) -> None:
+        flights = self.selector.flights
+        left = flights.get(endpoint, 0) - 1
+        if left > 0:
+            flights[endpoint] = left
+        else:
+            flights.pop(endpoint, None)
+
+    def _put_away(self, x: exchanges.Exchange, sound: bool) -> None:
+        """Give a pipe back for the next exchange, or close it."""
+        pipe, x.pipe = x.pipe, None
+        if pipe is None:
+            return
+        self._land(pipe.endpoint)
+        entry = self._line.get(timeline.ENDPOINT, pipe.endpoint)
+        held = self._idle.setdefault(pipe.endpoint, [])
+        stays = entry is not None and entry.fields["state"] == timeline.UP
+        if sound and stays and pipe.usable() and len(held) < IDLE_MOST and not self.closing:
+            pipe.used = self._clock.now()
+            held.append(pipe)
+        else:
+            pipe.close()
+
+    def _go_s(self, x: exchanges.Exchange) -> float:
+        """How long this go may take."""
+        left = x.expiry - self._clock.now()
+        if not x.writing:
+            # A go that hangs must leave time for the tries that remain.
+            left = left / max(1, x.max_tries - x.goes)
+        return min(x.request_s, left)
+
+    async def _deliver(self, x: exchanges.Exchange) -> Stage:
+        assert x.pipe is not None and x.endpoint is not None
+        entry, pipe = x.endpoint, x.pipe
+        x.head, x.buffer, x.rest, x.flaw, x.sent = None, b"", None, "", False
+        span = self._go_s(x)
+        begun = self._clock.now()
+        mark = pipe.wrote()
+
+        def gate() -> bool:
+            # The last look before the first byte: frozen, expired, or gone since?
+            return (
+                not self._gapped()
+                and self._clock.now() - begun < self._bounds.gap_s
+                and self._clock.now() < x.expiry
+                and self.selector.usable(entry)
+            )
+
+        try:
+            async with asyncio.timeout(span):
+                x.head = await pipe.send(x.method, x.target, self._heads_for(x), x.body, gate)
+                await self._gather(x)
+        except TimeoutError:
+            x.flaw = soundness.TIMED_OUT
+            waited = self._clock.now() - begun
+            # A caller in a hurry says nothing about the endpoint.
+            if waited < min(self._bounds.probe_wait_s, x.request_s):
+                x.flaw = "expired"
+        except pipes.Flaw as flaw:
+            x.flaw = flaw.reason
+        x.sent = pipe.wrote_since(mark)
+        if x.sent:
+            x.goes += 1
+        return Stage.JUDGE
+
+    def _heads_for(self, x: exchanges.Exchange) -> pipes.Heads:
+        left = max(1, int((x.expiry - self._clock.now()) * 1000))
+        heads = [(k, v) for k, v in kept_heads(x.heads) if k not in (EXPIRY, EXCHANGE, b"content-length")]
+        if x.body or any(k == b"content-length" for k, _ in x.heads):
+            heads.append((b"content-length", str(len(x.body)).encode()))
+        heads.append((b"via", b"1.1 dykeswitch"))
+        heads.append((EXPIRY, str(left).encode()))
+        heads.append((EXCHANGE, x.name.encode()))
+        return heads
+
+    async def _gather(self, x: exchanges.Exchange) -> None:
+        """Hold the reply's body up to the bound, so that a cut one is never passed on."""
+        assert x.head is not None and x.pipe is not None
+        if not _framed(x):
+            raise pipes.Flaw(soundness.UNFRAMED, True)
+        rest = x.pipe.parts()
+        held = bytearray()
+        async for part in rest:
+            held += part
+            if len(held) > self._bounds.reply_buffer:
+                x.rest = rest
+                break
+        x.buffer = bytes(held)
+
+    async def _judge(self, x: exchanges.Exchange) -> Stage:
+        """What the go's end says of the endpoint and of the exchange."""
+        assert x.endpoint is not None and x.pipe is not None
+        name = x.endpoint.key
+        if x.flaw:
+            self._put_away(x, sound=False)
+            if x.flaw not in ("expired", "no longer to be used"):
+                self._mark(name, soundness.Fault(x.flaw))
+            if x.sent:
+                x.unknown = x.flaw
+            return Stage.RETRY
+        assert x.head is not None
+        served = x.head.get(soundness.SERVED_BY)
+        if served is not None and served.decode("latin-1") != name:
+            # Someone else's reply, or an address that changed hands under our pipe.
+            x.flaw = soundness.WRONG_ID_REPLY
+            x.unknown = x.flaw
+            x.head, x.buffer, x.rest = None, b"", None
+            self._put_away(x, sound=False)
+            self._mark(name, soundness.Fault(x.flaw))
+            return Stage.RETRY
+        promised = x.head.get(soundness.PROMISE) == soundness.NOT_RUN
+        fault = soundness.status_fault(x.head.status, promised)
+        if fault is None:
+            return Stage.REPLY
+        self._mark(name, fault)
+        if promised or not x.writing:
+            if x.rest is not None:
+                self._put_away(x, sound=False)
+                x.rest = None
+            else:
+                self._put_away(x, sound=True)
+            if promised:
+                x.flaw = "promised not to have run"
+            return Stage.RETRY
+        # A writing request's reply without a promise is the endpoint's last word.
+        return Stage.REPLY
+
+    def _mark(self, endpoint: str, fault: soundness.Fault) -> None:
+        if self._strikes.strike(endpoint, fault, self._clock.now()):
+            self.count("marks")
+            self._marks.set(endpoint, fault.reason, self._bounds.name)
+            self._log.warning("mark", endpoint=endpoint, reason=fault.reason)
+
+    async def _retry(self, x: exchanges.Exchange) -> Stage:
+        # Only what surely did not run may be repeated when it writes.
+        if x.writing and x.unknown:
+            return self._give_up(x, "not_run")
+        if x.goes >= x.max_tries:
+            return self._give_up(x, "not_run")
+        return Stage.SELECT
+
+    def _give_up(self, x: exchanges.Exchange, tag: str) -> Stage:
+        """The final answer, at once: what became of it, and when to come back if it may."""
+        if x.head is not None and not x.flaw:
+            # A reading request whose last reply was whole: that reply is the answer.
+            return Stage.REPLY
+        x.head = None
+        if x.unknown:
+            timed = x.unknown in (soundness.TIMED_OUT, "expired")
+            bad = {soundness.GARBAGE: "bad_reply", soundness.UNFRAMED: "bad_reply"}
+            bad[soundness.WRONG_ID_REPLY] = "wrong_owner"
+            return self._end(x, "timed_out" if timed else bad.get(x.unknown, "outcome_unknown"), x.unknown)
+        wait = self.selector.open_in(x.service, self._clock.now())
+        x.retry_after = max(1, min(math.ceil(wait), math.ceil(self._bounds.mark_s)))
+        return self._end(x, tag, x.flaw)
+
+    async def _reply(self, x: exchanges.Exchange) -> Stage:
+        if x.bad is not None or x.head is None:
+            bad = x.bad or outcome.bad("outcome_unknown", x.unknown)
+            x.bad = bad
+            await self.answer(x, bad)
+            return Stage.DONE
+        x.status = x.head.status
+        heads = [(k.lower(), v) for k, v in kept_heads(x.head.heads)]
+        bodiless = x.method == "HEAD" or x.status in (204, 304) or x.status < 200
+        if x.rest is None and not bodiless:
+            heads = [(k, v) for k, v in heads if k != b"content-length"]
+            heads.append((b"content-length", str(len(x.buffer)).encode()))
+        heads.append((b"via", b"1.1 dykeswitch"))
+        heads.append((EXCHANGE, x.name.encode()))
+        if self.closing:
+            heads.append((b"connection", b"close"))
+        if x.rest is None:
+            self._put_away(x, sound=True)
+        await x.send({"type": "http.response.start", "status": x.status, "headers": heads})
+        if x.rest is None:
+            await x.send({"type": "http.response.body", "body": x.buffer})
+            self.count("answered")
+            return Stage.DONE
+        await self._stream(x)
+        return Stage.DONE
+
+    async def _stream(self, x: exchanges.Exchange) -> None:
+        assert x.rest is not None and x.endpoint is not None
+        await x.send({"type": "http.response.body", "body": x.buffer, "more_body": True})
+        x.buffer = b""
+        try:
+            async with asyncio.timeout(max(0.0, x.expiry - self._clock.now())):
+                async for part in x.rest:
+                    await x.send({"type": "http.response.body", "body": part, "more_body": True})
+        except (TimeoutError, pipes.Flaw) as flaw:
+            self._put_away(x, sound=False)
+            self._mark(x.endpoint.key, soundness.Fault(soundness.BROKE_OFF))
+            self.count("broken")
+            # Past the bound the only honest sign of a cut reply is a broken pipe.
+            raise BrokenReply(str(flaw)) from flaw
+        self._put_away(x, sound=True)
+        await x.send({"type": "http.response.body", "body": b""})
+        self.count("answered")
+
+    async def answer(self, x: exchanges.Exchange, bad: outcome.Bad) -> None:
+        """An answer of our own."""
+        x.status = bad.code.status
+        self.count(f"result_{bad.code.number}")
+        page = {**bad.page(), "exchange": x.name}
+        body = json.dumps(page).encode()
+        heads = [
+            (b"content-type", b"application/json"),
+            (b"content-length", str(len(body)).encode()),
+            (b"dykeswitch-result", str(bad.code.number).encode()),
+            (EXCHANGE, x.name.encode()),
+        ]
+        if x.retry_after is not None:
+            heads.append((b"retry-after", str(x.retry_after).encode()))
+        if self.closing:
+            heads.append((b"connection", b"close"))
+        await x.send({"type": "http.response.start", "status": bad.code.status, "headers": heads})
+        await x.send({"type": "http.response.body", "body": b"" if x.method == "HEAD" else body})
+
+    def close(self) -> None:
+        for held in self._idle.values():
+            for pipe in held:
+                pipe.close()
+        self._idle.clear()
+
+
+def _framed(x: exchanges.Exchange) -> bool:
+    """Whether the reply says where it ends; one that ends with its pipe can't be told from a cut one."""
+    assert x.head is not None
+    if x.method == "HEAD" or x.head.status in (204, 304):
+        return True
+    if x.head.get(b"content-length") is not None:
+        return True
+    return b"chunked" in (x.head.get(b"transfer-encoding") or b"").lower()
--- /dev/null
+++ b/packages/proxy/src/dykeswitch/proxy/exchange.py
@@ -0,0 +1,63 @@
+"""The exchange: a record in a table that passes are run over."""
+
+import dataclasses
+import enum
+import typing
+
+import dykeswitch.layout as layouts
+import dykeswitch.outcome as outcome
+import dykeswitch.ports as ports
+import dykeswitch.soundness.pipe as pipes
+import dykeswitch.timeline as timeline
+
+
+class Stage(enum.Enum):
+    """The pass that an exchange waits for."""
+
+    MATCH = "match"
+    SELECT = "select"
+    DELIVER = "deliver"
+    JUDGE = "judge"
+    RETRY = "retry"
+    REPLY = "reply"
+    DONE = "done"
+
+
+@dataclasses.dataclass(slots=True)
+class Exchange:
+    """All that is known of one request on its way."""
+
+    name: str
+    method: str
+    host: str
+    path: str
+    target: bytes
+    heads: pipes.Heads
+    body: bytes
+    born: float
+    asked_s: float | None
+    send: ports.Send
+    stage: Stage = Stage.MATCH
+    rule: layouts.Rule | None = None
+    service: str = ""
+    writing: bool = True
+    expiry: float = 0.0
+    request_s: float = 0.0
+    max_tries: int = 1
+    # How many go's have sent something, and how many pipes failed before that.
+    goes: int = 0
+    misses: int = 0
+    tried: set[str] = dataclasses.field(default_factory=set)
+    endpoint: timeline.Entry | None = None
+    pipe: pipes.EndpointPipe | None = None
+    # What the last go brought.
+    head: pipes.Head | None = None
+    buffer: bytes = b""
+    rest: typing.AsyncIterator[bytes] | None = None
+    flaw: str = ""
+    sent: bool = False
+    # Whether any go may have run, or run still, with its end unknown to us.
+    unknown: str = ""
+    bad: outcome.Bad | None = None
+    retry_after: int | None = None
+    status: int = 0
--- /dev/null
+++ b/packages/proxy/src/dykeswitch/proxy/program.py
@@ -0,0 +1,308 @@
+"""The proxy's process: one web server inward, members on the other side."""
+
+import asyncio
+import json
+import random
+import secrets
+import typing
+
+import litestar
+import litestar.response
+
+import dykeswitch.frames as frames
+import dykeswitch.layout as layouts
+import dykeswitch.layout.papers as papers
+import dykeswitch.logs as logs
+import dykeswitch.membership as membership
+import dykeswitch.outcome as outcome
+import dykeswitch.ports as ports
+import dykeswitch.proxy.carrier as carrier
+import dykeswitch.proxy.exchange as exchanges
+import dykeswitch.settings as settings
+import dykeswitch.timeline as timeline
+
+
+class Proxy:
+    """One proxy."""
+
+    def __init__(
+        self, bounds: settings.Settings, machine: ports.Machine, log: logs.Log, dice: random.Random
+    ) -> None:
+        self.bounds = bounds
+        self.machine = machine
+        self.log = log
+        self.clock = machine.clock
+        self.line = timeline.Timeline(bounds.name, self.clock, bounds.forget_s)
+        self.marks = timeline.Marks(self.line, bounds.mark_s)
+        self.caller = frames.Caller(machine.net)
+        me = membership.Member(bounds.name, "proxy", bounds.member)
+        self.spread = membership.Spread(
+            me,
+            self.line,
+            machine,
+            self.caller,
+            dice,
+            bounds.shuffle_s,
+            bounds.call_s,
+            bounds.hold_s,
+            bounds.seeds,
+            log.note,
+        )
+        self.papers = papers.Papers(self.line, self.caller, bounds.call_s, self._taken)
+        self.carrier = carrier.Carrier(
+            bounds, machine, self.line, self.marks, log, dice, self.sure, self.gapped
+        )
+        self._pauses: dict[str, str] = {}
+        self.carrier.selector.paused = self._pauses.get
+        self._names = secrets.token_hex(4)
+        self._turn = 0
+        self._tick = self.clock.now()
+        # Until a core has confirmed what we hold, we are not sure of it.
+        self._doubt = True
+        self._confirming: asyncio.Task[bool] | None = None
+        self._confirmed = False
+        self._group: asyncio.TaskGroup | None = None
+        self._server: ports.WebServer | None = None
+        self._ear: ports.Listener | None = None
+        self.stopping = False
+        self._stop = asyncio.Event()
+        self.app = litestar.Litestar(
+            route_handlers=[
+                litestar.get("/healthz", sync_to_thread=False)(self._healthz),
+                litestar.get("/readyz", sync_to_thread=False)(self._readyz),
+                litestar.asgi("/", is_mount=True, copy_scope=False)(self._gateway),
+            ],
+            openapi_config=None,
+            logging_config=None,
+        )
+
+    # Papers.
+
+    def _taken(self, name: str, version: int, data: bytes) -> bool:
+        if name == papers.LAYOUT:
+            result = layouts.read(data)
+            if isinstance(result, outcome.Bad):
+                # It was checked before it was accepted: keep the one we have.
+                self.log.error("layout refused", version=version, faults=result.faults[:5])
+                return False
+            self.carrier.layout = result.value
+            self.log.info("layout taken up", version=version, rules=len(result.value.rules))
+        elif name == papers.PAUSES:
+            self._pauses = _open_pauses(data)
+            self.carrier.selector.paused = self._pauses.get
+        self._say_self()
+        return True
+
+    def _say_self(self) -> None:
+        fields = {
+            "zone": self.bounds.zone,
+            "web": self.bounds.web,
+            "layout": self.papers.version(papers.LAYOUT),
+            "ready": self.ready() is None,
+        }
+        self.line.write(timeline.PROXY, self.bounds.name, fields, self.bounds.dead_s * 2, urgent=False)
+
+    # Being sure after a freeze.
+
+    def gapped(self) -> bool:
+        return self.clock.now() - self._tick > self.bounds.gap_s
+
+    async def sure(self) -> None:
+        """Return at once, unless our own clock shows a gap: then confirm first."""
+        if self.gapped():
+            self._doubt = True
+        if not self._doubt:
+            return
+        if self._confirming is None or self._confirming.done():
+            self._confirming = asyncio.create_task(self._confirm())
+        await asyncio.shield(self._confirming)
+
+    async def _confirm(self) -> bool:
+        """Ask every core for what a majority holds now, and catch up with it."""
+        begun = self._tick = self.clock.now()
+        spots = list(self.spread.cores().values())
+        good = False
+        calls = [asyncio.create_task(self._confirm_at(spot)) for spot in spots]
+        for call in asyncio.as_completed(calls):
+            if await call:
+                good = True
+                break
+        if good:
+            await self.papers.catch_up(self._spots())
+        # Frozen again meanwhile: what we heard is old already.
+        if good and self.clock.now() - begun > self.bounds.drain_s:
+            return False
+        if good:
+            # Also when a majority confirmed that there is no layout yet: whatever
+            # comes after it is newer.
+            self._doubt = False
+            self._confirmed = True
+        elif self._confirmed:
+            # No core can be reached: go on with the last list, as asked for.
+            self._doubt = False
+        return good
+
+    async def _confirm_at(self, spot: str) -> bool:
+        ask = {"name": self.bounds.name, "items": [], "cursor": ["", 0], "hold": 0.0}
+        result = await self.caller.ask(spot, "confirm", ask, self.bounds.call_s)
+        if isinstance(result, outcome.Bad):
+            return False
+        self.line.merge(result.value["items"])
+        return True
+
+    def _spots(self) -> list[str]:
+        cores = list(self.spread.cores().values())
+        return cores + [m.spot for m in self.spread.view.values() if m.spot not in cores]
+
+    # Soundness of the proxy itself.
+
+    def ready(self) -> str | None:
+        """Why this proxy is not ready, or nothing."""
+        if self.stopping:
+            return "stopping"
+        if not self._confirmed or self.carrier.layout is None:
+            return "no confirmed layout yet"
+        if self.clock.now() - self.spread.heard > self.bounds.alone_s:
+            return "reaches no other node"
+        return None
+
+    def _healthz(self) -> dict[str, str]:
+        return {"state": "alive"}
+
+    def _readyz(self) -> litestar.Response[dict[str, typing.Any]]:
+        why = self.ready()
+        page: dict[str, typing.Any] = {"ready": why is None, "layout": self.papers.version(papers.LAYOUT)}
+        if why is not None:
+            page["why"] = why
+        return litestar.Response(page, status_code=200 if why is None else 503)
+
+    # Callers.
+
+    async def _gateway(self, scope: ports.Scope, receive: ports.Receive, send: ports.Send) -> None:
+        if scope["type"] != "http":
+            return
+        x = self._exchange(scope, send)
+        bad = await self._intake(x, scope, receive)
+        if bad is not None:
+            if bad.code.tag == "too_busy":
+                x.retry_after = 1
+            await self.carrier.answer(x, bad)
+            return
+        await self.carrier.carry(x)
+
+    def _exchange(self, scope: ports.Scope, send: ports.Send) -> exchanges.Exchange:
+        self._turn += 1
+        heads: list[tuple[bytes, bytes]] = list(scope["headers"])
+        raw: bytes = scope.get("raw_path") or scope["path"].encode()
+        query: bytes = scope.get("query_string") or b""
+        path = raw.partition(b"?")[0]
+        host = next((v for k, v in heads if k == b"host"), b"").decode("latin-1")
+        return exchanges.Exchange(
+            name=f"{self.bounds.name}-{self._names}-{self._turn}",
+            method=str(scope["method"]),
+            host=host,
+            path=path.decode("latin-1"),
+            target=path + (b"?" + query if query else b""),
+            heads=heads,
+            body=b"",
+            born=self.clock.now(),
+            asked_s=None,
+            send=send,
+        )
+
+    async def _intake(
+        self, x: exchanges.Exchange, scope: ports.Scope, receive: ports.Receive
+    ) -> outcome.Bad | None:
+        # Overload is answered at once; a queue would only hide it.
+        if len(self.carrier.table) >= self.bounds.exchanges_most:
+            return outcome.bad("too_busy")
+        if sum(len(k) + len(v) for k, v in x.heads) > self.bounds.head_most:
+            return outcome.bad("head_too_big")
+        text = next((v for k, v in x.heads if k == carrier.EXPIRY), None)
+        if text is not None:
+            if not text.isdigit() or len(text) > 9:
+                return outcome.bad("bad_expiry", text[:40].decode("latin-1"))
+            x.asked_s = int(text) / 1000
+        body = bytearray()
+        while True:
+            message = await receive()
+            if message["type"] == "http.disconnect":
+                return outcome.bad("caller_left")
+            body += message.get("body", b"")
+            if len(body) > self.bounds.body_most:
+                return outcome.bad("body_too_big", f"over {self.bounds.body_most} bytes")
+            if not message.get("more_body"):
+                break
+        x.body = bytes(body)
+        return None
+
+    # Running and stopping.
+
+    async def run(self) -> None:
+        """Serve until told to stop."""
+        kinds = {**self.spread.kinds(), **self.papers.kinds()}
+        ear = frames.Ear(kinds, self.log.note)
+        self._ear = await self.machine.net.listen(self.bounds.member, ear.serve)
+        try:
+            self._server = await self.machine.web.serve(self.bounds.web, self.app)
+            self.log.info("started", web=self.bounds.web, member=self.bounds.member)
+            async with asyncio.TaskGroup() as group:
+                tasks = [
+                    group.create_task(self.spread.run()),
+                    group.create_task(self._keep_ticking()),
+                    group.create_task(self._keep_papers()),
+                    group.create_task(self._keep_saying()),
+                ]
+                await self._stop.wait()
+                await self._leave()
+                for task in tasks:
+                    task.cancel()
+        finally:
+            self._ear.close()
+            self.caller.close()
+            self.carrier.close()
+        self.log.info("stopped")
+
+    def stop(self) -> None:
+        """Ask for an orderly stop."""
+        self._stop.set()
+
+    async def _leave(self) -> None:
+        self.stopping = True
+        self.log.info("stopping", exchanges=len(self.carrier.table))
+        # The platform asks once a second: still accept until it has surely asked.
+        await self.clock.sleep(self.bounds.lead_s)
+        self.carrier.closing = True
+        assert self._server is not None
+        await self._server.stop(max(1.0, self.bounds.grace_s - self.bounds.lead_s))
+
+    async def _keep_ticking(self) -> None:
+        while True:
+            if self.gapped():
+                self._doubt = True
+                self.log.warning("frozen", span_s=round(self.clock.now() - self._tick, 2))
+            self._tick = self.clock.now()
+            if self._doubt and (self._confirming is None or self._confirming.done()):
+                self._confirming = asyncio.create_task(self._confirm())
+            await self.clock.sleep(self.bounds.tick_s)
+
+    async def _keep_papers(self) -> None:
+        """Fetch a paper as soon as a higher version of it is named."""
+        while True:
+            async with self.line.news:
+                await ports.wait_for(self.line.news, lambda: bool(self.papers.behind()), self.bounds.hold_s)
+            if self.papers.behind() and not await self.papers.catch_up(self._spots()):
+                await self.clock.sleep(self.bounds.tick_s)
+
+    async def _keep_saying(self) -> None:
+        while True:
+            self._say_self()
+            await self.clock.sleep(self.bounds.dead_s / 2)
+
+
+def _open_pauses(data: bytes) -> dict[str, str]:
+    """Endpoints under a planned pause, with the reason."""
+    if not data:
+        return {}
+    raw = json.loads(data)
+    return {str(p["endpoint"]): str(p["reason"]) for p in raw.get("pauses", []) if p.get("open")}
--- /dev/null
+++ b/packages/register/src/dykeswitch/register/__init__.py
@@ -0,0 +1,98 @@
+"""The register: one value a key, written to a majority of disks and read from one.
+
+There is no leader and no log. `Ballot` orders tries, `Value` carries a version that
+rises by one with each change, and `MemberSet` says which disks have a vote.
+"""
+
+import dataclasses
+import typing
+
+# A proposer's try: a counter, then the proposer's own id to part equals.
+Ballot = tuple[int, str]
+ZERO: typing.Final[Ballot] = (0, "")
+
+# The register's own key for the member set; it is moved by other rules than the rest.
+MEMBERS: typing.Final = "@members"
+OPS_KEPT: typing.Final = 24
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Value:
+    """What a key holds: a version, a body and the latest changes by their ids."""
+
+    version: int
+    body: bytes
+    # Change ids with the version each made: settles "outcome unknown" honestly.
+    ops: tuple[tuple[str, int], ...] = ()
+
+    def wire(self) -> list[typing.Any]:
+        return [self.version, self.body, [list(op) for op in self.ops]]
+
+    def made(self, op: str) -> int | None:
+        """The version that a change made, if this value still remembers it."""
+        for name, version in self.ops:
+            if name == op:
+                return version
+        return None
+
+    def next(self, body: bytes, op: str) -> "Value":
+        version = self.version + 1
+        return Value(version, body, (*self.ops, (op, version))[-OPS_KEPT:])
+
+
+BLANK: typing.Final = Value(0, b"")
+
+
+def value_of(raw: typing.Any) -> Value:
+    """A value off the wire."""
+    version, body, ops = raw
+    if not isinstance(version, int) or not isinstance(body, bytes):
+        raise ValueError("not a value")
+    return Value(version, body, tuple((str(a), int(b)) for a, b in ops))
+
+
+def ballot_of(raw: typing.Any) -> Ballot:
+    """A ballot off the wire."""
+    count, name = raw
+    if not isinstance(count, int) or not isinstance(name, str):
+        raise ValueError("not a ballot")
+    return (count, name)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MemberSet:
+    """The disks that vote: one group, or two while one set gives way to the next."""
+
+    epoch: int
+    # Each group maps a disk's id to the address its store was last known at.
+    groups: tuple[tuple[tuple[str, str], ...], ...]
+
+    def wire(self) -> list[typing.Any]:
+        return [self.epoch, [[list(pair) for pair in group] for group in self.groups]]
+
+    def disks(self) -> dict[str, str]:
+        return {disk: spot for group in self.groups for disk, spot in group}
+
+    def joint(self) -> bool:
+        return len(self.groups) > 1
+
+
+NOBODY: typing.Final = MemberSet(0, ())
+
+
+def set_of(raw: typing.Any) -> MemberSet:
+    """A member set off the wire."""
+    epoch, groups = raw
+    if not isinstance(epoch, int):
+        raise ValueError("not a member set")
+    return MemberSet(epoch, tuple(tuple((str(d), str(s)) for d, s in group) for group in groups))
+
+
+def majority(group: tuple[tuple[str, str], ...], yes: typing.Collection[str]) -> bool:
+    """Whether more than half of a group's disks are among the given ones."""
+    return sum(1 for disk, _ in group if disk in yes) * 2 > len(group)
+
+
+def carried(groups: typing.Iterable[tuple[tuple[str, str], ...]], yes: typing.Collection[str]) -> bool:
+    """Whether every group has its majority."""
+    return all(majority(group, yes) for group in groups)
--- /dev/null
+++ b/packages/registry/src/dykeswitch/registry/endpoints.py
@@ -0,0 +1,156 @@
+"""The endpoint table: beats in, lapses out, on the shared timeline."""
+
+import dataclasses
+import typing
+
+import dykeswitch.outcome as outcome
+import dykeswitch.ports as ports
+import dykeswitch.settings as settings
+import dykeswitch.timeline as timeline
+
+# Beats an endpoint may miss before it is taken for gone, and a half for the road.
+MISSED: typing.Final = 3.5
+INTERVAL_LEAST: typing.Final = 0.2
+NAME_MOST: typing.Final = 128
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Beat:
+    """What an endpoint says of itself."""
+
+    name: str
+    service: str
+    address: str
+    zone: str
+    burden: float
+    interval_s: float
+    leaving: bool
+
+
+def read_beat(raw: object) -> outcome.Good[Beat] | outcome.Bad:
+    """A beat out of JSON, or every fault in it."""
+    if not isinstance(raw, dict):
+        return outcome.bad("bad_beat", faults=("beat: must be an object",))
+    faults: list[str] = []
+    for key in raw:
+        if key not in ("id", "service", "address", "zone", "burden", "interval_s", "leaving"):
+            faults.append(f"{key}: unknown key")
+    leaving = raw.get("leaving", False)
+    if not isinstance(leaving, bool):
+        faults.append("leaving: must be true or false")
+    for key in ("id", "service", "zone"):
+        text = raw.get(key)
+        # Who leaves need only say who it is.
+        if text is None and leaving is True and key != "id":
+            continue
+        if not isinstance(text, str) or not 0 < len(text) <= NAME_MOST or not text.isprintable():
+            faults.append(f"{key}: must be 1 to {NAME_MOST} letters")
+    address = raw.get("address")
+    if not (address is None and leaving is True):
+        flaw = settings.spot_fault(address) if isinstance(address, str) else "must be ip:port"
+        if flaw:
+            faults.append(f"address: {flaw}")
+    burden = raw.get("burden", 0.0)
+    if isinstance(burden, bool) or not isinstance(burden, (int, float)) or not 0 <= burden < 1e9:
+        faults.append("burden: must be a number from 0")
+    interval = raw.get("interval_s", 2.0)
+    if isinstance(interval, bool) or not isinstance(interval, (int, float)) or not 0 < interval <= 60:
+        faults.append("interval_s: must be a number over 0 and up to 60")
+    if faults:
+        return outcome.bad("bad_beat", faults=tuple(faults))
+    return outcome.Good(
+        Beat(
+            str(raw["id"]),
+            str(raw.get("service", "")),
+            str(address or ""),
+            str(raw.get("zone", "")),
+            float(burden),
+            max(INTERVAL_LEAST, float(interval)),
+            bool(leaving),
+        )
+    )
+
+
+class Endpoints:
+    """Takes beats and lapses the silent."""
+
+    def __init__(self, bounds: settings.Settings, clock: ports.Clock, line: timeline.Timeline) -> None:
+        self._bounds = bounds
+        self._clock = clock
+        self._line = line
+        # When we last saw a beat of an id, by whatever way it came.
+        self._seen: dict[str, float] = {}
+        self._own: dict[str, float] = {}
+        line.on_change(self._on_entry)
+
+    def _on_entry(self, entry: timeline.Entry) -> None:
+        if entry.kind != timeline.ENDPOINT:
+            return
+        now = self._clock.now()
+        state = entry.fields["state"]
+        if state == timeline.UP:
+            self._seen[entry.key] = now
+        elif state == timeline.LAPSED:
+            heard = self._own.get(entry.key)
+            # Another registry heard nothing, but we did: the endpoint is there.
+            if heard is not None and now - heard < self._grace(entry):
+                fields = {**entry.fields, "state": timeline.UP}
+                self._line.write(timeline.ENDPOINT, entry.key, fields, self._bounds.forget_s)
+        else:
+            self._seen.pop(entry.key, None)
+            self._own.pop(entry.key, None)
+
+    def _grace(self, entry: timeline.Entry) -> float:
+        return float(entry.fields.get("interval", 2.0)) * MISSED
+
+    def beat(self, beat: Beat) -> outcome.Good[dict[str, object]] | outcome.Bad:
+        """Take a beat; the reply says when to beat again."""
+        old = self._line.get(timeline.ENDPOINT, beat.name)
+        if beat.leaving:
+            # An id we never heard of may have been heard elsewhere: it leaves all the same.
+            fields = dict(old.fields) if old is not None else self._fields(beat, [0, ""])
+            if fields["state"] not in timeline.STICKY:
+                fields["state"] = timeline.LEFT
+                self._line.write(timeline.ENDPOINT, beat.name, fields, self._bounds.forget_s)
+            return outcome.Good({"left": True})
+        if old is not None and old.fields["state"] in timeline.STICKY:
+            return outcome.bad("beat_gone", f"{beat.name} {old.fields['state']}")
+        now = self._clock.now()
+        moved = old is None or old.fields["address"] != beat.address or old.fields["service"] != beat.service
+        born = list(self._line.stamp()) if moved or old is None else old.fields["born"]
+        fields = self._fields(beat, born)
+        urgent = old is None or any(
+            old.fields[k] != fields[k] for k in ("state", "service", "address", "zone")
+        )
+        self._own[beat.name] = now
+        self._line.write(timeline.ENDPOINT, beat.name, fields, self._bounds.forget_s, urgent)
+        return outcome.Good({"beat_again_s": min(beat.interval_s, self._bounds.dead_s)})
+
+    def _fields(self, beat: Beat, born: list[typing.Any]) -> timeline.Fields:
+        return {
+            "service": beat.service,
+            "address": beat.address,
+            "zone": beat.zone,
+            "burden": beat.burden,
+            "interval": beat.interval_s,
+            "state": timeline.UP,
+            "born": born,
+        }
+
+    def lapse(self) -> list[str]:
+        """Take the silent for gone; returns whom."""
+        now = self._clock.now()
+        up = [e for e in self._line.all(timeline.ENDPOINT) if e.fields["state"] == timeline.UP]
+        silent = [e for e in up if now - self._seen.get(e.key, now) > self._grace(e)]
+        # When nobody at all is heard, it is rather we who are cut off: judge no one.
+        if len(silent) == len(up) and len(up) > 1:
+            return []
+        for entry in silent:
+            fields = {**entry.fields, "state": timeline.LAPSED}
+            self._line.write(timeline.ENDPOINT, entry.key, fields, self._bounds.forget_s)
+        return [e.key for e in silent]
+
+    def woke(self) -> None:
+        """After a freeze of our own, silence proves nothing: count from now."""
+        now = self._clock.now()
+        self._seen = dict.fromkeys(self._seen, now)
--- /dev/null
+++ b/packages/registry/src/dykeswitch/registry/program.py
@@ -0,0 +1,401 @@
+"""The registry's process: beats, operators and queries in; the register behind."""
+
+import asyncio
+import datetime
+import json
+import random
+import secrets
+import typing
+
+import litestar
+import litestar.exceptions
+
+import dykeswitch.frames as frames
+import dykeswitch.layout as layouts
+import dykeswitch.layout.papers as papers
+import dykeswitch.logs as logs
+import dykeswitch.membership as membership
+import dykeswitch.outcome as outcome
+import dykeswitch.ports as ports
+import dykeswitch.register as register
+import dykeswitch.register.proposer as proposers
+import dykeswitch.registry.duties as duties
+import dykeswitch.registry.endpoints as endpoints
+import dykeswitch.registry.prober as probers
+import dykeswitch.registry.seating as seatings
+import dykeswitch.settings as settings
+import dykeswitch.timeline as timeline
+
+Page = litestar.Response[dict[str, typing.Any]]
+BEAT_MOST: typing.Final = 16384
+
+
+def _page(result: outcome.Good[dict[str, typing.Any]] | outcome.Bad, version: int | None = None) -> Page:
+    heads = {} if version is None else {"ETag": f'"{version}"'}
+    if isinstance(result, outcome.Good):
+        return litestar.Response(result.value, status_code=200, headers=heads)
+    heads["Dykeswitch-Result"] = str(result.code.number)
+    if result.code.status == 503:
+        heads["Retry-After"] = "1"
+    return litestar.Response(result.page(), status_code=result.code.status, headers=heads)
+
+
+class Registry:
+    """One registry."""
+
+    def __init__(
+        self, bounds: settings.Settings, machine: ports.Machine, log: logs.Log, dice: random.Random
+    ) -> None:
+        self.bounds = bounds
+        self.machine = machine
+        self.log = log
+        self.clock = machine.clock
+        self.line = timeline.Timeline(bounds.name, self.clock, bounds.forget_s)
+        self.marks = timeline.Marks(self.line, bounds.mark_s)
+        self.caller = frames.Caller(machine.net)
+        me = membership.Member(bounds.name, "registry", bounds.member)
+        self.spread = membership.Spread(
+            me,
+            self.line,
+            machine,
+            self.caller,
+            dice,
+            bounds.shuffle_s,
+            bounds.call_s,
+            bounds.hold_s,
+            bounds.seeds,
+            log.note,
+        )
+        self._boot = secrets.token_hex(4)
+        self.proposer = proposers.Proposer(
+            f"{bounds.name}/{self._boot}", self.caller, self.clock, machine.points, bounds.call_s, dice
+        )
+        self.papers = papers.Papers(self.line, self.caller, bounds.call_s, self._taken)
+        self.endpoints = endpoints.Endpoints(bounds, self.clock, self.line)
+        self.duties = duties.Duties(bounds.name, self._boot, bounds, self.line, self.proposer)
+        self.prober = probers.Prober(
+            bounds.name, bounds, machine, self.line, self.marks, self.duties, self._probe_path, log.note
+        )
+        self.seating = seatings.Seating(
+            bounds.name, bounds, machine, self.caller, self.proposer, log.note
+        )
+        self.layout: layouts.Layout | None = None
+        self._ops = 0
+        self._tick = self.clock.now()
+        self._majority = -1e9
+        self._server: ports.WebServer | None = None
+        self.stopping = False
+        self._stop = asyncio.Event()
+        self.app = litestar.Litestar(
+            route_handlers=[
+                litestar.get("/healthz", sync_to_thread=False)(self._healthz),
+                litestar.get("/readyz", sync_to_thread=False)(self._readyz),
+                litestar.post("/v1/beat")(self._post_beat),
+                litestar.get("/v1/layout")(self._get_layout),
+                litestar.put("/v1/layout")(self._put_layout),
+                litestar.get("/v1/endpoints", sync_to_thread=False)(self._get_endpoints),
+                litestar.get("/v1/members", sync_to_thread=False)(self._get_members),
+                litestar.get("/v1/health", sync_to_thread=False)(self._get_health),
+            ],
+            openapi_config=None,
+            logging_config=None,
+            request_max_body_size=bounds.layout_most,
+            exception_handlers={Exception: self._failed},
+        )
+
+    # Papers.
+
+    def _taken(self, name: str, version: int, data: bytes) -> bool:
+        if name == papers.LAYOUT:
+            result = layouts.read(data)
+            if isinstance(result, outcome.Bad):
+                self.log.error("layout refused", version=version, faults=result.faults[:5])
+                return False
+            self.layout = result.value
+            self.log.info("layout taken up", version=version, rules=len(result.value.rules))
+        return True
+
+    def _probe_path(self, service: str) -> str:
+        if self.layout is None or service not in self.layout.services:
+            return ""
+        return self.layout.services[service].probe
+
+    def _publish(self, name: str, value: register.Value) -> None:
+        """Name a confirmed version on the timeline, so that every proxy fetches it."""
+        if not value.version:
+            return
+        self.papers.take(name, value.version, value.body)
+        named = self.line.get(timeline.PAPER, name)
+        if named is None or int(named.fields["version"]) < value.version:
+            self.line.write(timeline.PAPER, name, {"version": value.version}, self.bounds.forget_s)
+        elif named.expiry - self.clock.now() < self.bounds.forget_s / 2:
+            self.line.write(timeline.PAPER, name, dict(named.fields), self.bounds.forget_s, urgent=False)
+
+    async def _read_papers(self) -> outcome.Bad | None:
+        """Read the newest papers from a majority and name them."""
+        for name in papers.NAMES:
+            result = await self.proposer.read(name)
+            if isinstance(result, outcome.Bad):
+                return result
+            self._publish(name, result.value)
+        self._majority = self.clock.now()
+        return None
+
+    # Calls of members.
+
+    def kinds(self) -> dict[str, frames.Handle]:
+        return {**self.spread.kinds(), **self.papers.kinds(), "confirm": self._on_confirm}
+
+    async def _on_confirm(self, body: frames.Body) -> frames.Result:
+        """What a majority holds at this moment, not what we read a while ago."""
+        bad = await self._read_papers()
+        if bad is not None:
+            return bad
+        return outcome.Good({"items": self.line.wire_since(0)})
+
+    # The outside.
+
+    def _failed(self, request: litestar.Request[typing.Any, typing.Any, typing.Any], flaw: Exception) -> Page:
+        status = flaw.status_code if isinstance(flaw, litestar.exceptions.HTTPException) else 500
+        if status == 413:
+            return _page(outcome.bad("too_big", f"over {self.bounds.layout_most} bytes"))
+        if status in (404, 405):
+            return _page(outcome.bad("no_such", f"{request.method} {request.url.path}"))
+        self.log.error("call failed", path=request.url.path, flaw=f"{type(flaw).__name__}: {flaw}")
+        return _page(outcome.bad("broke", type(flaw).__name__))
+
+    def _healthz(self) -> dict[str, str]:
+        return {"state": "alive"}
+
+    def ready(self) -> str | None:
+        if self.stopping:
+            return "stopping"
+        if self.clock.now() - self._majority > self.bounds.alone_s:
+            return "no majority of stores"
+        return None
+
+    def _readyz(self) -> Page:
+        why = self.ready()
+        page: dict[str, typing.Any] = {"ready": why is None}
+        if why is not None:
+            page["why"] = why
+        return litestar.Response(page, status_code=200 if why is None else 503)
+
+    async def _post_beat(self, request: litestar.Request[typing.Any, typing.Any, typing.Any]) -> Page:
+        data = await request.body()
+        if len(data) > BEAT_MOST:
+            return _page(outcome.bad("too_big", f"over {BEAT_MOST} bytes"))
+        try:
+            raw = json.loads(data)
+        except (ValueError, RecursionError) as flaw:
+            return _page(outcome.bad("bad_json", str(flaw)[:200]))
+        beat = endpoints.read_beat(raw)
+        if isinstance(beat, outcome.Bad):
+            return _page(beat)
+        return _page(self.endpoints.beat(beat.value))
+
+    async def _get_layout(self) -> litestar.Response[typing.Any]:
+        result = await self.proposer.read(papers.LAYOUT)
+        if isinstance(result, outcome.Bad):
+            return _page(result)
+        self._publish(papers.LAYOUT, result.value)
+        if not result.value.version:
+            return _page(outcome.bad("no_such", "no layout yet"))
+        return litestar.Response(
+            result.value.body,
+            media_type="application/json",
+            headers={"ETag": f'"{result.value.version}"', "Dykeswitch-Version": str(result.value.version)},
+        )
+
+    async def _put_layout(self, request: litestar.Request[typing.Any, typing.Any, typing.Any]) -> Page:
+        match = request.headers.get("if-match")
+        want: int | None = None
+        if match is not None and match != "*":
+            text = match.strip().strip('"')
+            if not text.isdigit():
+                return _page(outcome.bad("bad_match", match[:80]))
+            want = int(text)
+        checked = layouts.read(await request.body())
+        if isinstance(checked, outcome.Bad):
+            return _page(checked)
+        data = layouts.pack(checked.value)
+        result = await self._change(papers.LAYOUT, data, want)
+        if isinstance(result, outcome.Bad):
+            return _page(result)
+        self._publish(papers.LAYOUT, result.value)
+        self.log.info("layout accepted", version=result.value.version)
+        return _page(outcome.Good({"version": result.value.version}), result.value.version)
+
+    async def _change(self, name: str, data: bytes, want: int | None) -> proposers.Read:
+        self._ops += 1
+        op = f"{self.bounds.name}/{self._boot}/{name}/{self._ops}"
+
+        def step(now: register.Value) -> register.Value | outcome.Bad:
+            # Ours already, or the same body by a repeat after an unknown outcome.
+            if now.made(op) is not None or now.body == data:
+                return now
+            if want is not None and now.version != want:
+                return outcome.bad("lost_race", f"newest is {now.version}")
+            return now.next(data, op)
+
+        result = await self.proposer.change(name, step)
+        if isinstance(result, outcome.Good):
+            version = result.value.made(op)
+            # Another change may have gone on top of ours before we knew: ours stands
+            # under its own version.
+            if version is not None and version != result.value.version:
+                return outcome.Good(register.Value(version, data))
+        return result
+
+    def _get_endpoints(self) -> dict[str, typing.Any]:
+        found = []
+        for entry in sorted(self.line.all(timeline.ENDPOINT), key=lambda e: e.key):
+            mark = self.marks.down(entry.key)
+            page: dict[str, typing.Any] = {"id": entry.key}
+            page.update((k, v) for k, v in entry.fields.items() if k != "born")
+            if mark is not None:
+                page["down"] = {"reason": mark.fields["reason"], "by": mark.fields["by"]}
+                page["down"]["left_s"] = round(mark.expiry - self.clock.now(), 2)
+            found.append(page)
+        return {"endpoints": found}
+
+    def _get_members(self) -> dict[str, typing.Any]:
+        members = self.proposer.members
+        return {
+            "cores": {e.key: e.fields for e in self.line.all(timeline.CORE)},
+            "proxies": {e.key: e.fields for e in self.line.all(timeline.PROXY)},
+            "view": sorted(self.spread.view),
+            "stores": {
+                "epoch": members.epoch,
+                "joint": members.joint(),
+                "groups": [dict(g) for g in members.groups],
+                "seen": {
+                    d: {"spot": s["spot"], "seated": s["seated"]} for d, s in self.seating.states.items()
+                },
+            },
+            "duties": {str(s): {"owner": o, "fence": f} for s, (o, f) in self.duties.owners().items()},
+            "layout": self.papers.version(papers.LAYOUT),
+        }
+
+    def _get_health(self) -> dict[str, typing.Any]:
+        """The source's health page, with services for its networks."""
+        services: dict[str, dict[str, list[dict[str, typing.Any]]]] = {}
+        for entry in sorted(self.line.all(timeline.ENDPOINT), key=lambda e: e.key):
+            if entry.fields["state"] in timeline.STICKY:
+                continue
+            page = services.setdefault(str(entry.fields["service"]), {"healthy": [], "unhealthy": []})
+            seen = self.prober.seen.get(entry.key)
+            mark = self.marks.down(entry.key)
+            line: dict[str, typing.Any] = {
+                "id": entry.key,
+                "address": entry.fields["address"],
+                "zone": entry.fields["zone"],
+                "lastChecked": _stamp(seen.wall) if seen else None,
+            }
+            if entry.fields["state"] == timeline.LAPSED:
+                line["reason"] = "beats stopped"
+            elif mark is not None:
+                line["reason"] = mark.fields["reason"]
+            page["unhealthy" if "reason" in line else "healthy"].append(line)
+        return {"timestamp": _stamp(self.clock.wall()), "services": services}
+
+    # Running and stopping.
+
+    async def run(self) -> None:
+        """Serve until told to stop."""
+        ear = frames.Ear(self.kinds(), self.log.note)
+        listener = await self.machine.net.listen(self.bounds.member, ear.serve)
+        try:
+            self._server = await self.machine.web.serve(self.bounds.web, self.app)
+            self.log.info("started", web=self.bounds.web, member=self.bounds.member)
+            async with asyncio.TaskGroup() as group:
+                tasks = [
+                    group.create_task(work)
+                    for work in (
+                        self.spread.run(),
+                        self._keep_saying(),
+                        self._keep_seated(),
+                        self._keep_reading(),
+                        self._keep_duties(),
+                        self._keep_lapsing(),
+                        self._keep_swept(),
+                        self.prober.run(),
+                    )
+                ]
+                await self._stop.wait()
+                self.stopping = True
+                self.log.info("stopping")
+                await self.clock.sleep(self.bounds.lead_s)
+                await self._server.stop(max(1.0, self.bounds.grace_s - self.bounds.lead_s))
+                for task in tasks:
+                    task.cancel()
+        finally:
+            listener.close()
+            self.caller.close()
+        self.log.info("stopped")
+
+    def stop(self) -> None:
+        """Ask for an orderly stop."""
+        self._stop.set()
+
+    def live(self) -> list[str]:
+        """Registries known to be alive, ourselves among them."""
+        return sorted({self.bounds.name, *self.spread.cores()})
+
+    async def _keep_saying(self) -> None:
+        """Beat as a core, so that all know us and the store beside us."""
+        fields = {
+            "spot": self.bounds.member,
+            "web": self.bounds.web,
+            "store": self.bounds.store,
+            "zone": self.bounds.zone,
+            "boot": self._boot,
+        }
+        while True:
+            fresh = self.line.get(timeline.CORE, self.bounds.name) is None
+            self.line.write(timeline.CORE, self.bounds.name, dict(fields), self.bounds.dead_s, fresh)
+            await self.clock.sleep(self.bounds.dead_s / 6)
+
+    async def _keep_seated(self) -> None:
+        while True:
+            stores = {str(e.fields["store"]) for e in self.line.all(timeline.CORE)}
+            await self.seating.tend(stores | {self.bounds.store}, self.live())
+            await self.clock.sleep(self.bounds.sweep_s * (0.75 + 0.5 * random.random()))
+
+    async def _keep_reading(self) -> None:
+        """Learn what others committed, also when they died before they could tell."""
+        while True:
+            await self._read_papers()
+            await self.clock.sleep(self.bounds.sweep_s)
+
+    async def _keep_duties(self) -> None:
+        while True:
+            # A first look around, lest each start takes every duty to itself.
+            await self.clock.sleep(self.bounds.dead_s / 2)
+            result = await self.proposer.read(duties.KEY)
+            if isinstance(result, outcome.Good):
+                self.duties.publish(result.value)
+                await self.duties.tend(self.live())
+
+    async def _keep_lapsing(self) -> None:
+        while True:
+            now = self.clock.now()
+            if now - self._tick > self.bounds.gap_s + self.bounds.tick_s:
+                self.endpoints.woke()
+                self.log.warning("frozen", span_s=round(now - self._tick, 2))
+            self._tick = now
+            for name in self.endpoints.lapse():
+                self.log.warning("endpoint lapsed", endpoint=name)
+            await self.clock.sleep(self.bounds.tick_s)
+
+    async def _keep_swept(self) -> None:
+        """Find the old copies that no read comes by."""
+        while True:
+            await self.clock.sleep(self.bounds.recover_s / 3)
+            mended = await self.proposer.sweep_copies()
+            if mended:
+                self.log.info("copies mended", keys=mended)
+
+
+def _stamp(wall: float) -> str:
+    return datetime.datetime.fromtimestamp(wall, datetime.UTC).isoformat()
--- /dev/null
+++ b/packages/standin/src/dykeswitch/standin/fleet.py
@@ -0,0 +1,250 @@
+"""A whole fleet of real processes on one machine.
+
+The three programs start no process. This is a tool for tests that plays the
+platform: it starts them, watches their readiness and stops them by their ids.
+"""
+
+import asyncio
+import contextlib
+import json
+import os
+import pathlib
+import random
+import shutil
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import typing
+
+import dykeswitch.ports as ports
+import dykeswitch.ports.real as real
+import dykeswitch.standin.caller as callers
+import dykeswitch.standin.endpoint as endpoints
+import dykeswitch.standin.shape as shapes
+
+
+def free_ports(count: int) -> list[int]:
+    """Ports that nobody listens on at the moment."""
+    socks = []
+    for _ in range(count):
+        sock = socket.socket()
+        sock.bind(("127.0.0.1", 0))
+        socks.append(sock)
+    found = [s.getsockname()[1] for s in socks]
+    for sock in socks:
+        sock.close()
+    return found
+
+
+class Process:
+    """One program running as a process of its own."""
+
+    def __init__(self, word: str, name: str, flags: dict[str, str], folder: pathlib.Path) -> None:
+        self.word = word
+        self.name = name
+        self.flags = flags
+        self._folder = folder
+        self._run: subprocess.Popen[bytes] | None = None
+
+    @property
+    def web(self) -> str:
+        return self.flags["web"]
+
+    @property
+    def log(self) -> pathlib.Path:
+        return self._folder / f"{self.name}.log"
+
+    def start(self) -> None:
+        args = [sys.executable, "-m", "dykeswitch.cli.main", self.word]
+        for key, text in self.flags.items():
+            args += ["--" + key.replace("_", "-"), text]
+        with self.log.open("ab") as out:
+            self._run = subprocess.Popen(args, stdout=out, stderr=out, stdin=subprocess.DEVNULL)
+
+    def tell(self, sign: int) -> None:
+        if self._run is not None and self._run.poll() is None:
+            self._run.send_signal(sign)
+
+    def running(self) -> bool:
+        return self._run is not None and self._run.poll() is None
+
+    async def gone(self, wait: float) -> int | None:
+        """Wait for the end; its exit code."""
+        assert self._run is not None
+        run = self._run
+        try:
+            return await asyncio.to_thread(run.wait, wait)
+        except subprocess.TimeoutExpired:
+            return None
+
+
+class Fleet:
+    """Processes, stand-in endpoints and stand-in callers of one shape."""
+
+    def __init__(self, shape: shapes.Shape, folder: pathlib.Path, seed: int) -> None:
+        self.shape = shape
+        self.folder = folder
+        self.dice = random.Random(seed)
+        self.machine: ports.Machine = real.machine()
+        self.record = callers.Record(self.machine.clock)
+        self.cores: list[tuple[Process, Process]] = []
+        self.proxies: list[Process] = []
+        self.endpoints: list[endpoints.Endpoint] = []
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._build()
+        self.callers = callers.Callers(
+            shape, self.machine, [p.web for p in self.proxies], self.record, self.dice
+        )
+
+    def _build(self) -> None:
+        shape = self.shape
+        ears = iter(f"127.0.0.1:{n}" for n in free_ports(shape.cores * 4 + shape.proxies * 2 + 64))
+        self._spare = ears
+        members = [next(ears) for _ in range(shape.cores)]
+        stores = [next(ears) for _ in range(shape.cores)]
+        for n in range(shape.cores):
+            self.cores.append(self._core(f"core{n}", n, members[n], stores[n], members, stores))
+        for n in range(shape.proxies):
+            flags = {
+                "name": f"proxy{n}",
+                "zone": shape.zones[n % len(shape.zones)],
+                "member": next(ears),
+                "web": next(ears),
+                "seeds": ",".join(members),
+            }
+            self.proxies.append(Process("proxy", f"proxy{n}", flags, self.folder))
+        for service in shape.services:
+            for n in range(service.endpoints):
+                self.endpoints.append(self._endpoint(f"{service.name}-{n}", service, n, next(ears)))
+
+    def _core(
+        self, name: str, n: int, member: str, store: str, seeds: list[str], founders: list[str]
+    ) -> tuple[Process, Process]:
+        data = self.folder / f"{name}-data"
+        data.mkdir(exist_ok=True)
+        zone = self.shape.zones[n % len(self.shape.zones)]
+        registry = {
+            "name": name,
+            "zone": zone,
+            "member": member,
+            "web": next(self._spare),
+            "store": store,
+            "seeds": ",".join(seeds),
+            "founders": ",".join(founders),
+        }
+        keeper = {"name": f"{name}-store", "store": store, "web": next(self._spare), "data": str(data)}
+        return (
+            Process("registry", name, registry, self.folder),
+            Process("store", f"{name}-store", keeper, self.folder),
+        )
+
+    def _endpoint(self, name: str, service: shapes.ServiceShape, n: int, spot: str) -> endpoints.Endpoint:
+        return endpoints.Endpoint(
+            name,
+            service.name,
+            spot,
+            self.shape.zones[n % len(self.shape.zones)],
+            self.machine,
+            lambda: [registry.web for registry, _ in self.cores],
+            self.dice,
+            service.work_s,
+            ran=self.record.ran,
+        )
+
+    def spawn(self, work: typing.Coroutine[typing.Any, typing.Any, None]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def processes(self) -> list[Process]:
+        return [p for pair in self.cores for p in pair] + self.proxies
+
+    async def start(self) -> float:
+        """Start all, send the layout, and wait until every proxy is ready."""
+        begun = self.machine.clock.now()
+        for process in self.processes():
+            process.start()
+        for endpoint in self.endpoints:
+            await endpoint.open()
+            self.spawn(endpoint.beat_for_ever())
+        self.spawn(self.callers.watch())
+        await self.apply(self.shape.layout())
+        await self.until(lambda: len(self.callers.ready) == len(self.proxies), 60, "all proxies ready")
+        return self.machine.clock.now() - begun
+
+    async def until(self, test: typing.Callable[[], bool], wait: float, what: str) -> float:
+        begun = self.machine.clock.now()
+        while not test():
+            if self.machine.clock.now() - begun > wait:
+                raise TimeoutError(what)
+            await self.machine.clock.sleep(0.02)
+        return self.machine.clock.now() - begun
+
+    async def apply(self, layout: dict[str, typing.Any], wait: float = 60) -> int:
+        """Send a layout until some registry has taken it; its version."""
+        end = self.machine.clock.now() + wait
+        data = json.dumps(layout).encode()
+        last = ""
+        while self.machine.clock.now() < end:
+            for registry, _ in self.cores:
+                try:
+                    reply = await self.machine.web.ask("PUT", registry.web, "/v1/layout", [], data, 5)
+                except (OSError, TimeoutError) as flaw:
+                    last = str(flaw)
+                    continue
+                if reply.status == 200:
+                    return int(json.loads(reply.body)["version"])
+                last = reply.body.decode()
+            await self.machine.clock.sleep(0.2)
+        raise TimeoutError(f"no registry took the layout: {last}")
+
+    async def layout_versions(self) -> list[int]:
+        """The layout version that each running proxy carries."""
+
+        async def one(proxy: Process) -> int:
+            try:
+                reply = await self.machine.web.ask("GET", proxy.web, "/readyz", [], b"", 1)
+                return int(json.loads(reply.body)["layout"])
+            except (OSError, TimeoutError):
+                return -1
+
+        return list(await asyncio.gather(*(one(p) for p in self.proxies)))
+
+    async def stop(self) -> None:
+        for task in list(self._tasks):
+            task.cancel()
+        for endpoint in self.endpoints:
+            endpoint.close()
+        for process in self.processes():
+            process.tell(signal.SIGCONT)
+            process.tell(signal.SIGTERM)
+        for process in self.processes():
+            if await process.gone(10) is None:
+                process.tell(signal.SIGKILL)
+                await process.gone(5)
+
+
+@contextlib.asynccontextmanager
+async def running(shape: shapes.Shape, seed: int, keep: bool = False) -> typing.AsyncIterator[Fleet]:
+    """A fleet that is up, and is taken down at the end whatever happens."""
+    folder = pathlib.Path(tempfile.mkdtemp(prefix="dykeswitch-fleet-"))
+    fleet = Fleet(shape, folder, seed)
+    try:
+        yield fleet
+    finally:
+        await fleet.stop()
+        if not keep:
+            shutil.rmtree(folder, ignore_errors=True)
+
+
+async def show(name: str, span: float, seed: int, scale: float) -> dict[str, typing.Any]:
+    """Start a fleet, send its traffic for a span, and return the figures."""
+    async with running(shapes.SHAPES[name], seed) as fleet:
+        up = await fleet.start()
+        await fleet.callers.drive(span, scale)
+        figures = callers.tally(fleet.record, 10.0)
+        versions = await fleet.layout_versions()
+        return {"shape": name, "up_s": round(up, 2), "processes": len(fleet.processes()), **figures,
+                "layouts": sorted(set(versions)), "pid": os.getpid()}
--- /dev/null
+++ b/packages/store/src/dykeswitch/store/__init__.py
@@ -0,0 +1,1 @@
+"""The store: votes and keeps the register; nothing else."""
