--- a/packages/cli/src/dykeswitch/cli/daemons.py
+++ b/packages/cli/src/dykeswitch/cli/daemons.py
@@ -32,12 +32,13 @@
 def _build(program: str, bounds: settings.Settings) -> Daemon:
     machine = real.machine(bounds.head_most)
     log = logs.Log(program, bounds.name, bounds.log_level, machine.clock)
-    dice = random.Random()
+    # Ids drawn here must never be drawn twice in a fleet.
+    dice = random.SystemRandom()
     if program == "proxy":
         return proxies.Proxy(bounds, machine, log, dice)
     if program == "registry":
         return registries.Registry(bounds, machine, log, dice)
-    return stores.Store(bounds, machine, real.RealDisk(pathlib.Path(bounds.data)), log)
+    return stores.Store(bounds, machine, real.RealDisk(pathlib.Path(bounds.data)), log, dice)
 
 
 async def _run(program: str, bounds: settings.Settings) -> None:
--- a/packages/logs/src/dykeswitch/logs/__init__.py
+++ b/packages/logs/src/dykeswitch/logs/__init__.py
@@ -17,6 +17,8 @@
         self._head = {"program": program, "name": name}
         self._clock = clock
         self._level = LEVELS[level]
+        # A simulator that keeps its own record wants the events themselves.
+        self.hook: typing.Callable[[dict[str, typing.Any]], None] | None = None
         self._out: picologging.Logger = picologging.Logger(f"{program}.{name}", self._level)
         hand = picologging.StreamHandler()
         hand.setFormatter(picologging.Formatter("%(message)s"))
@@ -26,6 +28,9 @@
         if LEVELS[level] < self._level:
             return
         line = {"time": round(self._clock.wall(), 3), "level": level, **self._head, "event": event, **fields}
+        if self.hook is not None:
+            self.hook(line)
+            return
         self._out.log(LEVELS[level], json.dumps(line, default=str))
 
     def debug(self, event: str, **fields: typing.Any) -> None:
--- a/packages/membership/src/dykeswitch/membership/__init__.py
+++ b/packages/membership/src/dykeswitch/membership/__init__.py
@@ -8,7 +8,6 @@
 import asyncio
 import dataclasses
 import random
-import secrets
 import typing
 
 import dykeswitch.frames as frames
@@ -60,7 +59,7 @@
         note: typing.Callable[[str, str], None],
     ) -> None:
         self.me = me
-        self.boot = secrets.token_hex(6)
+        self.boot = f"{dice.getrandbits(48):012x}"
         self.line = line
         self._clock = machine.clock
         self._caller = caller
--- a/packages/proxy/src/dykeswitch/proxy/program.py
+++ b/packages/proxy/src/dykeswitch/proxy/program.py
@@ -3,7 +3,6 @@
 import asyncio
 import json
 import random
-import secrets
 import typing
 
 import litestar
@@ -54,7 +53,7 @@
         )
         self._pauses: dict[str, str] = {}
         self.carrier.selector.paused = self._pauses.get
-        self._names = secrets.token_hex(4)
+        self._names = f"{dice.getrandbits(32):08x}"
         self._turn = 0
         self._tick = self.clock.now()
         # Until a core has confirmed what we hold, we are not sure of it.
@@ -123,10 +122,10 @@
         spots = list(self.spread.cores().values())
         good = False
         calls = [asyncio.create_task(self._confirm_at(spot)) for spot in spots]
-        for call in asyncio.as_completed(calls):
-            if await call:
-                good = True
-                break
+        while calls and not good:
+            done, _ = await asyncio.wait(calls, return_when=asyncio.FIRST_COMPLETED)
+            good = any(call.result() for call in done)
+            calls = [call for call in calls if call not in done]
         if good:
             await self.papers.catch_up(self._spots())
         # Frozen again meanwhile: what we heard is old already.
--- a/packages/register/src/dykeswitch/register/voter.py
+++ b/packages/register/src/dykeswitch/register/voter.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import dataclasses
-import secrets
+import random
 import typing
 
 import dykeswitch.frames as frames
@@ -31,8 +31,9 @@
 class Voter:
     """Votes for one disk; every answer that binds it is synced first."""
 
-    def __init__(self, disk: ports.Disk, points: ports.Points) -> None:
+    def __init__(self, disk: ports.Disk, points: ports.Points, dice: random.Random) -> None:
         self._disk = disk
+        self._dice = dice
         self._shelf = shelf.Shelf(disk, points)
         self._seats: dict[str, Seat] = {}
         self._set = register.NOBODY
@@ -57,7 +58,7 @@
             # A disk with votes but no id is not blank: someone removed a part of it.
             if records:
                 raise shelf.Damage("the disk's id is gone but its records are not")
-            name = secrets.token_hex(8)
+            name = f"{self._dice.getrandbits(64):016x}"
             await self._put(DISK_KEY, name)
             self.disk_id = name
 
--- a/packages/registry/src/dykeswitch/registry/program.py
+++ b/packages/registry/src/dykeswitch/registry/program.py
@@ -4,7 +4,6 @@
 import datetime
 import json
 import random
-import secrets
 import typing
 
 import litestar
@@ -66,7 +65,7 @@
             bounds.seeds,
             log.note,
         )
-        self._boot = secrets.token_hex(4)
+        self._boot = f"{dice.getrandbits(32):08x}"
         self.proposer = proposers.Proposer(
             f"{bounds.name}/{self._boot}", self.caller, self.clock, machine.points, bounds.call_s, dice
         )
@@ -80,6 +79,7 @@
             bounds.name, bounds, machine, self.caller, self.proposer, log.note
         )
         self.layout: layouts.Layout | None = None
+        self._dice = dice
         self._ops = 0
         self._tick = self.clock.now()
         self._majority = -1e9
@@ -360,7 +360,7 @@
         while True:
             stores = {str(e.fields["store"]) for e in self.line.all(timeline.CORE)}
             await self.seating.tend(stores | {self.bounds.store}, self.live())
-            await self.clock.sleep(self.bounds.sweep_s * (0.75 + 0.5 * random.random()))
+            await self.clock.sleep(self.bounds.sweep_s * (0.75 + 0.5 * self._dice.random()))
 
     async def _keep_reading(self) -> None:
         """Learn what others committed, also when they died before they could tell."""
--- /dev/null
+++ b/packages/simulator/src/dykeswitch/simulator/fleet.py
@@ -0,0 +1,360 @@
+"""A whole fleet in the simulator, of either shape, with its operators and callers."""
+
+import asyncio
+import contextvars
+import dataclasses
+import json
+import pathlib
+import random
+import typing
+
+import dykeswitch.layout.papers as papers
+import dykeswitch.ports as ports
+import dykeswitch.proxy.program as proxies
+import dykeswitch.registry.program as registries
+import dykeswitch.settings as settings
+import dykeswitch.simulator.disk as disks
+import dykeswitch.simulator.loop as loops
+import dykeswitch.simulator.net as nets
+import dykeswitch.simulator.world as worlds
+import dykeswitch.standin.caller as callers
+import dykeswitch.standin.endpoint as endpoints
+import dykeswitch.standin.shape as shapes
+import dykeswitch.store.program as stores
+
+FOUNDERS: typing.Final = 3
+
+
+@dataclasses.dataclass(slots=True)
+class Core:
+    """A core machine: a registry and a store."""
+
+    registry: worlds.Node
+    store: worlds.Node
+    member: str
+    web: str
+    disk: str
+
+    def names(self) -> list[str]:
+        return [self.registry.name, self.store.name]
+
+
+@dataclasses.dataclass(slots=True)
+class Edge:
+    """An edge machine with its proxy."""
+
+    node: worlds.Node
+    web: str
+
+
+@dataclasses.dataclass(slots=True)
+class Put:
+    """An operator's change, and what came of it."""
+
+    begun: float
+    body: str
+    match: int | None
+    ended: float = 0.0
+    status: int = 0
+    version: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class Got:
+    """An operator's read, and what it brought."""
+
+    begun: float
+    ended: float = 0.0
+    status: int = 0
+    version: int = 0
+    body: str = ""
+
+
+@dataclasses.dataclass(slots=True)
+class Sample:
+    """What one proxy carried at one moment."""
+
+    at: float
+    proxy: str
+    boot: int
+    layout: int
+    ready: bool
+    served: bool
+
+
+class SimFleet:
+    """Everything the brief names, on virtual time."""
+
+    def __init__(
+        self,
+        shape: shapes.Shape,
+        seed: int,
+        scratch: pathlib.Path,
+        scale: float = 0.1,
+        bounds: dict[str, typing.Any] | None = None,
+    ) -> None:
+        self.world = worlds.World(seed, scratch)
+        self.shape = shape
+        self.scale = scale
+        self.dice = random.Random(seed + 2)
+        self._bounds = bounds or {}
+        self.outside = self.world.machine_for("outside")
+        self.clock = self.outside.clock
+        self.record = callers.Record(self.clock)
+        self.cores: list[Core] = []
+        self.edges: list[Edge] = []
+        self.endpoints: dict[str, endpoints.Endpoint] = {}
+        self.hosts: dict[str, loops.Host] = {}
+        self.left: dict[str, float] = {}
+        self.hits: list[tuple[float, str, str]] = []
+        self.puts: list[Put] = []
+        self.gots: list[Got] = []
+        self.samples: list[Sample] = []
+        self._boots: dict[str, int] = {}
+        self._tasks: set[asyncio.Task[typing.Any]] = set()
+        self._build()
+        self.callers = callers.Callers(
+            shape, self.outside, [e.web for e in self.edges], self.record, self.dice
+        )
+
+    def settings(self, **own: typing.Any) -> settings.Settings:
+        return settings.Settings(**{**self._bounds, **own})
+
+    def _build(self) -> None:
+        world, shape = self.world, self.shape
+        self.member_spots = [world.spot() for _ in range(shape.cores)]
+        self.store_spots = [world.spot() for _ in range(shape.cores)]
+        for n in range(shape.cores):
+            self.cores.append(self.core(f"core{n}", n, self.member_spots[n], self.store_spots[n]))
+        for n in range(shape.proxies):
+            self.edges.append(self._edge(f"proxy{n}", n))
+        for service in shape.services:
+            for n in range(service.endpoints):
+                self.endpoint(f"{service.name}-{n}", service, world.spot(), n)
+
+    def core(self, name: str, n: int, member: str, store: str) -> Core:
+        """A core; also one that comes later, with the old seeds in its settings."""
+        world = self.world
+        web = world.spot()
+        zone = self.shape.zones[n % len(self.shape.zones)]
+        shared = {"seeds": tuple(self.member_spots), "founders": tuple(self.store_spots)}
+        first = self.settings(name=name, zone=zone, member=member, web=web, store=store, **shared)
+        second = self.settings(name=f"{name}-store", store=store, web=world.spot(), data="-")
+        keeper = world.add(
+            "store",
+            f"{name}-store",
+            lambda machine, log, dice: stores.Store(second, machine, _disk_of(keeper), log, dice),
+        )
+        keeper.disk = disks.SimDisk(world.folder(), world.dice)
+        registry = world.add(
+            "registry",
+            name,
+            lambda machine, log, dice: registries.Registry(first, machine, log, dice),
+        )
+        return Core(registry, keeper, member, web, store)
+
+    def _edge(self, name: str, n: int) -> Edge:
+        world = self.world
+        bounds = self.settings(
+            name=name,
+            zone=self.shape.zones[n % len(self.shape.zones)],
+            member=world.spot(),
+            web=world.spot(),
+            seeds=tuple(self.member_spots),
+        )
+
+        def build(machine: ports.Machine, log: typing.Any, dice: random.Random) -> proxies.Proxy:
+            self._boots[name] = self._boots.get(name, 0) + 1
+            return proxies.Proxy(bounds, machine, log, dice)
+
+        return Edge(world.add("proxy", name, build), bounds.web)
+
+    # Endpoints are machines too, though they run no program of ours.
+
+    def endpoint(self, name: str, service: shapes.ServiceShape, spot: str, n: int) -> endpoints.Endpoint:
+        machine = self.world.machine_for(name)
+        made = endpoints.Endpoint(
+            name,
+            service.name,
+            spot,
+            self.shape.zones[n % len(self.shape.zones)],
+            machine,
+            lambda: [core.web for core in self.cores],
+            random.Random(self.world.dice.getrandbits(64)),
+            service.work_s,
+            ran=self.record.ran,
+            hit=self._hit,
+        )
+        self.endpoints[name] = made
+        return made
+
+    def _hit(self, endpoint: endpoints.Endpoint, method: str, target: str) -> None:
+        name = target.partition("ask=")[2].partition("&")[0]
+        self.hits.append((self.clock.now(), name, endpoint.name))
+
+    def wake(self, endpoint: endpoints.Endpoint) -> None:
+        """Let an endpoint listen and beat on its own machine."""
+        host = loops.Host(endpoint.name)
+        self.hosts[endpoint.name] = host
+        endpoint.rehost(self.machine_on(host))
+        context = contextvars.Context()
+        context.run(loops.HOST.set, host)
+
+        async def live() -> None:
+            await endpoint.open()
+            await endpoint.beat_for_ever()
+
+        self._keep(self.world.loop.create_task(live(), context=context))
+
+    def machine_on(self, host: loops.Host) -> ports.Machine:
+        wires = self.world.wires
+        return ports.Machine(
+            worlds.SimClock(self.world.loop),
+            nets.SimNetwork(wires, host),
+            nets.SimWeb(wires, host),
+            worlds.SimPoints(),
+        )
+
+    def kill_endpoint(self, name: str) -> None:
+        """The process ends: pipes are reset, beats stop."""
+        host = self.hosts[name]
+        host.dead = True
+        wires = self.world.wires
+        wires.reset_host(name)
+        wires.ears = {s: e for s, e in wires.ears.items() if e[0] is not host}
+        self.endpoints[name].beating = False
+        for task in list(host.tasks):
+            task.cancel()
+
+    async def drain_endpoint(self, name: str, grace: float = 3.0) -> None:
+        """Leave politely, finish what runs, then end."""
+        if await self.endpoints[name].leave():
+            self.left[name] = self.clock.now()
+        await asyncio.sleep(grace)
+        self.kill_endpoint(name)
+
+    def _keep(self, task: asyncio.Task[typing.Any]) -> None:
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def spawn(self, work: typing.Coroutine[typing.Any, typing.Any, typing.Any]) -> asyncio.Task[typing.Any]:
+        task = asyncio.get_running_loop().create_task(work)
+        self._keep(task)
+        return task
+
+    # Starting.
+
+    async def start(self) -> float:
+        """Start all, send the layout, wait until every proxy is ready."""
+        begun = self.clock.now()
+        for core in self.cores:
+            core.store.start()
+            core.registry.start()
+        for edge in self.edges:
+            edge.node.start()
+        for endpoint in list(self.endpoints.values()):
+            self.wake(endpoint)
+        self.spawn(self.callers.watch())
+        self.spawn(self._sample())
+        await self.apply(self.shape.layout())
+        await self.until(lambda: len(self.callers.ready) == len(self.edges), 30, "all proxies ready")
+        await self.until(self._all_known, 30, "all endpoints known to all proxies")
+        return self.clock.now() - begun
+
+    def _all_known(self) -> bool:
+        return all(
+            len(edge.node.daemon.carrier.selector.up(service.name)) == service.endpoints
+            for edge in self.edges
+            for service in self.shape.services
+        )
+
+    async def until(self, test: typing.Callable[[], bool], wait: float, what: str) -> float:
+        begun = self.clock.now()
+        while not test():
+            if self.clock.now() - begun > wait:
+                raise TimeoutError(what)
+            await asyncio.sleep(0.02)
+        return self.clock.now() - begun
+
+    # Operators.
+
+    async def put(
+        self, layout: dict[str, typing.Any], core: Core, match: int | None = None, wait: float = 5.0
+    ) -> Put:
+        body = json.dumps(layout, sort_keys=True)
+        put = Put(self.clock.now(), body, match)
+        self.puts.append(put)
+        heads = [] if match is None else [("if-match", f'"{match}"')]
+        try:
+            reply = await self.outside.web.ask("PUT", core.web, "/v1/layout", heads, body.encode(), wait)
+        except (OSError, TimeoutError):
+            put.ended = self.clock.now()
+            return put
+        put.ended = self.clock.now()
+        put.status = reply.status
+        if reply.status == 200:
+            put.version = int(json.loads(reply.body)["version"])
+        return put
+
+    async def get(self, core: Core, wait: float = 5.0) -> Got:
+        got = Got(self.clock.now())
+        self.gots.append(got)
+        try:
+            reply = await self.outside.web.ask("GET", core.web, "/v1/layout", [], b"", wait)
+        except (OSError, TimeoutError):
+            got.ended = self.clock.now()
+            return got
+        got.ended = self.clock.now()
+        got.status = reply.status
+        if reply.status == 200:
+            got.version = int(reply.head("dykeswitch-version") or 0)
+            got.body = json.dumps(json.loads(reply.body), sort_keys=True)
+        return got
+
+    async def apply(self, layout: dict[str, typing.Any], wait: float = 30.0) -> int:
+        """Send a layout to one core after another until it is taken."""
+        end = self.clock.now() + wait
+        while self.clock.now() < end:
+            for core in list(self.cores):
+                put = await self.put(layout, core)
+                if put.status == 200:
+                    return put.version
+            await asyncio.sleep(0.1)
+        raise TimeoutError("no registry took the layout")
+
+    # Watching.
+
+    async def _sample(self) -> None:
+        """See every 50 ms what each proxy carries and whether it would serve by it."""
+        while True:
+            now = self.clock.now()
+            for edge in self.edges:
+                node = edge.node
+                daemon = node.daemon
+                if daemon is None or node.host.dead or node.host.frozen:
+                    continue
+                self.samples.append(
+                    Sample(
+                        now,
+                        node.name,
+                        self._boots.get(node.name, 0),
+                        daemon.papers.version(papers.LAYOUT),
+                        daemon.ready() is None,
+                        not daemon._doubt,
+                    )
+                )
+            await asyncio.sleep(0.05)
+
+    def seats(self) -> list[dict[str, typing.Any]]:
+        """What each living store holds, for the checker."""
+        found = []
+        for core in self.cores:
+            if core.store.up and core.store.daemon is not None:
+                voter = core.store.daemon.voter
+                found.append({"name": core.store.name, "disk": voter.disk_id, "seats": voter._seats})
+        return found
+
+
+def _disk_of(node: worlds.Node) -> disks.SimDisk:
+    assert node.disk is not None
+    return node.disk
--- a/packages/standin/src/dykeswitch/standin/endpoint.py
+++ b/packages/standin/src/dykeswitch/standin/endpoint.py
@@ -25,6 +25,7 @@
 )
 
 Ran = typing.Callable[["Endpoint", str, str, bytes], None]
+Hit = typing.Callable[["Endpoint", str, str], None]
 
 
 @dataclasses.dataclass(slots=True)
@@ -51,6 +52,7 @@
         work_s: float = 0.02,
         interval_s: float = 1.0,
         ran: Ran | None = None,
+        hit: Hit | None = None,
     ) -> None:
         self.name = name
         self.service = service
@@ -63,6 +65,7 @@
         self.work_s = work_s
         self.interval_s = interval_s
         self._ran = ran
+        self._hit = hit
         self.plan = Plan()
         self.busy = 0
         self.runs = 0
@@ -72,6 +75,12 @@
         self._ear: ports.Listener | None = None
         self._leaving = False
 
+    def rehost(self, machine: ports.Machine) -> None:
+        """Move to another machine before opening."""
+        self._machine = machine
+        self._clock = machine.clock
+        self.beating = True
+
     async def open(self) -> None:
         self._ear = await self._machine.net.listen(self.spot, self._serve)
 
@@ -173,6 +182,8 @@
             fault = "none"
         if not probe:
             self.hits += 1
+            if self._hit is not None:
+                self._hit(self, ask.method.decode(), target)
         return await self._act(talk, pipe, ask, target, body, fault, probe)
 
     async def _act(
--- a/packages/store/src/dykeswitch/store/program.py
+++ b/packages/store/src/dykeswitch/store/program.py
@@ -1,6 +1,7 @@
 """The store's process."""
 
 import asyncio
+import random
 import typing
 
 import litestar
@@ -16,12 +17,17 @@
     """One store on one disk."""
 
     def __init__(
-        self, bounds: settings.Settings, machine: ports.Machine, disk: ports.Disk, log: logs.Log
+        self,
+        bounds: settings.Settings,
+        machine: ports.Machine,
+        disk: ports.Disk,
+        log: logs.Log,
+        dice: random.Random,
     ) -> None:
         self.bounds = bounds
         self.machine = machine
         self.log = log
-        self.voter = voters.Voter(disk, machine.points)
+        self.voter = voters.Voter(disk, machine.points, dice)
         self._stop = asyncio.Event()
         self.stopping = False
         self.app = litestar.Litestar(
