--- a/packages/layout/src/dykeswitch/layout/papers.py
+++ b/packages/layout/src/dykeswitch/layout/papers.py
@@ -15,6 +15,9 @@
 PAUSES: typing.Final = "pauses"
 NAMES: typing.Final = (LAYOUT, PAUSES)
 
+# Into how many parts the wait for one member is cut before the next is asked too.
+HEDGES: typing.Final = 20
+
 Taken = typing.Callable[[str, int, bytes], bool]
 
 
@@ -27,6 +30,8 @@
         self._call_s = call_s
         self._taken = taken
         self._held: dict[str, tuple[int, bytes]] = {}
+        # How often each paper was handed on, by version: how far a change got.
+        self.handed: dict[tuple[str, int], set[str]] = {}
         self._lock = asyncio.Lock()
 
     def version(self, name: str) -> int:
@@ -46,6 +51,10 @@
         # Who asks for a version we have not reached is better served elsewhere.
         if version < int(body["want"]):
             return outcome.bad("no_such", f"{name} {version}")
+        # Only who says it wants it for itself counts as having it.
+        self.handed.setdefault((name, version), set()).add(str(body["name_of"]))
+        if len(self.handed) > 64:
+            del self.handed[next(iter(self.handed))]
         return outcome.Good({"version": version, "body": data})
 
     def take(self, name: str, version: int, data: bytes) -> bool:
@@ -69,12 +78,28 @@
         """Fetch what we are behind on from the first member that has it."""
         async with self._lock:
             for name, want in self.behind():
-                for spot in spots:
-                    # Someone may have moved us on while we asked.
-                    if self.version(name) >= want:
-                        break
-                    ask = {"name": name, "want": want}
-                    result = await self._caller.ask(spot, "paper", ask, self._call_s)
+                await self._fetch(name, want, spots)
+            return not self.behind()
+
+    async def _fetch(self, name: str, want: int, spots: typing.Sequence[str]) -> None:
+        """Ask one member, and soon another while the first is silent."""
+        ask = {"name": name, "want": want, "name_of": self._line.name}
+        calls: set[asyncio.Task[frames.Result]] = set()
+        left = list(spots)
+        try:
+            while (left or calls) and self.version(name) < want:
+                if left:
+                    spot = left.pop(0)
+                    calls.add(asyncio.create_task(self._caller.ask(spot, "paper", ask, self._call_s)))
+                # A member that is cut off must cost us a part of the wait, not all.
+                wait = self._call_s / HEDGES if left else None
+                done, calls = await asyncio.wait(
+                    calls, timeout=wait, return_when=asyncio.FIRST_COMPLETED
+                )
+                for call in done:
+                    result = call.result()
                     if isinstance(result, outcome.Good):
                         self.take(name, int(result.value["version"]), result.value["body"])
-            return not self.behind()
+        finally:
+            for call in calls:
+                call.cancel()
--- a/packages/registry/src/dykeswitch/registry/program.py
+++ b/packages/registry/src/dykeswitch/registry/program.py
@@ -27,6 +27,8 @@
 
 Page = litestar.Response[dict[str, typing.Any]]
 BEAT_MOST: typing.Final = 16384
+# How many proxies should hold a change before its operator is told.
+HANDED: typing.Final = 2
 
 
 def _page(result: outcome.Good[dict[str, typing.Any]] | outcome.Bad, version: int | None = None) -> Page:
@@ -223,9 +225,20 @@
         if isinstance(result, outcome.Bad):
             return _page(result)
         self._publish(papers.LAYOUT, result.value)
+        await self._handed(papers.LAYOUT, result.value.version)
         self.log.info("layout accepted", version=result.value.version)
         return _page(outcome.Good({"version": result.value.version}), result.value.version)
 
+    async def _handed(self, name: str, version: int) -> None:
+        """Wait a moment until two proxies hold it, so that it spreads even if all cores go dark."""
+        proxies = len(self.line.all(timeline.PROXY))
+        end = self.clock.now() + self.bounds.gap_s
+        while self.clock.now() < end:
+            got = self.papers.handed.get((name, version), set())
+            if len(got) >= min(HANDED, proxies) or self.papers.version(name) > version:
+                return
+            await self.clock.sleep(self.bounds.gap_s / 100)
+
     async def _change(self, name: str, data: bytes, want: int | None) -> proposers.Read:
         self._ops += 1
         op = f"{self.bounds.name}/{self._boot}/{name}/{self._ops}"
--- a/packages/simulator/src/dykeswitch/simulator/loop.py
+++ b/packages/simulator/src/dykeswitch/simulator/loop.py
@@ -45,6 +45,9 @@
         self.handle: asyncio.Handle | None = None
 
     def __call__(self) -> None:
+        # Held back by a freeze and cancelled since: not to be run any more.
+        if self.handle is not None and self.handle.cancelled():
+            return
         if self.host.frozen:
             self.host.held.append(self)
             return
@@ -154,9 +157,8 @@
         host.frozen = False
         held, host.held = host.held, []
         for guard in held:
-            if guard.handle is not None and guard.handle.cancelled():
-                continue
-            guard.handle = super().call_soon(guard, context=guard.context)
+            # The first handle stays the one by which it may yet be cancelled.
+            super().call_soon(guard, context=guard.context)
 
 
 def run(work: typing.Coroutine[typing.Any, typing.Any, typing.Any]) -> typing.Any:
--- a/packages/simulator/src/dykeswitch/simulator/net.py
+++ b/packages/simulator/src/dykeswitch/simulator/net.py
@@ -115,7 +115,9 @@
             return
         while self._queue:
             part = self._queue.popleft()
-            at = max(self._last, self._wires.loop.time() + self._wires.delay(self.here.name, self.there.name))
+            span = self._wires.delay(self.here.name, self.there.name)
+            # Timers of one moment run in any order, but a pipe keeps its own.
+            at = max(self._last + 1e-6, self._wires.loop.time() + span)
             self._last = at
             self._wires.loop.call_at(at, self.peer.arrive, part, context=loops.EMPTY)
 
--- a/packages/simulator/src/dykeswitch/simulator/scenario.py
+++ b/packages/simulator/src/dykeswitch/simulator/scenario.py
@@ -256,7 +256,9 @@
     """Wait until every living store has a seat in one and the same set."""
 
     def so() -> bool:
-        voters = [c.store.daemon.voter for c in stage.fleet.cores if c.store.up and c.store.daemon]
+        if any(c.store.daemon is None for c in stage.fleet.cores):
+            return False
+        voters = [c.store.daemon.voter for c in stage.fleet.cores]
         return all(v.seated() and not v.members.joint() for v in voters) and (
             len({v.members.epoch for v in voters}) == 1
         )
--- a/packages/simulator/src/dykeswitch/simulator/world.py
+++ b/packages/simulator/src/dykeswitch/simulator/world.py
@@ -84,6 +84,7 @@
     def start(self) -> None:
         """Start the program on a machine that is off."""
         self.host = loops.Host(self.name)
+        self.daemon = None
         host = self.host
         context = contextvars.Context()
         context.run(loops.HOST.set, host)
