A disk that was only asked stays blank: empty seats made by refused reads barred it

Cause: a store at a swapped disk's address made an empty seat for each key it was asked about before it refused the call as meant for another disk; it then no longer counted as blank, so no registry ever seated it. Ruled out: liveness (the lost disk was seen as silent), the driver's draw, the joint step (never begun).

--- a/packages/register/src/dykeswitch/register/voter.py
+++ b/packages/register/src/dykeswitch/register/voter.py
@@ -71,7 +71,9 @@
 
     def blank(self) -> bool:
         """Never seated and never voted, but for rounds that were to seat it."""
-        return self._set.epoch == 0 and not any(key != register.MEMBERS for key in self._seats)
+        return self._set.epoch == 0 and not any(
+            key != register.MEMBERS and seat.promised != register.ZERO for key, seat in self._seats.items()
+        )
 
     def kinds(self) -> dict[str, frames.Handle]:
         """The calls a store answers."""
