--- /dev/null
+++ b/tests/test_history.py
@@ -0,0 +1,157 @@
+"""The checker itself: each point of the brief, broken by hand, is found out."""
+
+import typing
+
+import pytest
+
+import dykeswitch.simulator.fleet as fleets
+import dykeswitch.simulator.history as histories
+import dykeswitch.standin.caller as callers
+
+
+def _ask(name: str, **more: typing.Any) -> callers.Ask:
+    fields: dict[str, typing.Any] = {"spot": "p", "ended": 100.1, "status": 200, **more}
+    return callers.Ask(name, "exports", True, fields.pop("begun", 100.0), **fields)
+
+
+def _run(ask: str, endpoint: str = "exports-0", service: str = "exports") -> callers.Run:
+    return callers.Run(ask, endpoint, service, 100.05)
+
+
+def _put(version: int, ended: float, **more: typing.Any) -> fleets.Put:
+    fields: dict[str, typing.Any] = {"body": f"b{version}", "match": None, "status": 200, **more}
+    return fleets.Put(ended - 0.1, fields.pop("body"), fields.pop("match"), ended, version=version, **fields)
+
+
+def _sample(at: float, layout: int, boot: int = 1) -> fleets.Sample:
+    return fleets.Sample(at, "proxy0", boot, layout, True, True)
+
+
+def sound() -> histories.History:
+    """A history in which nothing is wrong."""
+    return histories.History(
+        asks=[_ask("a")],
+        runs={"a": [_run("a")]},
+        hits=[(100.04, "a", "exports-0")],
+        owners={"exports-0": "exports", "pages-0": "pages"},
+        left={"exports-1": 90.0},
+        puts=[_put(1, 90.0), _put(2, 95.0)],
+        gots=[fleets.Got(96.0, 96.1, 200, 2, "b2")],
+        samples=[_sample(96.0, 1), _sample(97.5, 2), _sample(98.0, 2, boot=2)],
+        calm=95.0,
+        end=120.0,
+    )
+
+
+def _twice(story: histories.History) -> None:
+    story.runs["a"].append(_run("a", "exports-1"))
+
+
+def _told(story: histories.History) -> None:
+    story.asks[0].status, story.asks[0].result, story.asks[0].retry_after = 503, 111, True
+
+
+def _other_answer(story: histories.History) -> None:
+    story.asks[0].wrong = "someone else's"
+
+
+def _other_owner(story: histories.History) -> None:
+    story.hits.append((100.04, "a", "pages-0"))
+
+
+def _after_leaving(story: histories.History) -> None:
+    story.hits.append((92.5, "a", "exports-1"))
+
+
+def _late_layout(story: histories.History) -> None:
+    story.samples.insert(1, _sample(97.3, 1))
+
+
+def _layout_back(story: histories.History) -> None:
+    # Back for less than a quarter of a second, over a restart.
+    story.samples.append(_sample(98.1, 1, boot=3))
+
+
+def _stale_read(story: histories.History) -> None:
+    story.gots.append(fleets.Got(97.0, 97.1, 200, 1, "b1"))
+
+
+def _lost_layout(story: histories.History) -> None:
+    story.puts.append(_put(2, 99.0, body="other"))
+
+
+def _refused_stands(story: histories.History) -> None:
+    story.puts.append(_put(0, 99.0, body="never", status=412))
+    story.gots.append(fleets.Got(99.5, 99.6, 200, 3, "never"))
+
+
+def _broken_taken(story: histories.History) -> None:
+    story.puts.append(_put(3, 99.0))
+    story.broken_bodies.add("b3")
+
+
+def _good_refused(story: histories.History) -> None:
+    story.puts.append(_put(0, 99.0, body="good", status=422))
+
+
+def _many_extra(story: histories.History) -> None:
+    story.hits += [(100.0 + n / 100, "a", "exports-0") for n in range(62)]
+
+
+def _dropped(story: histories.History) -> None:
+    story.asks.append(_ask("b", status=0, flaw="ConnectionResetError"))
+    story.stops.append(histories.Span("p", 99.0, 103.0))
+
+
+def _turned_away(story: histories.History) -> None:
+    story.asks += [_ask(f"t{n}", status=503, result=103) for n in range(6)]
+
+
+def _not_recovered(story: histories.History) -> None:
+    story.asks.append(_ask("late", begun=110.5, ended=110.6, status=502, result=108))
+
+
+def _too_late(story: histories.History) -> None:
+    story.asks[0].ended = 111.0
+
+
+def _crash(story: histories.History) -> None:
+    story.crashes.append("core0: ValueError")
+
+
+BREAKS: typing.Final[dict[str, list[typing.Callable[[histories.History], None]]]] = {
+    "run_twice": [_twice],
+    "told_not_done": [_told],
+    "whole_answers": [_other_answer],
+    "right_owner": [_other_owner],
+    "not_after_leaving": [_after_leaving],
+    "layout_in_time": [_late_layout],
+    "layout_never_back": [_layout_back],
+    "register_holds": [_stale_read, _lost_layout, _refused_stands],
+    "broken_refused": [_broken_taken, _good_refused],
+    "extra_bound": [_many_extra],
+    "not_dropped": [_dropped],
+    "not_turned_away": [_turned_away],
+    "recovered": [_not_recovered],
+    "in_time": [_too_late],
+    "no_crash": [_crash],
+}
+
+
+def test_a_sound_history_passes() -> None:
+    assert histories.judge(sound()) == {}
+
+
+def test_every_check_is_broken_by_some_history() -> None:
+    assert set(BREAKS) == set(histories.CHECKS)
+
+
+@pytest.mark.parametrize(
+    ("name", "wreck"), [(name, wreck) for name, wrecks in BREAKS.items() for wreck in wrecks]
+)
+def test_a_broken_history_is_found_out(
+    name: str, wreck: typing.Callable[[histories.History], None]
+) -> None:
+    story = sound()
+    wreck(story)
+    assert name in histories.judge(story)
--- /dev/null
+++ b/tests/test_register.py
@@ -0,0 +1,323 @@
+"""The register: what it promises under crashes at every numbered point."""
+
+import asyncio
+import pathlib
+import random
+import typing
+
+import pytest
+
+import dykeswitch.frames as frames
+import dykeswitch.outcome as outcome
+import dykeswitch.register as register
+import dykeswitch.register.proposer as proposers
+import dykeswitch.register.shelf as shelf
+import dykeswitch.register.voter as voters
+import dykeswitch.simulator.disk as disks
+import dykeswitch.simulator.loop as loops
+import dykeswitch.simulator.world as worlds
+
+POINTS: typing.Final = range(shelf.POINT_BEFORE, shelf.POINT_OLD_DROPPED + 1)
+
+
+class _Keeper:
+    """A store with nothing round it: just the voter and its ear."""
+
+    def __init__(self, node_spot: str, disk: disks.SimDisk, machine: typing.Any, dice: random.Random) -> None:
+        self.voter = voters.Voter(disk, machine.points, dice)
+        self._spot = node_spot
+        self._machine = machine
+
+    async def run(self) -> None:
+        await self.voter.open()
+        ear = frames.Ear(self.voter.kinds(), lambda event, what: None)
+        await self._machine.net.listen(self._spot, ear.serve)
+        await asyncio.Event().wait()
+
+    def stop(self) -> None:
+        return None
+
+
+class Bench:
+    """Three voters, and proposers on a machine of their own."""
+
+    def __init__(self, seed: int, scratch: pathlib.Path, stores: int = 3) -> None:
+        self.world = worlds.World(seed, scratch)
+        self.nodes: list[worlds.Node] = []
+        self.spots = [self.world.spot() for _ in range(stores)]
+        for n, spot in enumerate(self.spots):
+            self._add(n, spot)
+        self.outside = self.world.machine_for("outside")
+
+    def _add(self, n: int, spot: str) -> None:
+        def build(machine: typing.Any, log: typing.Any, dice: random.Random) -> _Keeper:
+            assert node.disk is not None
+            return _Keeper(spot, node.disk, machine, dice)
+
+        node = self.world.add("store", f"store{n}", build)
+        node.disk = disks.SimDisk(self.world.folder(), self.world.dice)
+        self.nodes.append(node)
+
+    async def start(self) -> register.MemberSet:
+        for node in self.nodes:
+            node.start()
+        await asyncio.sleep(0.1)
+        pairs = tuple(sorted((n.daemon.voter.disk_id, s) for n, s in zip(self.nodes, self.spots)))
+        members = register.MemberSet(1, (pairs,))
+        caller = frames.Caller(self.outside.net)
+        for disk, spot in pairs:
+            await caller.ask(spot, "install", {"disk": disk, "set": members.wire()}, 1.0)
+        self.members = members
+        return members
+
+    def proposer(self, name: str) -> proposers.Proposer:
+        caller = frames.Caller(self.outside.net)
+        made = proposers.Proposer(
+            name, caller, self.outside.clock, self.outside.points, 0.5, random.Random(name)
+        )
+        made.adopt(self.members)
+        return made
+
+
+def put(body: bytes, op: str) -> proposers.Step:
+    def step(now: register.Value) -> register.Value | outcome.Bad:
+        return now if now.made(op) is not None else now.next(body, op)
+
+    return step
+
+
+def _good(result: proposers.Read) -> register.Value:
+    assert isinstance(result, outcome.Good), result
+    return result.value
+
+
+@pytest.mark.parametrize("point", POINTS)
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_power_loss_at_each_point_of_a_write(point: int, seed: int, tmp_path: pathlib.Path) -> None:
+    """What was acknowledged is there again; what was not is old or new, never torn."""
+
+    async def main() -> None:
+        bench = Bench(seed, tmp_path, stores=1)
+        await bench.start()
+        node = bench.nodes[0]
+        proposer = bench.proposer("a")
+        assert _good(await proposer.change("k", put(b"one", "1"))).version == 1
+
+        def dark() -> None:
+            node.lose_power()
+            raise OSError("power")
+
+        # The prepare passes the point first; the accept is what may be lost.
+        passed = node.points.passed.get(point, 0)
+        node.points.armed[point] = lambda: node.points.armed.__setitem__(point, dark)
+        result = await proposer.change("k", put(b"two", "2"))
+        assert node.points.passed[point] > passed
+        assert isinstance(result, outcome.Bad)
+        node.restart()
+        await asyncio.sleep(0.1)
+        value = _good(await bench.proposer("b").read("k"))
+        assert (value.version, value.body) in ((1, b"one"), (2, b"two"))
+        if point >= shelf.POINT_PARENT_SYNCED:
+            assert value.body == b"two"
+        if point <= shelf.POINT_FOLDER_SYNCED:
+            assert value.body == b"one"
+
+    loops.run(main())
+
+
+def test_an_unsynced_shelf_would_be_found_out(tmp_path: pathlib.Path) -> None:
+    """The simulated disk does lose what was not synced: else the test above proves nothing."""
+
+    async def main() -> None:
+        bench = Bench(1, tmp_path, stores=1)
+        await bench.start()
+        node = bench.nodes[0]
+        assert node.disk is not None
+        node.disk.sync_folder = lambda path: None  # type: ignore[method-assign]
+        node.disk.sync_file = lambda path: None  # type: ignore[method-assign]
+        assert _good(await bench.proposer("a").change("k", put(b"one", "1"))).version == 1
+        node.lose_power()
+        node.restart()
+        await asyncio.sleep(0.1)
+        kept = node.daemon.voter._seats.get("k") if node.up and not node.flaw else None
+        assert kept is None or kept.value.body != b"one"
+
+    loops.run(main())
+
+
+def test_a_damaged_generation_is_refused(tmp_path: pathlib.Path) -> None:
+    async def main() -> None:
+        bench = Bench(1, tmp_path, stores=1)
+        await bench.start()
+        node = bench.nodes[0]
+        await bench.proposer("a").change("k", put(b"one" * 100, "1"))
+        node.kill()
+        assert node.disk is not None
+        [path] = (node.disk.root / "register" / b"k".hex()).glob("g*/db.dat")
+        data = bytearray(path.read_bytes())
+        data[len(data) // 2] ^= 1
+        path.write_bytes(bytes(data))
+        node.start()
+        await asyncio.sleep(0.1)
+        assert "Damage" in node.flaw
+
+    loops.run(main())
+
+
+@pytest.mark.parametrize(
+    "point", [proposers.POINT_BEFORE_PREPARE, proposers.POINT_BEFORE_ACCEPT, proposers.POINT_AFTER_ACCEPT]
+)
+def test_a_proposer_that_dies_between_phases_leaves_one_truth(point: int, tmp_path: pathlib.Path) -> None:
+    async def main() -> None:
+        bench = Bench(4, tmp_path)
+        await bench.start()
+        _good(await bench.proposer("a").change("k", put(b"one", "1")))
+
+        def die() -> None:
+            raise RuntimeError("killed here")
+
+        bench.outside.points.armed[point] = die  # type: ignore[attr-defined]
+        with pytest.raises(RuntimeError):
+            await bench.proposer("b").change("k", put(b"two", "2"))
+        # Each third of the disks in turn is away: all readers tell one story.
+        seen = []
+        for node in bench.nodes:
+            node.lose_power()
+            seen.append(_good(await bench.proposer(f"r{node.name}").read("k")))
+            node.restart()
+            await asyncio.sleep(0.1)
+        assert len({(v.version, v.body) for v in seen}) == 1
+        assert seen[0].body == (b"two" if point == proposers.POINT_AFTER_ACCEPT else b"one")
+
+    loops.run(main())
+
+
+def test_an_accept_at_one_disk_can_not_come_back_after_a_refusal(tmp_path: pathlib.Path) -> None:
+    """Told "lost the race" once, a change never stands later."""
+
+    async def main() -> None:
+        bench = Bench(5, tmp_path)
+        await bench.start()
+        wires = bench.world.wires
+        first = bench.proposer("a")
+        _good(await first.change("k", put(b"one", "1")))
+
+        def conditional(now: register.Value) -> register.Value | outcome.Bad:
+            if now.version != 1:
+                return outcome.bad("lost_race")
+            return now.next(b"mine", "2")
+
+        def lone() -> None:
+            # The accept reaches one disk alone.
+            wires.cut(["outside"], ["store1", "store2"])
+            bench.world.loop.call_later(1.2, wires.heal, context=loops.EMPTY)
+
+        bench.outside.points.armed[proposers.POINT_BEFORE_ACCEPT] = lone  # type: ignore[attr-defined]
+        result = await first.change("k", conditional)
+        assert isinstance(result, outcome.Bad)
+        assert result.code.tag == "unknown"
+        # Another goes first, without the disk that holds the stray copy.
+        bench.nodes[0].lose_power()
+        await asyncio.sleep(1.0)
+        other = _good(await bench.proposer("z").change("k", put(b"theirs", "3")))
+        bench.nodes[0].restart()
+        await asyncio.sleep(0.1)
+        again = await bench.proposer("c").change("k", conditional)
+        assert isinstance(again, outcome.Bad)
+        assert again.code.tag == "lost_race"
+        for node in bench.nodes:
+            node.lose_power()
+            value = _good(await bench.proposer(f"r{node.name}").read("k"))
+            assert (value.version, value.body) == (other.version, b"theirs")
+            node.restart()
+            await asyncio.sleep(0.1)
+
+    loops.run(main())
+
+
+def test_a_wiped_disk_has_no_vote(tmp_path: pathlib.Path) -> None:
+    """A disk wiped right after it confirmed must not help an older value to a majority."""
+
+    async def main() -> None:
+        bench = Bench(6, tmp_path)
+        await bench.start()
+        bench.nodes[2].lose_power()
+        _good(await bench.proposer("a").change("k", put(b"new", "1")))
+        # Only 0 and 1 hold it; 1 loses its disk, and 2 comes back without it.
+        bench.nodes[1].lose_power()
+        bench.nodes[1].wipe()
+        bench.nodes[1].restart()
+        bench.nodes[0].lose_power()
+        bench.nodes[2].restart()
+        await asyncio.sleep(0.1)
+        assert isinstance(await bench.proposer("b").read("k"), outcome.Bad)
+        refused = await bench.proposer("c").change("k", put(b"old", "2"))
+        assert isinstance(refused, outcome.Bad)
+        assert refused.code.tag == "no_majority"
+        bench.nodes[0].restart()
+        await asyncio.sleep(0.1)
+        assert _good(await bench.proposer("d").read("k")).body == b"new"
+
+    loops.run(main())
+
+
+@pytest.mark.parametrize("seed", range(1, 9))
+def test_a_storm_of_changes_is_one_line_of_versions(seed: int, tmp_path: pathlib.Path) -> None:
+    """Random changes and reads under cuts, freezes and power loss: one order explains all."""
+
+    async def main() -> None:
+        bench = Bench(seed, tmp_path)
+        await bench.start()
+        dice = random.Random(seed)
+        facts: list[tuple[float, float, int, bytes]] = []
+        refused: set[bytes] = set()
+
+        async def act(n: int) -> None:
+            proposer = bench.proposer(f"p{n}")
+            for turn in range(14):
+                begun = bench.world.loop.time()
+                if dice.random() < 0.5:
+                    body = f"{n}/{turn}".encode()
+                    result = await proposer.change("k", put(body, body.decode()))
+                    if isinstance(result, outcome.Bad) and result.code.tag != "unknown":
+                        refused.add(body)
+                else:
+                    result = await proposer.read("k")
+                if isinstance(result, outcome.Good):
+                    value = result.value
+                    facts.append((begun, bench.world.loop.time(), value.version, value.body))
+                await asyncio.sleep(dice.uniform(0.0, 0.3))
+
+        async def wreck() -> None:
+            for _ in range(10):
+                node = dice.choice(bench.nodes)
+                kind = dice.randrange(3)
+                if kind == 0:
+                    node.lose_power()
+                    await asyncio.sleep(dice.uniform(0.05, 0.6))
+                    node.restart()
+                elif kind == 1:
+                    node.freeze()
+                    await asyncio.sleep(dice.uniform(0.05, 1.0))
+                    node.thaw()
+                else:
+                    bench.world.wires.cut(["outside"], [node.name], both=dice.random() < 0.5)
+                    await asyncio.sleep(dice.uniform(0.05, 1.0))
+                    bench.world.wires.heal()
+                await asyncio.sleep(dice.uniform(0.0, 0.2))
+
+        async with asyncio.TaskGroup() as group:
+            for n in range(4):
+                group.create_task(act(n))
+            group.create_task(wreck())
+        last = _good(await bench.proposer("end").read("k"))
+        facts.append((bench.world.loop.time(), bench.world.loop.time(), last.version, last.body))
+        assert len(facts) > 15
+        bodies: dict[int, bytes] = {}
+        for _, _, version, body in facts:
+            assert bodies.setdefault(version, body) == body
+        for begun, _, version, _ in facts:
+            assert version >= max((v for _, e, v, _ in facts if e < begun), default=0)
+        assert not refused & set(bodies.values())
+
+    loops.run(main())
