--- a/packages/standin/src/dykeswitch/standin/fleet.py
+++ b/packages/standin/src/dykeswitch/standin/fleet.py
@@ -7,7 +7,6 @@
 import asyncio
 import contextlib
 import json
-import os
 import pathlib
 import random
 import shutil
@@ -21,7 +20,6 @@
 import dykeswitch.ports as ports
 import dykeswitch.ports.real as real
 import dykeswitch.standin.caller as callers
-import dykeswitch.standin.endpoint as endpoints
 import dykeswitch.standin.shape as shapes
 
 
@@ -50,16 +48,20 @@
 
     @property
     def web(self) -> str:
-        return self.flags["web"]
+        return self.flags.get("web", "")
 
     @property
     def log(self) -> pathlib.Path:
         return self._folder / f"{self.name}.log"
 
-    def start(self) -> None:
+    def _args(self) -> list[str]:
         args = [sys.executable, "-m", "dykeswitch.cli.main", self.word]
         for key, text in self.flags.items():
             args += ["--" + key.replace("_", "-"), text]
+        return args
+
+    def start(self) -> None:
+        args = self._args()
         with self.log.open("ab") as out:
             self._run = subprocess.Popen(args, stdout=out, stderr=out, stdin=subprocess.DEVNULL)
 
@@ -67,6 +69,10 @@
         if self._run is not None and self._run.poll() is None:
             self._run.send_signal(sign)
 
+    @property
+    def started(self) -> bool:
+        return self._run is not None
+
     def running(self) -> bool:
         return self._run is not None and self._run.poll() is None
 
@@ -80,6 +86,26 @@
             return None
 
 
+class Host(Process):
+    """A stand-in endpoint as a process."""
+
+    def __init__(self, name: str, spec: dict[str, typing.Any], folder: pathlib.Path) -> None:
+        super().__init__("endpoint", name, {}, folder)
+        self.spec = {**spec, "name": name, "runs": str(folder / f"{name}.runs")}
+
+    def _args(self) -> list[str]:
+        return [sys.executable, "-m", "dykeswitch.standin.host", json.dumps(self.spec)]
+
+    def lines(self) -> list[tuple[str, float, str]]:
+        """What it wrote down: hits, runs, and when its leaving was heard."""
+        path = pathlib.Path(self.spec["runs"])
+        if not path.exists():
+            return []
+        # A killed process may leave half a line.
+        whole = path.read_text().rpartition("\n")[0]
+        return [tuple(json.loads(line)) for line in whole.splitlines()]
+
+
 class Fleet:
     """Processes, stand-in endpoints and stand-in callers of one shape."""
 
@@ -91,7 +117,7 @@
         self.record = callers.Record(self.machine.clock)
         self.cores: list[tuple[Process, Process]] = []
         self.proxies: list[Process] = []
-        self.endpoints: list[endpoints.Endpoint] = []
+        self.hosts: list[Host] = []
         self._tasks: set[asyncio.Task[None]] = set()
         self._build()
         self.callers = callers.Callers(
@@ -100,7 +126,7 @@
 
     def _build(self) -> None:
         shape = self.shape
-        ears = iter(f"127.0.0.1:{n}" for n in free_ports(shape.cores * 4 + shape.proxies * 2 + 64))
+        ears = iter(f"127.0.0.1:{n}" for n in free_ports(shape.cores * 4 + shape.proxies * 2 + 96))
         self._spare = ears
         members = [next(ears) for _ in range(shape.cores)]
         stores = [next(ears) for _ in range(shape.cores)]
@@ -117,7 +143,7 @@
             self.proxies.append(Process("proxy", f"proxy{n}", flags, self.folder))
         for service in shape.services:
             for n in range(service.endpoints):
-                self.endpoints.append(self._endpoint(f"{service.name}-{n}", service, n, next(ears)))
+                self.host(f"{service.name}-{n}", service, n, next(ears))
 
     def _core(
         self, name: str, n: int, member: str, store: str, seeds: list[str], founders: list[str]
@@ -140,18 +166,41 @@
             Process("store", f"{name}-store", keeper, self.folder),
         )
 
-    def _endpoint(self, name: str, service: shapes.ServiceShape, n: int, spot: str) -> endpoints.Endpoint:
-        return endpoints.Endpoint(
-            name,
-            service.name,
-            spot,
-            self.shape.zones[n % len(self.shape.zones)],
-            self.machine,
-            lambda: [registry.web for registry, _ in self.cores],
-            self.dice,
-            service.work_s,
-            ran=self.record.ran,
-        )
+    def spot(self) -> str:
+        return next(self._spare)
+
+    def host(
+        self, name: str, service: shapes.ServiceShape, n: int, spot: str, **more: typing.Any
+    ) -> Host:
+        """One more stand-in endpoint, not yet started."""
+        spec = {
+            "service": service.name,
+            "spot": spot,
+            "zone": self.shape.zones[n % len(self.shape.zones)],
+            "registries": [registry.web for registry, _ in self.cores],
+            "work_s": service.work_s,
+            **more,
+        }
+        made = Host(name, spec, self.folder)
+        self.hosts.append(made)
+        return made
+
+    def gather(self) -> tuple[list[tuple[float, str, str]], dict[str, float]]:
+        """Bring the endpoints' own books into the record; hits and leavings."""
+        hits: list[tuple[float, str, str]] = []
+        left: dict[str, float] = {}
+        self.record.runs.clear()
+        for host in self.hosts:
+            for kind, at, target in host.lines():
+                ask = target.partition("ask=")[2].partition("&")[0]
+                if kind == "run":
+                    run = callers.Run(ask, host.name, host.spec["service"], at)
+                    self.record.runs[ask].append(run)
+                elif kind == "hit":
+                    hits.append((at, ask, host.name))
+                else:
+                    left[host.name] = at
+        return sorted(hits), left
 
     def spawn(self, work: typing.Coroutine[typing.Any, typing.Any, None]) -> None:
         task = asyncio.create_task(work)
@@ -159,21 +208,25 @@
         task.add_done_callback(self._tasks.discard)
 
     def processes(self) -> list[Process]:
-        return [p for pair in self.cores for p in pair] + self.proxies
+        return [p for pair in self.cores for p in pair] + self.proxies + list(self.hosts)
 
     async def start(self) -> float:
         """Start all, send the layout, and wait until every proxy is ready."""
         begun = self.machine.clock.now()
         for process in self.processes():
             process.start()
-        for endpoint in self.endpoints:
-            await endpoint.open()
-            self.spawn(endpoint.beat_for_ever())
         self.spawn(self.callers.watch())
         await self.apply(self.shape.layout())
         await self.until(lambda: len(self.callers.ready) == len(self.proxies), 60, "all proxies ready")
+        while await self.known() < len(self.hosts):
+            await self.machine.clock.sleep(0.05)
         return self.machine.clock.now() - begun
 
+    async def known(self) -> int:
+        """How many endpoints a registry knows to be up."""
+        reply = await self.machine.web.ask("GET", self.cores[0][0].web, "/v1/endpoints", [], b"", 5)
+        return sum(1 for e in json.loads(reply.body)["endpoints"] if e["state"] == "up")
+
     async def until(self, test: typing.Callable[[], bool], wait: float, what: str) -> float:
         begun = self.machine.clock.now()
         while not test():
@@ -215,13 +268,13 @@
     async def stop(self) -> None:
         for task in list(self._tasks):
             task.cancel()
-        for endpoint in self.endpoints:
-            endpoint.close()
+        for host in self.hosts:
+            host.tell(signal.SIGKILL)
         for process in self.processes():
             process.tell(signal.SIGCONT)
             process.tell(signal.SIGTERM)
         for process in self.processes():
-            if await process.gone(10) is None:
+            if process.started and await process.gone(10) is None:
                 process.tell(signal.SIGKILL)
                 await process.gone(5)
 
@@ -244,7 +297,8 @@
     async with running(shapes.SHAPES[name], seed) as fleet:
         up = await fleet.start()
         await fleet.callers.drive(span, scale)
+        fleet.gather()
         figures = callers.tally(fleet.record, 10.0)
         versions = await fleet.layout_versions()
-        return {"shape": name, "up_s": round(up, 2), "processes": len(fleet.processes()), **figures,
-                "layouts": sorted(set(versions)), "pid": os.getpid()}
+        head = {"shape": name, "up_s": round(up, 2), "processes": len(fleet.processes())}
+        return {**head, **figures, "layouts": sorted(set(versions))}
--- /dev/null
+++ b/packages/standin/src/dykeswitch/standin/host.py
@@ -0,0 +1,54 @@
+"""A stand-in endpoint as a process of its own, for fleets of real processes."""
+
+import asyncio
+import json
+import pathlib
+import random
+import signal
+import sys
+import time
+import typing
+
+import dykeswitch.ports.real as real
+import dykeswitch.standin.endpoint as endpoints
+
+
+async def serve(spec: dict[str, typing.Any]) -> None:
+    """Serve, beat, and leave politely on a signal; each run is a line in a file."""
+    # Opened once, before anything is served: nobody waits for it.
+    with pathlib.Path(spec["runs"]).open("a", buffering=1) as book:  # noqa: ASYNC230
+
+        def ran(endpoint: endpoints.Endpoint, method: str, target: str, body: bytes) -> None:
+            book.write(json.dumps(["run", time.monotonic(), target]) + "\n")
+
+        def hit(endpoint: endpoints.Endpoint, method: str, target: str) -> None:
+            book.write(json.dumps(["hit", time.monotonic(), target]) + "\n")
+
+        endpoint = endpoints.Endpoint(
+            spec["name"],
+            spec["service"],
+            spec["spot"],
+            spec["zone"],
+            real.machine(),
+            lambda: spec["registries"],
+            random.Random(spec["name"]),
+            spec["work_s"],
+            ran=ran,
+            hit=hit,
+        )
+        endpoint.plan.fault = spec.get("fault", "none")
+        endpoint.plan.share = spec.get("share", 1.0)
+        await endpoint.open()
+        told = asyncio.Event()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, told.set)
+        beats = asyncio.create_task(endpoint.beat_for_ever())
+        await told.wait()
+        beats.cancel()
+        if await endpoint.leave():
+            book.write(json.dumps(["left", time.monotonic(), ""]) + "\n")
+        await asyncio.sleep(3.0)
+        endpoint.close()
+
+
+if __name__ == "__main__":
+    asyncio.run(serve(json.loads(sys.argv[1])))
