--- a/packages/cli/src/dykeswitch/cli/main.py
+++ b/packages/cli/src/dykeswitch/cli/main.py
@@ -7,7 +7,9 @@
 import typing
 
 import dykeswitch.cli.daemons as daemons
+import dykeswitch.cli.operate as operate
 import dykeswitch.settings as settings
+import dykeswitch.simulator.realtrial as realtrials
 import dykeswitch.simulator.scenario as scenarios
 import dykeswitch.simulator.trial as trials
 import dykeswitch.standin.fleet as fleets
@@ -23,6 +25,7 @@
     ):
         sub = words.add_parser(program, help=text, description=text)
         settings.add_flags(sub)
+    operate.add_words(words)
     text = "start a whole fleet on this machine, send it traffic, print the figures"
     sub = words.add_parser("fleet", help=text, description=text)
     sub.add_argument("shape", choices=["ghent", "lima"])
@@ -37,6 +40,11 @@
         default="all",
         help=f"'all' (each by itself), 'mixed', or some of: {', '.join(scenarios.FAULTS)}",
     )
+    sub.add_argument(
+        "--real",
+        action="store_true",
+        help=f"on real processes instead, all acts in one day: {', '.join(realtrials.ACTS)}",
+    )
     sub.add_argument("--first-seed", type=int, default=1)
     sub.add_argument("--seeds", type=int, default=3, help="how many seeds (default 3)")
     sub.add_argument("--scale", type=float, default=0.1, help="times the shape's rate (default 0.1)")
@@ -44,7 +52,23 @@
     return top
 
 
+def _real_trial(spoken: argparse.Namespace) -> int:
+    acts = list(realtrials.ACTS) if spoken.faults == "all" else spoken.faults.split(",")
+    unknown = [a for a in acts if a not in realtrials.ACTS]
+    if unknown:
+        sys.stderr.write(f"dykeswitch: no such act: {', '.join(unknown)}\n")
+        return 2
+    held = True
+    for seed in range(spoken.first_seed, spoken.first_seed + spoken.seeds):
+        figures = asyncio.run(realtrials.day(spoken.shape, acts, seed, spoken.scale))
+        print(json.dumps(figures, indent=2), flush=True)
+        held = held and figures["verdict"] == "held"
+    return 0 if held else 1
+
+
 def _trial(spoken: argparse.Namespace) -> int:
+    if spoken.real:
+        return _real_trial(spoken)
     faults = list(scenarios.FAULTS) if spoken.faults == "all" else spoken.faults.split(",")
     unknown = [f for f in faults if f not in scenarios.FAULTS and f != "mixed"]
     if unknown:
@@ -58,6 +82,8 @@
 
 def main(argv: typing.Sequence[str] | None = None) -> int:
     spoken = parser().parse_args(argv)
+    if spoken.word in ("query", "apply", "fetch", "compare", "check"):
+        return operate.run(spoken)
     if spoken.word == "fleet":
         figures = asyncio.run(fleets.show(spoken.shape, spoken.span, spoken.seed, spoken.scale))
         print(json.dumps(figures, indent=2))
--- /dev/null
+++ b/packages/language/src/dykeswitch/language/__init__.py
@@ -0,0 +1,176 @@
+"""The operators' language: one grammar for questions and commands."""
+
+import dataclasses
+import typing
+
+import lark
+
+import dykeswitch.outcome as outcome
+
+GRAMMAR: typing.Final = r"""
+start: who | show | explain | pause | end
+
+who: "who"i "is"i "paused"i filter*
+show: "show"i subject filter*
+subject: PAUSED | ENDPOINTS | SERVICES | RULES | MEMBERS | PROXIES | DUTIES | PAUSES | LAYOUT | HISTORY
+filter: "service"i NAME -> by_service
+      | "zone"i NAME -> by_zone
+      | "endpoint"i NAME -> by_endpoint
+explain: "explain"i METHOD [HOST] PATH
+pause: "pause"i NAME "for"i SPAN ["in"i SPAN] "because"i REASON
+end: "end"i "pause"i NAME
+
+PAUSED.2: "paused"i
+ENDPOINTS.2: "endpoints"i
+SERVICES.2: "services"i
+RULES.2: "rules"i
+MEMBERS.2: "members"i
+PROXIES.2: "proxies"i
+DUTIES.2: "duties"i
+PAUSES.2: "pauses"i
+LAYOUT.2: "layout"i
+HISTORY.2: "history"i
+METHOD.2: /(GET|HEAD|POST|PUT|DELETE|PATCH|OPTIONS|TRACE)\b/
+PATH: /\/[^\s]*/
+SPAN.3: /[0-9]+(\.[0-9]+)?(s|m|h|d)\b/
+REASON: /"[^"\n]{1,200}"/
+HOST: /[A-Za-z0-9][A-Za-z0-9_.-]*/
+NAME: /[A-Za-z0-9_][A-Za-z0-9_.:-]*/
+
+%import common.WS
+%ignore WS
+"""
+
+# What the parser's own names for words are called towards an operator.
+PLAIN: typing.Final = {
+    "NAME": "a name",
+    "SPAN": "a span such as 90s, 10m, 2h or 1d",
+    "REASON": 'a reason in "quotes"',
+    "PATH": "a path that starts with /",
+    "HOST": "a host's name",
+    "METHOD": "a method such as GET",
+    "$END": "the end",
+}
+UNITS: typing.Final = {"s": 1.0, "m": 60.0, "h": 3600.0, "d": 86400.0}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Show:
+    """A question about a subject, perhaps narrowed."""
+
+    subject: str
+    filters: tuple[tuple[str, str], ...] = ()
+
+    def wants(self, name: str, value: str) -> bool:
+        """Whether a value passes the filters of that name."""
+        asked = [text for kind, text in self.filters if kind == name]
+        return not asked or value in asked
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Explain:
+    """Where would this request go, and why?"""
+
+    method: str
+    host: str
+    path: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Pause:
+    """Take an endpoint out for a window of time."""
+
+    endpoint: str
+    for_s: float
+    in_s: float
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class End:
+    """End a planned pause."""
+
+    pause: str
+
+
+Command = Show | Explain | Pause | End
+
+
+def _span(token: lark.Token) -> float:
+    return float(token[:-1]) * UNITS[token[-1]]
+
+
+class _Build(lark.Transformer[lark.Token, Command]):
+    """From the parse tree to a command."""
+
+    def start(self, parts: list[typing.Any]) -> Command:
+        return typing.cast(Command, parts[0])
+
+    def by_service(self, parts: list[lark.Token]) -> tuple[str, str]:
+        return ("service", str(parts[0]))
+
+    def by_zone(self, parts: list[lark.Token]) -> tuple[str, str]:
+        return ("zone", str(parts[0]))
+
+    def by_endpoint(self, parts: list[lark.Token]) -> tuple[str, str]:
+        return ("endpoint", str(parts[0]))
+
+    def subject(self, parts: list[lark.Token]) -> str:
+        return parts[0].lower()
+
+    def who(self, parts: list[typing.Any]) -> Command:
+        return Show("paused", tuple(parts))
+
+    def show(self, parts: list[typing.Any]) -> Command:
+        return Show(parts[0], tuple(parts[1:]))
+
+    def explain(self, parts: list[typing.Any]) -> Command:
+        return Explain(str(parts[0]), str(parts[1] or ""), str(parts[2]))
+
+    def pause(self, parts: list[typing.Any]) -> Command:
+        later = _span(parts[2]) if parts[2] is not None else 0.0
+        return Pause(str(parts[0]), _span(parts[1]), later, str(parts[3])[1:-1])
+
+    def end(self, parts: list[typing.Any]) -> Command:
+        return End(str(parts[0]))
+
+
+_PARSER: typing.Final = lark.Lark(GRAMMAR, parser="earley", maybe_placeholders=True)
+
+
+def _expected(names: typing.Iterable[str]) -> str:
+    words = set()
+    for name in names:
+        words.add(PLAIN.get(name, f"'{name.lower()}'"))
+    return ", ".join(sorted(words))
+
+
+def parse(text: str) -> outcome.Good[Command] | outcome.Bad:
+    """A command out of text, or the place of the fault and what was expected there."""
+    if len(text) > 2000:
+        return outcome.bad("bad_query", "longer than 2000 letters")
+    try:
+        tree = _PARSER.parse(text)
+    except lark.UnexpectedCharacters as flaw:
+        names = flaw.allowed or set()
+        return outcome.bad("bad_query", f"at column {flaw.column}: expected {_expected(names)}")
+    except lark.UnexpectedEOF as flaw:
+        return outcome.bad("bad_query", f"at the end: expected {_expected(flaw.expected)}")
+    except lark.UnexpectedInput as flaw:
+        return outcome.bad("bad_query", f"at column {flaw.column}: not understood")
+    return outcome.Good(_Build().transform(tree))
+
+
+def table(columns: typing.Sequence[str], rows: typing.Sequence[typing.Sequence[object]]) -> str:
+    """Rows as plain text in columns."""
+    texts = [[str(c) for c in columns], *([_cell(c) for c in row] for row in rows)]
+    wide = [max(len(line[n]) for line in texts) for n in range(len(columns))]
+    return "\n".join("  ".join(c.ljust(w) for c, w in zip(line, wide)).rstrip() for line in texts)
+
+
+def _cell(raw: object) -> str:
+    if raw is None:
+        return "-"
+    if isinstance(raw, float):
+        return f"{raw:.1f}"
+    return str(raw)
--- a/packages/membership/src/dykeswitch/membership/__init__.py
+++ b/packages/membership/src/dykeswitch/membership/__init__.py
@@ -8,6 +8,7 @@
 import asyncio
 import dataclasses
 import random
+import statistics
 import typing
 
 import dykeswitch.frames as frames
@@ -18,6 +19,8 @@
 VIEW_MOST: typing.Final = 8
 SAMPLE: typing.Final = 4
 AGE_MOST: typing.Final = 12
+# How many holds a member's word on wall time is good for.
+WALL_AGE: typing.Final = 5
 
 
 @dataclasses.dataclass(slots=True)
@@ -71,6 +74,7 @@
         self._note = note
         self.view: dict[str, Member] = {}
         self._cursors: dict[str, Cursor] = {}
+        self._walls: dict[str, tuple[float, float]] = {}
         self.heard = -1e9
         self._tasks: dict[tuple[str, str], asyncio.Task[None]] = {}
 
@@ -80,10 +84,24 @@
     # The calls we answer.
 
     def _head(self) -> frames.Body:
-        return {"name": self.me.name, "boot": self.boot, "seq": self.line.seq}
+        wall = self._clock.wall()
+        return {"name": self.me.name, "boot": self.boot, "seq": self.line.seq, "wall": wall}
+
+    def _heard(self, body: frames.Body) -> None:
+        now = self._clock.now()
+        self.heard = now
+        # One try takes milliseconds, so what it says of wall time is good to as much.
+        if isinstance(body.get("wall"), float):
+            self._walls[str(body["name"])] = (body["wall"] - self._clock.wall(), now)
+
+    def wall(self) -> float:
+        """The fleet's common wall time: the median, so one clock that jumps moves nothing."""
+        now = self._clock.now()
+        young = [gap for gap, at in self._walls.values() if now - at < self._hold_s * WALL_AGE]
+        return self._clock.wall() + statistics.median([0.0, *young])
 
     async def _on_shuffle(self, body: frames.Body) -> frames.Result:
-        self.heard = self._clock.now()
+        self._heard(body)
         sample = self._sample(str(body["name"]))
         self._learn(body["view"])
         self.line.merge(body["items"])
@@ -91,12 +109,12 @@
         return outcome.Good({**self._head(), "view": sample, "items": items})
 
     async def _on_tell(self, body: frames.Body) -> frames.Result:
-        self.heard = self._clock.now()
+        self._heard(body)
         self.line.merge(body["items"])
         return outcome.Good(self._head())
 
     async def _on_poll(self, body: frames.Body) -> frames.Result:
-        self.heard = self._clock.now()
+        self._heard(body)
         self.line.merge(body["items"])
         boot, seq = body["cursor"]
         seq = int(seq) if boot == self.boot else 0
@@ -186,17 +204,29 @@
             # What it missed while away is sent again.
             self._cursors.pop(spot, None)
             return False
-        self.heard = self._clock.now()
         reply = result.value
-        self._learn(reply["view"])
-        self.line.merge(reply["items"])
-        same = reply["boot"] == cursor.boot
-        # A member that started anew has forgotten what it was told.
-        self._cursors[spot] = Cursor(str(reply["boot"]), int(reply["seq"]), seq if same else 0)
+        fresh = self._take(reply, cursor, seq, spot)
+        if fresh is None:
+            self._cursors.pop(spot, None)
+            return False
+        self._cursors[spot] = fresh
         if name and reply["name"] != name:
             self.view.pop(name, None)
         return True
 
+    def _take(self, reply: frames.Body, cursor: Cursor, seq: int, spot: str) -> Cursor | None:
+        """Take up a reply; a malformed one, as from another release, harms nobody."""
+        try:
+            self._heard(reply)
+            self._learn(reply.get("view", ()))
+            self.line.merge(reply["items"])
+            same = reply["boot"] == cursor.boot
+            # A member that started anew has forgotten what it was told.
+            return Cursor(str(reply["boot"]), int(reply["seq"]), seq if same else 0)
+        except (KeyError, TypeError, ValueError, AttributeError) as flaw:
+            self._note("reply refused", f"{spot}: {type(flaw).__name__}: {flaw}")
+            return None
+
     def _tend(self, group: asyncio.TaskGroup) -> None:
         cores = self.cores()
         wanted: dict[tuple[str, str], typing.Callable[[str], typing.Awaitable[None]]] = {}
@@ -248,11 +278,10 @@
                 cursor = Cursor()
                 await self._clock.sleep(self._shuffle_s)
                 continue
-            self.heard = self._clock.now()
-            reply = result.value
-            self.line.merge(reply["items"])
-            same = reply["boot"] == cursor.boot
-            cursor = Cursor(str(reply["boot"]), int(reply["seq"]), seq if same else 0)
+            fresh = self._take(result.value, cursor, seq, spot)
+            if fresh is None:
+                await self._clock.sleep(self._shuffle_s)
+            cursor = fresh or Cursor()
 
 
 async def _coroutine(work: typing.Awaitable[None]) -> None:
--- a/packages/proxy/src/dykeswitch/proxy/program.py
+++ b/packages/proxy/src/dykeswitch/proxy/program.py
@@ -1,7 +1,6 @@
 """The proxy's process: one web server inward, members on the other side."""
 
 import asyncio
-import json
 import random
 import typing
 
@@ -11,6 +10,7 @@
 import dykeswitch.frames as frames
 import dykeswitch.layout as layouts
 import dykeswitch.layout.papers as papers
+import dykeswitch.layout.pauses as pauses
 import dykeswitch.logs as logs
 import dykeswitch.membership as membership
 import dykeswitch.outcome as outcome
@@ -51,8 +51,8 @@
         self.carrier = carrier.Carrier(
             bounds, machine, self.line, self.marks, log, dice, self.sure, self.gapped
         )
-        self._pauses: dict[str, str] = {}
-        self.carrier.selector.paused = self._pauses.get
+        self._pauses: list[pauses.Pause] = []
+        self.carrier.selector.paused = self._paused
         self._names = f"{dice.getrandbits(32):08x}"
         self._turn = 0
         self._tick = self.clock.now()
@@ -87,11 +87,18 @@
             self.carrier.layout = result.value
             self.log.info("layout taken up", version=version, rules=len(result.value.rules))
         elif name == papers.PAUSES:
-            self._pauses = _open_pauses(data)
-            self.carrier.selector.paused = self._pauses.get
+            self._pauses = pauses.read(data)
+            self.log.info("pauses taken up", version=version, pauses=len(self._pauses))
         self._say_self()
         return True
 
+    def _paused(self, endpoint: str) -> str | None:
+        """The reason of a planned pause that is open now."""
+        if not self._pauses:
+            return None
+        wall = self.spread.wall()
+        return next((p.reason for p in self._pauses if p.endpoint == endpoint and p.open(wall)), None)
+
     def _say_self(self) -> None:
         fields = {
             "zone": self.bounds.zone,
@@ -298,11 +305,3 @@
         while True:
             self._say_self()
             await self.clock.sleep(self.bounds.dead_s / 2)
-
-
-def _open_pauses(data: bytes) -> dict[str, str]:
-    """Endpoints under a planned pause, with the reason."""
-    if not data:
-        return {}
-    raw = json.loads(data)
-    return {str(p["endpoint"]): str(p["reason"]) for p in raw.get("pauses", []) if p.get("open")}
--- /dev/null
+++ b/packages/registry/src/dykeswitch/registry/answers.py
@@ -0,0 +1,187 @@
+"""Answers to operators: what the language asks, out of what this registry knows."""
+
+import collections
+import dataclasses
+import datetime
+import typing
+
+import dykeswitch.language as language
+import dykeswitch.layout as layouts
+import dykeswitch.layout.pauses as pauses
+import dykeswitch.outcome as outcome
+import dykeswitch.timeline as timeline
+
+SPANS_KEPT: typing.Final = 64
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Table:
+    """An answer: columns and rows."""
+
+    columns: tuple[str, ...]
+    rows: list[list[typing.Any]]
+
+
+def stamp(wall: float) -> str:
+    """A moment as operators read it."""
+    return datetime.datetime.fromtimestamp(wall, datetime.UTC).isoformat(timespec="milliseconds")
+
+
+class Spans:
+    """For each endpoint, a bounded history of when it was open or paused, and why."""
+
+    def __init__(self, line: timeline.Timeline, wall: typing.Callable[[], float]) -> None:
+        self._wall = wall
+        self._clock = line.clock
+        self._kept: dict[str, collections.deque[list[typing.Any]]] = {}
+        line.on_change(self._on_entry)
+
+    def _on_entry(self, entry: timeline.Entry) -> None:
+        if entry.kind == timeline.MARK:
+            name = entry.key.removeprefix("down:")
+            if entry.fields.get("clear"):
+                self._note(name, "open", str(entry.fields["reason"]), str(entry.fields["by"]), None)
+                return
+            left = entry.expiry - self._clock.now()
+            until = stamp(self._wall() + left)
+            self._note(name, "paused", str(entry.fields["reason"]), str(entry.fields["by"]), until)
+        elif entry.kind == timeline.ENDPOINT:
+            state = str(entry.fields["state"])
+            self._note(entry.key, "open" if state == timeline.UP else "gone", state, "registry", None)
+
+    def _note(self, name: str, state: str, reason: str, by: str, until: str | None) -> None:
+        kept = self._kept.setdefault(name, collections.deque(maxlen=SPANS_KEPT))
+        # Beats that change nothing are no news.
+        if kept and kept[-1][2:5] == [state, reason, by] and state != "paused":
+            return
+        if state == "open" and reason == timeline.UP and kept and kept[-1][2] == "paused":
+            return
+        kept.append([name, stamp(self._wall()), state, reason, by, until])
+        if len(self._kept) > 4096:
+            del self._kept[next(iter(self._kept))]
+
+    def of(self, names: typing.Collection[str]) -> list[list[typing.Any]]:
+        return [row for name in sorted(names) for row in self._kept.get(name, ())]
+
+
+class Answers:
+    """Answers the questions that need no change."""
+
+    def __init__(
+        self,
+        line: timeline.Timeline,
+        marks: timeline.Marks,
+        wall: typing.Callable[[], float],
+        layout: typing.Callable[[], layouts.Layout | None],
+        planned: typing.Callable[[], list[pauses.Pause]],
+    ) -> None:
+        self._line = line
+        self._marks = marks
+        self._wall = wall
+        self._layout = layout
+        self._planned = planned
+        self.spans = Spans(line, wall)
+
+    def _endpoints(self, ask: language.Show) -> list[timeline.Entry]:
+        return [
+            e
+            for e in sorted(self._line.all(timeline.ENDPOINT), key=lambda e: e.key)
+            if ask.wants("service", str(e.fields["service"]))
+            and ask.wants("zone", str(e.fields.get("zone")))
+            and ask.wants("endpoint", e.key)
+        ]
+
+    def standing(self, entry: timeline.Entry) -> list[list[typing.Any]]:
+        """Every reason why an endpoint takes no traffic now: why, until, who, kind."""
+        found: list[list[typing.Any]] = []
+        wall = self._wall()
+        for pause in self._planned():
+            if pause.endpoint == entry.key and pause.open(wall):
+                found.append([pause.reason, stamp(pause.ends), pause.by, f"planned {pause.name}"])
+        state = entry.fields["state"]
+        if state != timeline.UP:
+            why = {timeline.LAPSED: "beats stopped", timeline.LEFT: "left"}.get(state, "displaced")
+            until = "its next beat" if state == timeline.LAPSED else "never"
+            found.append([why, until, "registry", "gone"])
+        mark = self._marks.down(entry.key)
+        if mark is not None:
+            left = mark.expiry - self._line.clock.now()
+            found.append([mark.fields["reason"], stamp(wall + left), mark.fields["by"], "mark"])
+        return found
+
+    def show(self, ask: language.Show) -> Table | None:
+        """The answer to a question about what is on the timeline."""
+        if ask.subject == "paused":
+            rows = [
+                [e.key, e.fields["service"], e.fields.get("zone"), *why]
+                for e in self._endpoints(ask)
+                for why in self.standing(e)
+            ]
+            return Table(("endpoint", "service", "zone", "why", "until", "by", "kind"), rows)
+        if ask.subject == "endpoints":
+            rows = []
+            for e in self._endpoints(ask):
+                why = self.standing(e)
+                state = "open" if not why else str(why[0][3])
+                f = e.fields
+                rows.append([e.key, f["service"], f["address"], f.get("zone"), f.get("burden"), state])
+            return Table(("endpoint", "service", "address", "zone", "burden", "state"), rows)
+        if ask.subject == "history":
+            names = [e.key for e in self._endpoints(ask)]
+            return Table(("endpoint", "at", "state", "reason", "by", "until"), self.spans.of(names))
+        if ask.subject == "pauses":
+            rows = [
+                [p.name, p.endpoint, stamp(p.begins), stamp(p.ends), p.reason, p.by]
+                for p in self._planned()
+                if ask.wants("endpoint", p.endpoint)
+            ]
+            return Table(("pause", "endpoint", "from", "until", "why", "by"), rows)
+        return self._show_layout(ask)
+
+    def _show_layout(self, ask: language.Show) -> Table | None:
+        layout = self._layout()
+        if ask.subject == "services":
+            rows = []
+            for name, service in sorted((layout.services if layout else {}).items()):
+                every = self._endpoints(language.Show("endpoints", (("service", name),)))
+                alive = [e for e in every if e.fields["state"] == timeline.UP]
+                clear = sum(1 for e in alive if not self.standing(e))
+                if ask.wants("service", name):
+                    rows.append([name, service.probe, len(alive), clear])
+            return Table(("service", "probe", "endpoints", "open"), rows)
+        if ask.subject == "rules":
+            rows = [
+                [r.name, r.host or "*", r.path, ",".join(sorted(r.methods)) or "*", r.service, r.writing]
+                for r in (layout.rules if layout else [])
+                if ask.wants("service", r.service)
+            ]
+            return Table(("rule", "host", "path", "methods", "service", "writing"), rows)
+        return None
+
+    def explain(self, ask: language.Explain) -> Table | outcome.Bad:
+        """Step by step, why a request would go where it goes."""
+        layout = self._layout()
+        if layout is None:
+            return outcome.bad("no_layout")
+        rows: list[list[typing.Any]] = []
+        rule = layout.match(ask.host, ask.path, ask.method)
+        if rule is None:
+            rows.append(["match", "no rule", f"nothing matches {ask.method} {ask.host or '*'}{ask.path}"])
+            return Table(("step", "what", "why"), rows)
+        rows.append(["match", rule.name, f"host {rule.host or '*'}, path {rule.path}"])
+        kind = "writing" if rule.writes(ask.method) else "reading"
+        told = "stated by the rule" if rule.writing is not None else f"told by {ask.method}"
+        rows.append(["kind", kind, told])
+        open_ones = []
+        for entry in self._endpoints(language.Show("endpoints", (("service", rule.service),))):
+            why = self.standing(entry)
+            if why:
+                rows.append(["passed over", entry.key, f"{why[0][0]}, until {why[0][1]}"])
+            else:
+                open_ones.append(entry)
+        for entry in open_ones:
+            burden = entry.fields.get("burden", 0.0)
+            rows.append(["may go to", entry.key, f"open, zone {entry.fields.get('zone')}, burden {burden}"])
+        if not open_ones:
+            rows.append(["none open", rule.service, "the one whose mark ends first would be asked, if any"])
+        return Table(("step", "what", "why"), rows)
--- a/packages/registry/src/dykeswitch/registry/program.py
+++ b/packages/registry/src/dykeswitch/registry/program.py
@@ -1,7 +1,6 @@
 """The registry's process: beats, operators and queries in; the register behind."""
 
 import asyncio
-import datetime
 import json
 import random
 import typing
@@ -10,14 +9,17 @@
 import litestar.exceptions
 
 import dykeswitch.frames as frames
+import dykeswitch.language as language
 import dykeswitch.layout as layouts
 import dykeswitch.layout.papers as papers
+import dykeswitch.layout.pauses as pauses
 import dykeswitch.logs as logs
 import dykeswitch.membership as membership
 import dykeswitch.outcome as outcome
 import dykeswitch.ports as ports
 import dykeswitch.register as register
 import dykeswitch.register.proposer as proposers
+import dykeswitch.registry.answers as answers
 import dykeswitch.registry.duties as duties
 import dykeswitch.registry.endpoints as endpoints
 import dykeswitch.registry.prober as probers
@@ -29,6 +31,8 @@
 BEAT_MOST: typing.Final = 16384
 # How many proxies should hold a change before its operator is told.
 HANDED: typing.Final = 2
+# How long a planned pause that is over stays listed.
+PAUSES_KEPT_S: typing.Final = 86400.0
 
 
 def _page(result: outcome.Good[dict[str, typing.Any]] | outcome.Bad, version: int | None = None) -> Page:
@@ -82,6 +86,10 @@
         )
         self.layout: layouts.Layout | None = None
         self._dice = dice
+        self.pauses: list[pauses.Pause] = []
+        self.answers = answers.Answers(
+            self.line, self.marks, self.spread.wall, lambda: self.layout, lambda: self.pauses
+        )
         self._ops = 0
         self._tick = self.clock.now()
         self._majority = -1e9
@@ -97,6 +105,7 @@
                 litestar.put("/v1/layout")(self._put_layout),
                 litestar.get("/v1/endpoints", sync_to_thread=False)(self._get_endpoints),
                 litestar.get("/v1/members", sync_to_thread=False)(self._get_members),
+                litestar.post("/v1/query")(self._post_query),
                 litestar.get("/v1/health", sync_to_thread=False)(self._get_health),
             ],
             openapi_config=None,
@@ -115,6 +124,8 @@
                 return False
             self.layout = result.value
             self.log.info("layout taken up", version=version, rules=len(result.value.rules))
+        elif name == papers.PAUSES:
+            self.pauses = pauses.read(data)
         return True
 
     def _probe_path(self, service: str) -> str:
@@ -260,6 +271,122 @@
                 return outcome.Good(register.Value(version, data))
         return result
 
+    # The operators' language.
+
+    async def _post_query(self, request: litestar.Request[typing.Any, typing.Any, typing.Any]) -> Page:
+        try:
+            raw = json.loads(await request.body())
+        except (ValueError, RecursionError) as flaw:
+            return _page(outcome.bad("bad_json", str(flaw)[:200]))
+        if not isinstance(raw, dict) or not isinstance(raw.get("text"), str):
+            return _page(outcome.bad("bad_query", "send an object with a text"))
+        asked = language.parse(raw["text"])
+        if isinstance(asked, outcome.Bad):
+            return _page(asked)
+        found = await self._obey(asked.value, str(raw.get("by", "operator"))[:80])
+        if isinstance(found, outcome.Bad):
+            return _page(found)
+        page: dict[str, typing.Any] = {"columns": list(found.columns), "rows": found.rows}
+        return _page(outcome.Good({**page, "fresh": self._fresh()}))
+
+    def _fresh(self) -> dict[str, typing.Any]:
+        """How old what we say may be, and whether we speak with a majority behind us."""
+        now = self.clock.now()
+        age = round(now - self._majority, 2) if self._majority > 0 else None
+        alone = now - self.spread.heard > self.bounds.alone_s
+        return {
+            "by": self.bounds.name,
+            "majority": self.ready() is None,
+            "majority_read_s_ago": age,
+            "cut_off": alone,
+        }
+
+    async def _obey(self, ask: language.Command, by: str) -> answers.Table | outcome.Bad:
+        if isinstance(ask, language.Explain):
+            return self.answers.explain(ask)
+        if isinstance(ask, language.Pause):
+            return await self._pause(ask, by)
+        if isinstance(ask, language.End):
+            return await self._end_pause(ask.pause)
+        if ask.subject == "pauses":
+            # Planned pauses are told from a majority, not from memory.
+            bad = await self._read_papers()
+            if bad is not None:
+                return bad
+        return self.answers.show(ask) or self._show_fleet(ask)
+
+    def _show_fleet(self, ask: language.Show) -> answers.Table:
+        if ask.subject == "proxies":
+            rows = [
+                [e.key, e.fields["zone"], e.fields["web"], e.fields["layout"], e.fields["ready"]]
+                for e in sorted(self.line.all(timeline.PROXY), key=lambda e: e.key)
+                if ask.wants("zone", str(e.fields["zone"]))
+            ]
+            return answers.Table(("proxy", "zone", "address", "layout", "ready"), rows)
+        if ask.subject == "duties":
+            held = sorted(self.duties.owners().items())
+            return answers.Table(("slot", "owner", "fence"), [[s, o, f] for s, (o, f) in held])
+        if ask.subject == "layout":
+            version = self.papers.version(papers.LAYOUT)
+            rules = len(self.layout.rules) if self.layout else 0
+            return answers.Table(("version", "rules"), [[version, rules]])
+        rows = [
+            [e.key, "registry", e.fields["zone"], e.fields["web"], "live"]
+            for e in sorted(self.line.all(timeline.CORE), key=lambda e: e.key)
+        ]
+        seated = self.proposer.members.disks()
+        for disk, state in sorted(self.seating.states.items()):
+            seat = "seated" if disk in seated else "blank" if state["blank"] else "retired"
+            rows.append([disk, "store", "", state["spot"], seat])
+        missing = sorted(set(seated) - set(self.seating.states))
+        rows += [[disk, "store", "", seated[disk], "silent"] for disk in missing]
+        return answers.Table(("member", "kind", "zone", "address", "state"), rows)
+
+    async def _pause(self, ask: language.Pause, by: str) -> answers.Table | outcome.Bad:
+        wall = self.spread.wall()
+        name = f"p{self._dice.getrandbits(32):08x}"
+        fresh = pauses.Pause(
+            name, ask.endpoint, wall + ask.in_s, wall + ask.in_s + ask.for_s, ask.reason, by, wall
+        )
+
+        def edit(now: list[pauses.Pause]) -> list[pauses.Pause] | outcome.Bad:
+            # Those long over are let go when the list is written anyway.
+            return [*(p for p in now if p.ends > wall - PAUSES_KEPT_S), fresh]
+
+        return await self._edit_pauses(edit)
+
+    async def _end_pause(self, name: str) -> answers.Table | outcome.Bad:
+        def edit(now: list[pauses.Pause]) -> list[pauses.Pause] | outcome.Bad:
+            if all(p.name != name for p in now):
+                return outcome.bad("no_such", f"no pause {name}")
+            return [p for p in now if p.name != name]
+
+        return await self._edit_pauses(edit)
+
+    async def _edit_pauses(
+        self, edit: typing.Callable[[list[pauses.Pause]], list[pauses.Pause] | outcome.Bad]
+    ) -> answers.Table | outcome.Bad:
+        self._ops += 1
+        op = f"{self.bounds.name}/{self._boot}/pauses/{self._ops}"
+
+        def step(now: register.Value) -> register.Value | outcome.Bad:
+            if now.made(op) is not None:
+                return now
+            edited = edit(pauses.read(now.body))
+            if isinstance(edited, outcome.Bad):
+                return edited
+            return now.next(pauses.pack(edited), op)
+
+        result = await self.proposer.change(papers.PAUSES, step)
+        if isinstance(result, outcome.Bad):
+            return result
+        self._publish(papers.PAUSES, result.value)
+        await self._handed(papers.PAUSES, result.value.version)
+        self.log.info("pauses changed", version=result.value.version)
+        found = self.answers.show(language.Show("pauses"))
+        assert found is not None
+        return found
+
     def _get_endpoints(self) -> dict[str, typing.Any]:
         found = []
         for entry in sorted(self.line.all(timeline.ENDPOINT), key=lambda e: e.key):
@@ -303,14 +430,14 @@
                 "id": entry.key,
                 "address": entry.fields["address"],
                 "zone": entry.fields["zone"],
-                "lastChecked": _stamp(seen.wall) if seen else None,
+                "lastChecked": answers.stamp(seen.wall) if seen else None,
             }
             if entry.fields["state"] == timeline.LAPSED:
                 line["reason"] = "beats stopped"
             elif mark is not None:
                 line["reason"] = mark.fields["reason"]
             page["unhealthy" if "reason" in line else "healthy"].append(line)
-        return {"timestamp": _stamp(self.clock.wall()), "services": services}
+        return {"timestamp": answers.stamp(self.clock.wall()), "services": services}
 
     # Running and stopping.
 
@@ -410,5 +537,3 @@
                 self.log.info("copies mended", keys=mended)
 
 
-def _stamp(wall: float) -> str:
-    return datetime.datetime.fromtimestamp(wall, datetime.UTC).isoformat()
--- a/packages/simulator/src/dykeswitch/simulator/fleet.py
+++ b/packages/simulator/src/dykeswitch/simulator/fleet.py
@@ -312,6 +312,15 @@
             got.body = json.dumps(json.loads(reply.body), sort_keys=True)
         return got
 
+    async def query(self, text: str, core: Core, wait: float = 5.0) -> dict[str, typing.Any] | None:
+        """One sentence of the operators' language to one registry."""
+        body = json.dumps({"text": text, "by": "operator"}).encode()
+        try:
+            reply = await self.outside.web.ask("POST", core.web, "/v1/query", [], body, wait)
+        except (OSError, TimeoutError):
+            return None
+        return dict(json.loads(reply.body)) if reply.status == 200 else None
+
     async def apply(self, layout: dict[str, typing.Any], wait: float = 30.0) -> int:
         """Send a layout to one core after another until it is taken."""
         end = self.clock.now() + wait
--- a/packages/simulator/src/dykeswitch/simulator/history.py
+++ b/packages/simulator/src/dykeswitch/simulator/history.py
@@ -47,6 +47,8 @@
     cut_off: list[Span] = dataclasses.field(default_factory=list)
     # Orderly stops, by the proxy's address.
     stops: list[Span] = dataclasses.field(default_factory=list)
+    # Planned pauses: an endpoint's name, when confirmed, when it ends.
+    paused: list[Span] = dataclasses.field(default_factory=list)
     broken_bodies: set[str] = dataclasses.field(default_factory=set)
     crashes: list[str] = dataclasses.field(default_factory=list)
     expiry_s: float = 10.0
@@ -101,6 +103,16 @@
     ]
 
 
+def not_while_paused(story: History) -> list[str]:
+    """No request reaches an endpoint over 2 s into its planned pause."""
+    return [
+        f"{ask} reached {name} at {at:.2f}, planned away from {p.begun:.2f} to {p.ended:.2f}"
+        for p in story.paused
+        for at, ask, name in story.hits
+        if name == p.name and p.begun + LEAVE_S < at < p.ended
+    ]
+
+
 def _accepted(story: History) -> list[fleets.Put]:
     return [p for p in story.puts if p.status == 200]
 
@@ -250,6 +262,7 @@
     "whole_answers": whole_answers,
     "right_owner": right_owner,
     "not_after_leaving": not_after_leaving,
+    "not_while_paused": not_while_paused,
     "layout_in_time": layout_in_time,
     "layout_never_back": layout_never_back,
     "register_holds": register_holds,
--- /dev/null
+++ b/packages/simulator/src/dykeswitch/simulator/realtrial.py
@@ -0,0 +1,340 @@
+"""The brief's failures on real processes, with the simulator's own checker as judge."""
+
+import asyncio
+import copy
+import json
+import pathlib
+import shutil
+import signal
+import typing
+
+import dykeswitch.simulator.fleet as fleets
+import dykeswitch.simulator.history as histories
+import dykeswitch.standin.caller as callers
+import dykeswitch.standin.fleet as real
+import dykeswitch.standin.shape as shapes
+
+
+class RealStage:
+    """One fleet of real processes under a day of faults."""
+
+    def __init__(self, fleet: real.Fleet) -> None:
+        self.fleet = fleet
+        self.clock = fleet.machine.clock
+        self.dice = fleet.dice
+        self.story = histories.History()
+        self.marker = 0
+        self.fresh = 0
+        self.notes: dict[str, typing.Any] = {}
+        self._boots: dict[str, int] = {}
+
+    @property
+    def now(self) -> float:
+        return self.clock.now()
+
+    def layout(self) -> dict[str, typing.Any]:
+        self.marker += 1
+        doc = copy.deepcopy(self.fleet.shape.layout())
+        doc["rules"].append({"path": f"/marker-{self.marker}", "service": self.fleet.shape.services[0].name})
+        return doc
+
+    def core(self) -> tuple[real.Process, real.Process]:
+        return self.dice.choice(self.fleet.cores)
+
+    async def put(
+        self, core: tuple[real.Process, real.Process], doc: dict[str, typing.Any] | None = None
+    ) -> fleets.Put:
+        body = json.dumps(doc or self.layout(), sort_keys=True)
+        put = fleets.Put(self.now, body, None)
+        self.story.puts.append(put)
+        try:
+            reply = await self.fleet.machine.web.ask("PUT", core[0].web, "/v1/layout", [], body.encode(), 5)
+            put.status = reply.status
+            if reply.status == 200:
+                put.version = int(json.loads(reply.body)["version"])
+        except (OSError, TimeoutError):
+            put.status = 0
+        put.ended = self.now
+        return put
+
+    async def get(self, core: tuple[real.Process, real.Process]) -> fleets.Got:
+        got = fleets.Got(self.now)
+        self.story.gots.append(got)
+        try:
+            reply = await self.fleet.machine.web.ask("GET", core[0].web, "/v1/layout", [], b"", 5)
+            got.status = reply.status
+            if reply.status == 200:
+                got.version = int(reply.head("dykeswitch-version") or 0)
+                got.body = json.dumps(json.loads(reply.body), sort_keys=True)
+        except (OSError, TimeoutError):
+            got.status = 0
+        got.ended = self.now
+        return got
+
+    async def sample(self) -> None:
+        """Ask each proxy four times a second what it carries."""
+
+        async def one(proxy: real.Process) -> None:
+            boot = self._boots.get(proxy.name, 0)
+            at = self.now
+            try:
+                reply = await self.fleet.machine.web.ask("GET", proxy.web, "/readyz", [], b"", 0.5)
+                page = json.loads(reply.body)
+            except (OSError, TimeoutError, ValueError):
+                return
+            # What it said was so at some moment of the call: judge by the earliest.
+            ready = bool(page["ready"])
+            self.story.samples.append(fleets.Sample(at, proxy.name, boot, page["layout"], ready, True))
+
+        while True:
+            await asyncio.gather(*(one(p) for p in self.fleet.proxies if p.running()))
+            await self.clock.sleep(0.25)
+
+    async def kill(self, process: real.Process) -> None:
+        process.tell(signal.SIGKILL)
+        await process.gone(5)
+
+    def again(self, process: real.Process) -> None:
+        self._boots[process.name] = self._boots.get(process.name, 0) + 1
+        process.start()
+
+    def new_host(self, service: str, spot: str) -> real.Host:
+        self.fresh += 1
+        shape = next(s for s in self.fleet.shape.services if s.name == service)
+        host = self.fleet.host(f"{service}-new{self.fresh}", shape, self.fresh, spot)
+        host.start()
+        return host
+
+    def live(self, service: str = "") -> list[real.Host]:
+        return [h for h in self.fleet.hosts if h.running() and service in ("", h.spec["service"])]
+
+
+Act = typing.Callable[[RealStage], typing.Awaitable[None]]
+
+
+async def kill_proxy(stage: RealStage) -> None:
+    proxy = stage.dice.choice(stage.fleet.proxies)
+    await stage.kill(proxy)
+    await asyncio.sleep(1)
+    stage.again(proxy)
+    await asyncio.sleep(3)
+
+
+async def kill_herd(stage: RealStage) -> None:
+    herd = stage.dice.sample(stage.fleet.proxies, len(stage.fleet.proxies) // 2)
+    for proxy in herd:
+        await stage.kill(proxy)
+    await asyncio.sleep(1)
+    for proxy in herd:
+        stage.again(proxy)
+    await asyncio.sleep(4)
+
+
+async def restart_in_turn(stage: RealStage) -> None:
+    for proxy in stage.fleet.proxies[:3]:
+        begun = stage.now
+        proxy.tell(signal.SIGTERM)
+        code = await proxy.gone(7.5)
+        stage.story.stops.append(histories.Span(proxy.web, begun, stage.now))
+        stage.notes[f"stop {proxy.name}"] = [code, round(stage.now - begun, 2)]
+        if code != 0:
+            stage.story.crashes.append(f"{proxy.name} ended with {code}")
+            await stage.kill(proxy)
+        stage.again(proxy)
+        await asyncio.sleep(2)
+
+
+async def freeze_proxy(stage: RealStage) -> None:
+    proxy = stage.dice.choice(stage.fleet.proxies)
+    begun = stage.now
+    proxy.tell(signal.SIGSTOP)
+    await asyncio.sleep(1)
+    await stage.put(stage.core())
+    host = stage.dice.choice(stage.live())
+    stage.new_host(host.spec["service"], stage.fleet.spot())
+    host.tell(signal.SIGTERM)
+    await asyncio.sleep(4)
+    proxy.tell(signal.SIGCONT)
+    # The spell ends here: whatever it does from now on is judged.
+    stage.story.cut_off.append(histories.Span(proxy.name, begun, stage.now - histories.LAYOUT_S))
+    await asyncio.sleep(3)
+
+
+async def kill_core_after_ack(stage: RealStage) -> None:
+    core = stage.core()
+    await stage.put(core)
+    for process in core:
+        await stage.kill(process)
+    await stage.get(stage.core())
+    await asyncio.sleep(3)
+    for process in reversed(core):
+        process.start()
+    await asyncio.sleep(3)
+    await stage.get(core)
+
+
+async def wipe_disk_after_ack(stage: RealStage) -> None:
+    core = stage.core()
+    await stage.put(core)
+    store = core[1]
+    await stage.kill(store)
+    data = pathlib.Path(store.flags["data"])
+    await asyncio.to_thread(shutil.rmtree, data)
+    await asyncio.to_thread(data.mkdir)
+    await asyncio.sleep(1)
+    store.start()
+    begun = stage.now
+
+    async def seated() -> bool:
+        try:
+            reply = await stage.fleet.machine.web.ask("GET", store.web, "/readyz", [], b"", 1)
+        except (OSError, TimeoutError):
+            return False
+        return reply.status == 200
+
+    while not await seated():
+        if stage.now - begun > 15:
+            stage.story.crashes.append("a wiped store was not seated within 15 s")
+            return
+        await asyncio.sleep(0.1)
+    stage.notes["wiped store seated after s"] = round(stage.now - begun, 2)
+    await asyncio.sleep(2)
+    await stage.get(core)
+
+
+async def kill_endpoint(stage: RealStage) -> None:
+    host = stage.dice.choice(stage.live())
+    await stage.kill(host)
+    await asyncio.sleep(2)
+    stage.new_host(host.spec["service"], stage.fleet.spot())
+    await asyncio.sleep(2)
+
+
+async def roll_endpoints(stage: RealStage) -> None:
+    service = stage.dice.choice(stage.fleet.shape.services).name
+    for host in stage.live(service)[:3]:
+        stage.new_host(service, stage.fleet.spot())
+        await asyncio.sleep(1.5)
+        host.tell(signal.SIGTERM)
+        await host.gone(8)
+
+
+async def hand_over_address(stage: RealStage) -> None:
+    host = stage.dice.choice(stage.live())
+    other = stage.dice.choice([s for s in stage.fleet.shape.services if s.name != host.spec["service"]])
+    await stage.kill(host)
+    stage.new_host(other.name, host.spec["spot"])
+    stage.new_host(host.spec["service"], stage.fleet.spot())
+    await asyncio.sleep(5)
+
+
+async def freeze_registry(stage: RealStage) -> None:
+    registry = stage.core()[0]
+    registry.tell(signal.SIGSTOP)
+    await asyncio.sleep(5)
+    registry.tell(signal.SIGCONT)
+    await asyncio.sleep(2)
+
+
+async def race_operators(stage: RealStage) -> None:
+    await asyncio.gather(*(stage.put(stage.core()) for _ in range(4)))
+    broken = stage.layout()
+    broken["rules"].append({"path": "/x", "service": "nobody-knows"})
+    put = await stage.put(stage.core(), broken)
+    stage.story.broken_bodies.add(put.body)
+    await stage.get(stage.core())
+
+
+async def large_layout(stage: RealStage) -> None:
+    doc = stage.layout()
+    service = stage.fleet.shape.services[0].name
+    doc["rules"] += [{"path": f"/large/{n}/{'x' * 900}", "service": service} for n in range(4000)]
+    put = await stage.put(stage.core(), doc)
+    stage.notes["large layout"] = {
+        "bytes": len(put.body),
+        "status": put.status,
+        "took_s": round(put.ended - put.begun, 2),
+    }
+    await asyncio.sleep(3)
+    await stage.put(stage.core())
+
+
+async def restart_all_cores(stage: RealStage) -> None:
+    await stage.put(stage.core())
+    for core in stage.fleet.cores:
+        for process in core:
+            process.tell(signal.SIGKILL)
+    await asyncio.sleep(2)
+    for core in stage.fleet.cores:
+        for process in reversed(core):
+            process.start()
+    await asyncio.sleep(5)
+    await stage.get(stage.core())
+
+
+ACTS: typing.Final[dict[str, Act]] = {
+    "kill_proxy": kill_proxy,
+    "kill_herd": kill_herd,
+    "restart_in_turn": restart_in_turn,
+    "freeze_proxy": freeze_proxy,
+    "kill_core_after_ack": kill_core_after_ack,
+    "wipe_disk_after_ack": wipe_disk_after_ack,
+    "kill_endpoint": kill_endpoint,
+    "roll_endpoints": roll_endpoints,
+    "hand_over_address": hand_over_address,
+    "freeze_registry": freeze_registry,
+    "race_operators": race_operators,
+    "large_layout": large_layout,
+    "restart_all_cores": restart_all_cores,
+}
+
+
+def _spread(story: histories.History) -> list[float]:
+    """For each accepted change, when the last proxy that was ready carried it, at the latest."""
+    took = []
+    for put in story.puts:
+        if put.status != 200:
+            continue
+        late = [s.at for s in story.samples if s.ready and s.at > put.ended and s.layout < put.version]
+        took.append(max((at - put.ended for at in late if at - put.ended < 30), default=0.0))
+    return took
+
+
+async def day(
+    name: str, acts: typing.Sequence[str], seed: int, scale: float
+) -> dict[str, typing.Any]:
+    """A fleet of real processes, its traffic, the acts in turn, then calm and a verdict."""
+    shape = shapes.SHAPES[name]
+    async with real.running(shape, seed) as fleet:
+        stage = RealStage(fleet)
+        up = await fleet.start()
+        fleet.spawn(stage.sample())
+        traffic = asyncio.create_task(fleet.callers.drive(100000.0, scale))
+        await asyncio.sleep(3)
+        for act in acts:
+            await ACTS[act](stage)
+            await asyncio.sleep(1)
+        story = stage.story
+        story.calm = stage.now
+        await asyncio.sleep(histories.RECOVER_S + 5)
+        fleet.callers.halt()
+        await traffic
+        story.hits, story.left = fleet.gather()
+        story.asks = list(fleet.record.asks.values())
+        story.runs = dict(fleet.record.runs)
+        story.owners = {h.name: h.spec["service"] for h in fleet.hosts}
+        story.end = stage.now
+        breaches = histories.judge(story)
+        return {
+            "shape": name,
+            "acts": list(acts),
+            "seed": seed,
+            "scale": scale,
+            "up_s": round(up, 2),
+            **callers.tally(fleet.record, story.expiry_s),
+            "layout_spread_worst_s": round(max(_spread(story), default=0.0), 2),
+            "changes": sum(1 for p in story.puts if p.status == 200),
+            "notes": stage.notes,
+            "breaches": {k: [len(v), *v[:4]] for k, v in breaches.items()},
+            "verdict": "held" if not breaches else "broken",
+        }
--- a/packages/simulator/src/dykeswitch/simulator/scenario.py
+++ b/packages/simulator/src/dykeswitch/simulator/scenario.py
@@ -420,6 +420,30 @@
     await stage.fleet.get(_core(stage))
 
 
+async def plan_pause(stage: Stage) -> None:
+    """A planned pause stands through probes, a clock that jumps, and all cores restarting."""
+    name = stage.dice.choice(stage.live_endpoints())
+    page = await stage.fleet.query(f'pause {name} for 14s because "new disk"', _core(stage))
+    begun = stage.now
+    if page is None or not any(row[1] == name for row in page["rows"]):
+        stage.story.crashes.append("a planned pause was not taken")
+        return
+    # What is left of the fourteen seconds, less a little for the road.
+    stage.story.paused.append(histories.Span(name, begun, begun + 13.0))
+    await asyncio.sleep(2.0)
+    await jump_clock(stage)
+    await restart_all_cores(stage)
+    for core in stage.fleet.cores:
+        core.registry.clock.jump = 0.0
+    page = await stage.fleet.query("show pauses", _core(stage))
+    if page is None or not any(row[1] == name for row in page["rows"]):
+        stage.story.crashes.append("a planned pause was lost by the restart of all cores")
+    await asyncio.sleep(6.0)
+    still = [e.node.name for e in stage.up_edges() if e.node.daemon._paused(name)]
+    if still:
+        stage.story.crashes.append(f"{still} still held the pause after its end")
+
+
 async def large_layout(stage: Stage) -> None:
     doc = stage.layout()
     service = stage.fleet.shape.services[0].name
@@ -464,6 +488,7 @@
     "burst_layouts": burst_layouts,
     "race_operators": race_operators,
     "large_layout": large_layout,
+    "plan_pause": plan_pause,
 }
 
 # Faults under which callers of the failing service can not all be served.
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -63,6 +63,10 @@
     story.hits.append((92.5, "a", "exports-1"))
 
 
+def _while_paused(story: histories.History) -> None:
+    story.paused.append(histories.Span("exports-0", 95.0, 110.0))
+
+
 def _late_layout(story: histories.History) -> None:
     story.samples.insert(1, _sample(97.3, 1))
 
@@ -129,6 +133,7 @@
     "whole_answers": [_other_answer],
     "right_owner": [_other_owner],
     "not_after_leaving": [_after_leaving],
+    "not_while_paused": [_while_paused],
     "layout_in_time": [_late_layout],
     "layout_never_back": [_layout_back],
     "register_holds": [_stale_read, _none_read, _lost_layout, _refused_stands],
--- /dev/null
+++ b/tests/test_language.py
@@ -0,0 +1,47 @@
+"""The operators' language: what it takes, and how it says what is wrong."""
+
+import pytest
+import syrupy.assertion
+
+import dykeswitch.language as language
+import dykeswitch.outcome as outcome
+
+TAKEN = [
+    "who is paused",
+    "who is paused service pages zone z1",
+    "show endpoints endpoint pages-0",
+    "show history service exports",
+    "SHOW duties",
+    "explain GET /pages/x",
+    "explain POST shop.example /exports",
+    'pause pages-0 for 10m because "new disk"',
+    'pause exports-3 for 2h in 30m because "move"',
+    "end pause p1a2b",
+]
+REFUSED = [
+    "",
+    "who is",
+    "show elephants",
+    "pause pages-0 for soon",
+    "pause pages-0 for 10m",
+    "explain FETCH /x",
+    "end pause",
+    "show endpoints service",
+]
+
+
+@pytest.mark.parametrize("text", TAKEN)
+def test_a_sentence_is_understood(text: str, snapshot: syrupy.assertion.SnapshotAssertion) -> None:
+    result = language.parse(text)
+    assert isinstance(result, outcome.Good), result
+    assert repr(result.value) == snapshot
+
+
+@pytest.mark.parametrize("text", REFUSED)
+def test_a_wrong_sentence_gets_the_place_and_what_was_expected(
+    text: str, snapshot: syrupy.assertion.SnapshotAssertion
+) -> None:
+    result = language.parse(text)
+    assert isinstance(result, outcome.Bad)
+    assert result.code.tag == "bad_query"
+    assert result.why == snapshot
