--- a/packages/cli/src/dykeswitch/cli/main.py
+++ b/packages/cli/src/dykeswitch/cli/main.py
@@ -8,11 +8,14 @@
 
 import dykeswitch.cli.daemons as daemons
 import dykeswitch.cli.operate as operate
+import dykeswitch.outcome as outcome
 import dykeswitch.settings as settings
 import dykeswitch.simulator.realtrial as realtrials
 import dykeswitch.simulator.scenario as scenarios
 import dykeswitch.simulator.trial as trials
+import dykeswitch.simulator.whatif as whatif
 import dykeswitch.standin.fleet as fleets
+import dykeswitch.standin.shape as shapes
 
 
 def parser() -> argparse.ArgumentParser:
@@ -32,6 +35,19 @@
     sub.add_argument("--span", type=float, default=20.0, help="seconds of traffic (default 20)")
     sub.add_argument("--scale", type=float, default=1.0, help="times the shape's rate (default 1)")
     sub.add_argument("--seed", type=int, default=1)
+    text = "ask what if: what callers would see under a script of events, and why"
+    sub = words.add_parser("simulate", help=text, description=text)
+    sub.add_argument("shape", choices=["ghent", "lima"])
+    event = "'AT TARGET NAME ACT SPAN', as '5 zone z1 down 10'; may be given more than once"
+    sub.add_argument("--event", action="append", default=[], help=event)
+    sub.add_argument("--set", action="append", default=[], metavar="NAME=VALUE", help="a setting")
+    sub.add_argument("--versus-event", action="append", default=[], help="events of a second variant")
+    sub.add_argument(
+        "--versus-set", action="append", default=[], metavar="NAME=VALUE", help="its settings"
+    )
+    sub.add_argument("--span", type=float, default=30.0, help="seconds of traffic (default 30)")
+    sub.add_argument("--scale", type=float, default=0.2, help="times the shape's rate (default 0.2)")
+    sub.add_argument("--seeds", type=int, default=3, help="seeds, the same for both variants")
     text = "bring about the brief's failures in the simulator under many seeds; judge each day"
     sub = words.add_parser("trial", help=text, description=text)
     sub.add_argument("shape", choices=["ghent", "lima"])
@@ -52,6 +68,44 @@
     return top
 
 
+def _variant(name: str, events: list[str], sets: list[str]) -> whatif.Variant | str:
+    """A variant out of flags, or what is wrong with them."""
+    read = [whatif.read_event(text) for text in events]
+    for found in read:
+        if isinstance(found, str):
+            return found
+    raw: dict[str, object] = {}
+    for text in sets:
+        key, _, value = text.partition("=")
+        try:
+            raw[key] = float(value) if "." in value or key.endswith("_s") else int(value)
+        except ValueError:
+            return f"'{text}' is not NAME=NUMBER"
+    # The same check as for any settings, less what only a real process needs.
+    base = {"name": "x", "store": "127.0.0.1:1", "web": "127.0.0.1:2", "data": "-"}
+    checked = settings.check("store", {**raw, **base})
+    if isinstance(checked, outcome.Bad):
+        return "; ".join(checked.faults)
+    return whatif.Variant(name, tuple(e for e in read if isinstance(e, whatif.Event)), dict(raw))
+
+
+def _simulate(spoken: argparse.Namespace) -> int:
+    sides = [_variant("first", spoken.event, spoken.set)]
+    if spoken.versus_event or spoken.versus_set:
+        sides.append(_variant("second", spoken.versus_event, spoken.versus_set))
+    seeds = range(1, spoken.seeds + 1)
+    pages: list[dict[str, object]] = []
+    for side in sides:
+        if isinstance(side, str):
+            sys.stderr.write(f"dykeswitch: {side}\n")
+            return 2
+        pages.append(whatif.ask(shapes.SHAPES[spoken.shape], side, seeds, spoken.span, spoken.scale))
+    if len(pages) == 2:
+        pages.append({"second less first": whatif.differ(pages[0], pages[1])})
+    print(json.dumps(pages, indent=2))
+    return 0
+
+
 def _real_trial(spoken: argparse.Namespace) -> int:
     acts = list(realtrials.ACTS) if spoken.faults == "all" else spoken.faults.split(",")
     unknown = [a for a in acts if a not in realtrials.ACTS]
@@ -88,6 +142,8 @@
         figures = asyncio.run(fleets.show(spoken.shape, spoken.span, spoken.seed, spoken.scale))
         print(json.dumps(figures, indent=2))
         return 0
+    if spoken.word == "simulate":
+        return _simulate(spoken)
     if spoken.word == "trial":
         return _trial(spoken)
     return daemons.run(spoken.word, spoken)
