Served sockets name their protocol: without it Nagle's delay cost each reply 40 ms

Cause: asyncio turns Nagle's delay off only on sockets made with IPPROTO_TCP; ours, bound before uvicorn takes them over, were made without, and a reply is two writes. Ruled out: the callers (their own saturation hid it until they were made lighter), dialling and proving pipes (both about 1 ms), the endpoints (called directly in the same run).

--- a/packages/ports/src/dykeswitch/ports/real.py
+++ b/packages/ports/src/dykeswitch/ports/real.py
@@ -178,7 +178,9 @@
     async def serve(self, spot: str, app: ports.App) -> ports.WebServer:
         host, port = split_spot(spot)
         # Bind first, so that a taken port is told as one plain line.
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        # The protocol is named: asyncio turns Nagle's delay off only where it is, and a
+        # reply's head and body are two writes.
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         try:
             sock.bind((host, port))
--- a/packages/standin/src/dykeswitch/standin/caller.py
+++ b/packages/standin/src/dykeswitch/standin/caller.py
@@ -74,6 +74,8 @@
         self._expiry_s = expiry_s
         self._count = 0
         self._halted = False
+        # Where to ask when not a proxy: an endpoint itself, for a base to compare with.
+        self.direct: typing.Callable[[str], str] | None = None
 
     def halt(self) -> None:
         """Send no more; what is on its way is still waited for."""
@@ -120,6 +122,8 @@
         name = f"{service.name}-{self._count}"
         ask = Ask(name, service.name, service.writing, self._clock.now())
         self._record.asks[name] = ask
+        if self.direct is not None:
+            spot = self.direct(service.name)
         if not spot:
             if not self.ready:
                 ask.flaw = "no proxy is ready"
--- a/packages/standin/src/dykeswitch/standin/fleet.py
+++ b/packages/standin/src/dykeswitch/standin/fleet.py
@@ -19,6 +19,7 @@
 
 import dykeswitch.ports as ports
 import dykeswitch.ports.real as real
+import dykeswitch.soundness.pipe as pipes
 import dykeswitch.standin.caller as callers
 import dykeswitch.standin.shape as shapes
 
@@ -36,6 +37,53 @@
     return found
 
 
+class LightWeb(real.RealWeb):
+    """Calls over a few kept pipes: the callers must not be what is measured."""
+
+    def __init__(self, net: ports.Network) -> None:
+        super().__init__()
+        self._net = net
+        self._idle: dict[str, list[pipes.EndpointPipe]] = {}
+
+    async def ask(
+        self,
+        method: str,
+        spot: str,
+        path: str,
+        heads: list[tuple[str, str]],
+        body: bytes,
+        wait: float,
+    ) -> ports.Reply:
+        raw = [(b"host", spot.encode()), *((k.encode(), v.encode()) for k, v in heads)]
+        if body:
+            raw.append((b"content-length", str(len(body)).encode()))
+        try:
+            async with asyncio.timeout(wait):
+                return await self._ask(method, spot, path, raw, body, wait)
+        except pipes.Flaw as flaw:
+            raise OSError(flaw.reason) from flaw
+
+    async def _ask(
+        self, method: str, spot: str, path: str, heads: pipes.Heads, body: bytes, wait: float
+    ) -> ports.Reply:
+        idle = self._idle.setdefault(spot, [])
+        pipe: pipes.EndpointPipe | None = None
+        while idle and pipe is None:
+            held = idle.pop()
+            if held.usable():
+                pipe = held
+            else:
+                held.close()
+        if pipe is None:
+            pipe = pipes.EndpointPipe("", spot, await self._net.dial(spot, wait), 0.0)
+        head = await pipe.send(method, path.encode(), heads, body)
+        data = b"".join([part async for part in pipe.parts()])
+        if pipe.usable():
+            idle.append(pipe)
+        found = [(k.decode("latin-1").lower(), v.decode("latin-1")) for k, v in head.heads]
+        return ports.Reply(head.status, found, data)
+
+
 class Process:
     """One program running as a process of its own."""
 
@@ -114,6 +162,7 @@
         self.folder = folder
         self.dice = random.Random(seed)
         self.machine: ports.Machine = real.machine()
+        self.machine = self.machine._replace(web=LightWeb(self.machine.net))
         self.record = callers.Record(self.machine.clock)
         self.cores: list[tuple[Process, Process]] = []
         self.proxies: list[Process] = []
@@ -296,9 +345,36 @@
     """Start a fleet, send its traffic for a span, and return the figures."""
     async with running(shapes.SHAPES[name], seed) as fleet:
         up = await fleet.start()
+        base = await _direct(fleet, span / 2, scale)
         await fleet.callers.drive(span, scale)
         fleet.gather()
         figures = callers.tally(fleet.record, 10.0)
         versions = await fleet.layout_versions()
         head = {"shape": name, "up_s": round(up, 2), "processes": len(fleet.processes())}
-        return {**head, **figures, "layouts": sorted(set(versions))}
+        ratio = {
+            key: round(figures[key] / base[key], 2)
+            for key in ("p50_ms", "p99_ms")
+            if figures[key] and base[key]
+        }
+        direct = {key: base[key] for key in ("asked", "answered", "p50_ms", "p99_ms")}
+        return {
+            **head,
+            **figures,
+            "layouts": sorted(set(versions)),
+            "endpoints_called_directly": direct,
+            "ratio_to_direct": ratio,
+        }
+
+
+async def _direct(fleet: Fleet, span: float, scale: float) -> dict[str, typing.Any]:
+    """The same traffic at the same rate straight to the endpoints, as a base to compare with."""
+    record = callers.Record(fleet.machine.clock)
+    straight = callers.Callers(fleet.shape, fleet.machine, [], record, fleet.dice)
+
+    def pick(service: str) -> str:
+        spots = [str(h.spec["spot"]) for h in fleet.hosts if h.spec["service"] == service]
+        return fleet.dice.choice(spots)
+
+    straight.direct = pick
+    await straight.drive(span, scale)
+    return callers.tally(record, 10.0)
--- a/tests/test_real.py
+++ b/tests/test_real.py
@@ -10,6 +10,7 @@
 import pytest
 
 import dykeswitch.cli.main as cli
+import dykeswitch.ports.real as real
 import dykeswitch.standin.fleet as fleets
 import dykeswitch.standin.shape as shapes
 
@@ -172,3 +173,20 @@
         cli.main([word, "--help"])
     assert ended.value.code == 0
     assert "--recover-s" in capsys.readouterr().out
+
+
+def test_a_served_port_sends_without_delay() -> None:
+    """A reply is two writes: with Nagle's delay each cost the caller some 40 ms."""
+
+    async def app(scope: typing.Any, receive: typing.Any, send: typing.Any) -> None:
+        return None
+
+    async def main() -> None:
+        [port] = fleets.free_ports(1)
+        server = await real.RealWeb().serve(f"127.0.0.1:{port}", app)
+        assert isinstance(server, real.RealWebServer)
+        [sock] = [s for made in server._server.servers for s in made.sockets]
+        assert sock.proto == socket.IPPROTO_TCP
+        await server.stop(1.0)
+
+    asyncio.run(main())
