Budgets count from the proxy's start; idle pipes are proven anew; bodies on the way count

Cause: a service's budget was made with its first request and then held no coins for ten seconds, so a service whose first requests failed got no second go, however long the proxy had been up. Ruled out: the promise (it was read), the tries (1 of 3 used). A request whose body is still on its way now holds a place in the table, so slow senders are bounded too.

--- a/packages/proxy/src/dykeswitch/proxy/carrier.py
+++ b/packages/proxy/src/dykeswitch/proxy/carrier.py
@@ -79,6 +79,7 @@
         self._log = log
         self._sure = sure
         self._gapped = gapped
+        self._born = machine.clock.now()
         self.layout: layouts.Layout | None = None
         self.selector = selection.Selector(line, marks, bounds.zone, dice)
         self.table: dict[str, exchanges.Exchange] = {}
@@ -113,13 +114,11 @@
 
     async def carry(self, x: exchanges.Exchange) -> None:
         """Run the passes over one exchange until it is done."""
-        self.table[x.name] = x
         self.count("exchanges")
         try:
             while x.stage is not Stage.DONE:
                 x.stage = await self._passes[x.stage](x)
         finally:
-            del self.table[x.name]
             if x.pipe is not None:
                 self._put_away(x, sound=False)
             self._log.info(
@@ -174,7 +173,7 @@
     def _budget(self, service: str) -> budgets.Budget:
         budget = self._budgets.get(service)
         if budget is None:
-            budget = self._budgets[service] = budgets.Budget(self._bounds, self._clock.now())
+            budget = self._budgets[service] = budgets.Budget(self._bounds, self._born)
         return budget
 
     async def _select(self, x: exchanges.Exchange) -> Stage:
@@ -216,18 +215,22 @@
     async def _pipe_to(self, x: exchanges.Exchange, entry: timeline.Entry) -> pipes.EndpointPipe:
         spot = str(entry.fields["address"])
         now = self._clock.now()
+        assert self.layout is not None
+        probe = self.layout.services[x.service].probe
+        left = max(0.0, x.expiry - now)
         held = self._idle.get(entry.key, [])
         while held:
             pipe = held.pop()
             # A pipe that lay idle may by now lead to whoever took the address over
             # without our hearing of it: only a fresh proof tells.
-            young = now - pipe.used < self._bounds.drain_s / 4
-            if pipe.usable() and pipe.spot == spot and young:
+            if not pipe.usable() or pipe.spot != spot:
+                pipe.close()
+                continue
+            if now - pipe.used < self._bounds.drain_s / 4:
                 return pipe
-            pipe.close()
-        assert self.layout is not None
-        probe = self.layout.services[x.service].probe
-        left = max(0.0, x.expiry - now)
+            if await self._still_proven(pipe, probe, left):
+                return pipe
+        left = max(0.0, x.expiry - self._clock.now())
         return await pipes.open_proven(
             self._net,
             self._clock,
@@ -238,6 +241,21 @@
             min(self._bounds.probe_wait_s, left),
         )
 
+    async def _still_proven(self, pipe: pipes.EndpointPipe, probe: str, left: float) -> bool:
+        """Prove an idle pipe anew; one that fails is closed, and judged by a fresh one."""
+        try:
+            async with asyncio.timeout(min(self._bounds.probe_wait_s, left)):
+                if await pipes.prove(pipe, probe) is None and pipe.usable():
+                    return True
+        except TimeoutError as flaw:
+            # It hangs: a fresh pipe would only hang as long again.
+            pipe.close()
+            raise pipes.Flaw(soundness.PROBE_TIMED_OUT, False) from flaw
+        except pipes.Flaw:
+            pass
+        pipe.close()
+        return False
+
     def _land(self, endpoint: str) -> None:
         flights = self.selector.flights
         left = flights.get(endpoint, 0) - 1
--- a/packages/proxy/src/dykeswitch/proxy/program.py
+++ b/packages/proxy/src/dykeswitch/proxy/program.py
@@ -189,13 +189,21 @@
         if scope["type"] != "http":
             return
         x = self._exchange(scope, send)
-        bad = await self._intake(x, scope, receive)
-        if bad is not None:
-            if bad.code.tag == "too_busy":
-                x.retry_after = 1
-            await self.carrier.answer(x, bad)
+        # Overload is answered at once; a queue would only hide it. Requests whose body
+        # is still on its way count too, or slow senders would be without bound.
+        if len(self.carrier.table) >= self.bounds.exchanges_most:
+            x.retry_after = 1
+            await self.carrier.answer(x, outcome.bad("too_busy"))
             return
-        await self.carrier.carry(x)
+        self.carrier.table[x.name] = x
+        try:
+            bad = await self._intake(x, receive)
+            if bad is not None:
+                await self.carrier.answer(x, bad)
+                return
+            await self.carrier.carry(x)
+        finally:
+            del self.carrier.table[x.name]
 
     def _exchange(self, scope: ports.Scope, send: ports.Send) -> exchanges.Exchange:
         self._turn += 1
@@ -217,12 +225,7 @@
             send=send,
         )
 
-    async def _intake(
-        self, x: exchanges.Exchange, scope: ports.Scope, receive: ports.Receive
-    ) -> outcome.Bad | None:
-        # Overload is answered at once; a queue would only hide it.
-        if len(self.carrier.table) >= self.bounds.exchanges_most:
-            return outcome.bad("too_busy")
+    async def _intake(self, x: exchanges.Exchange, receive: ports.Receive) -> outcome.Bad | None:
         if sum(len(k) + len(v) for k, v in x.heads) > self.bounds.head_most:
             return outcome.bad("head_too_big")
         text = next((v for k, v in x.heads if k == carrier.EXPIRY), None)
@@ -230,6 +233,13 @@
             if not text.isdigit() or len(text) > 9:
                 return outcome.bad("bad_expiry", text[:40].decode("latin-1"))
             x.asked_s = int(text) / 1000
+        try:
+            async with asyncio.timeout(self.bounds.request_s):
+                return await self._body(x, receive)
+        except TimeoutError:
+            return outcome.bad("expired", "the request's body did not come in time")
+
+    async def _body(self, x: exchanges.Exchange, receive: ports.Receive) -> outcome.Bad | None:
         body = bytearray()
         while True:
             message = await receive()
@@ -276,10 +286,11 @@
 
     async def _leave(self) -> None:
         self.stopping = True
+        # Callers on kept pipes are told with each reply to go elsewhere.
+        self.carrier.closing = True
         self.log.info("stopping", exchanges=len(self.carrier.table))
         # The platform asks once a second: still accept until it has surely asked.
         await self.clock.sleep(self.bounds.lead_s)
-        self.carrier.closing = True
         assert self._server is not None
         await self._server.stop(max(1.0, self.bounds.grace_s - self.bounds.lead_s))
 
--- /dev/null
+++ b/tests/test_proxy.py
@@ -0,0 +1,146 @@
+"""The proxy within a small simulated fleet: overload, freezes, unknown outcomes."""
+
+import asyncio
+import pathlib
+import typing
+
+import pytest
+
+import dykeswitch.proxy.program as proxies
+import dykeswitch.simulator.fleet as fleets
+import dykeswitch.simulator.loop as loops
+import dykeswitch.standin.caller as callers
+import dykeswitch.standin.shape as shapes
+
+PAGES: typing.Final = shapes.ServiceShape("pages", 3, 20, "/pages", "GET", 0.05)
+EXPORTS: typing.Final = shapes.ServiceShape("exports", 3, 10, "/exports", "POST", 0.05)
+SMALL: typing.Final = shapes.Shape("small", 2, 3, ("z1", "z2"), (PAGES, EXPORTS))
+
+
+def _run(
+    scratch: pathlib.Path,
+    work: typing.Callable[[fleets.SimFleet], typing.Awaitable[None]],
+    **bounds: typing.Any,
+) -> None:
+    async def main() -> None:
+        fleet = fleets.SimFleet(SMALL, 7, scratch, bounds=bounds)
+        await fleet.start()
+        await work(fleet)
+
+    loops.run(main())
+
+
+def _plan(fleet: fleets.SimFleet, service: str, fault: str) -> None:
+    for endpoint in fleet.endpoints.values():
+        if endpoint.service == service:
+            endpoint.plan.fault = fault
+
+
+async def _many(fleet: fleets.SimFleet, service: shapes.ServiceShape, many: int) -> list[callers.Ask]:
+    spot = fleet.edges[0].web
+    return list(await asyncio.gather(*(fleet.callers.ask(service, spot) for _ in range(many))))
+
+
+def test_overload_is_answered_at_once(tmp_path: pathlib.Path) -> None:
+    async def work(fleet: fleets.SimFleet) -> None:
+        asks = await _many(fleet, EXPORTS, 30)
+        away = [a for a in asks if a.result == 104]
+        assert len(away) >= 20
+        assert all(a.status == 503 and a.retry_after and a.ended - a.begun < 0.02 for a in away)
+        assert all(a.status == 200 for a in asks if a.result != 104)
+        # Nobody who was turned away ran.
+        assert not any(fleet.record.runs.get(a.name) for a in away)
+
+    _run(tmp_path, work, exchanges_most=8)
+
+
+def test_a_lost_answer_of_a_write_is_said_to_be_unknown(tmp_path: pathlib.Path) -> None:
+    async def work(fleet: fleets.SimFleet) -> None:
+        _plan(fleet, "exports", "lose")
+        asks = await _many(fleet, EXPORTS, 10)
+        assert {(a.status, a.result, a.retry_after) for a in asks} == {(502, 108, False)}
+        assert all(len(fleet.record.runs[a.name]) == 1 for a in asks)
+        # The final answer comes as soon as it is known, not near the expiry.
+        assert max(a.ended - a.begun for a in asks) < 1.0
+
+    _run(tmp_path, work)
+
+
+def test_a_promised_refusal_is_tried_elsewhere_even_if_it_writes(tmp_path: pathlib.Path) -> None:
+    async def work(fleet: fleets.SimFleet) -> None:
+        fleet.endpoints["exports-0"].plan.fault = "promise"
+        await asyncio.sleep(11.0)
+        asks = await _many(fleet, EXPORTS, 3)
+        assert [a.status for a in asks] == [200] * 3
+        assert all(len(fleet.record.runs[a.name]) == 1 for a in asks)
+
+    _run(tmp_path, work)
+
+
+def test_no_endpoint_at_all_says_when_to_come_back(tmp_path: pathlib.Path) -> None:
+    async def work(fleet: fleets.SimFleet) -> None:
+        for name in ("exports-0", "exports-1", "exports-2"):
+            fleet.kill_endpoint(name)
+        asks = await _many(fleet, EXPORTS, 5)
+        assert {(a.status, a.retry_after) for a in asks} == {(503, True)}
+        assert max(a.ended - a.begun for a in asks) < 1.0
+
+    _run(tmp_path, work)
+
+
+def test_marks_tell_why_and_the_prober_clears_them(tmp_path: pathlib.Path) -> None:
+    async def work(fleet: fleets.SimFleet) -> None:
+        fleet.endpoints["pages-0"].plan.fault = "status_502"
+        for _ in range(10):
+            await _many(fleet, PAGES, 3)
+        page = await fleet.query("who is paused", fleet.cores[0])
+        assert page is not None
+        assert [(r[0], r[3], r[6]) for r in page["rows"]] == [("pages-0", "answered 502", "mark")]
+        # No one but the marked endpoint's fellows is asked while the mark stands.
+        hits = fleet.endpoints["pages-0"].hits
+        await _many(fleet, PAGES, 20)
+        assert fleet.endpoints["pages-0"].hits == hits
+        fleet.endpoints["pages-0"].plan.fault = "none"
+        carrier = fleet.edges[1].node.daemon.carrier
+        took = await fleet.until(lambda: carrier._marks.down("pages-0") is None, 15, "the mark's end")
+        assert took < 6.0
+        page = await fleet.query("show history endpoint pages-0", fleet.cores[1])
+        assert page is not None
+        assert "answered 502" in [row[3] for row in page["rows"]]
+
+    _run(tmp_path, work)
+
+
+def _unsure(patch: pytest.MonkeyPatch) -> None:
+    async def sure(self: proxies.Proxy) -> None:
+        return None
+
+    patch.setattr(proxies.Proxy, "sure", sure)
+    patch.setattr(proxies.Proxy, "gapped", lambda self: False)
+
+
+@pytest.mark.parametrize("guarded", [True, False])
+def test_a_woken_proxy_confirms_before_it_selects(
+    guarded: bool, tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Asked while frozen over a change of layout, it goes by the new one; unguarded it does not."""
+    if not guarded:
+        _unsure(monkeypatch)
+
+    async def work(fleet: fleets.SimFleet) -> None:
+        node = fleet.edges[0].node
+        node.freeze()
+        asking = asyncio.create_task(_many(fleet, PAGES, 10))
+        await asyncio.sleep(0.5)
+        doc = SMALL.layout()
+        doc["rules"][0]["service"] = "exports"
+        await fleet.apply(doc)
+        await asyncio.sleep(3.0)
+        node.thaw()
+        asks = await asking
+        owners = {
+            fleet.endpoints[name].service for _, ask, name in fleet.hits if ask in {a.name for a in asks}
+        }
+        assert owners == ({"exports"} if guarded else {"pages"})
+
+    _run(tmp_path, work)
