An entry that ran out outranks its own copies: marks and clears could live for ever

Cause: a member whose copy had run out took the same entry again from one whose copy had a moment left; each hop gave it back the hop's delay, so it went round without end, and as urgent news. Ruled out: an exchange that never ends (all asks were answered), the prober writing anew (one clear, one stamp, 6,117 takes at its writer). Conclusion: kept; an entry that ended is kept in mind for a thirtieth of the longest life, so that no copy of it is news.

--- a/packages/timeline/src/dykeswitch/timeline/__init__.py
+++ b/packages/timeline/src/dykeswitch/timeline/__init__.py
@@ -29,6 +29,8 @@
 LAPSED: typing.Final = "lapsed"
 LEFT: typing.Final = "left"
 DISPLACED: typing.Final = "displaced"
+# For which part of the longest life an entry that ended is kept in mind.
+LINGER: typing.Final = 1 / 30
 STICKY: typing.Final = (LEFT, DISPLACED)
 
 
@@ -125,7 +127,9 @@
 
     def _take(self, entry: Entry, urgent: bool | None) -> Entry | None:
         old = self._by_kind[entry.kind].get(entry.key)
-        if old is not None and old.expiry > self._clock.now() and _rank(entry) <= _rank(old):
+        # An entry that ran out still outranks its own copies: one of them with a moment
+        # left would else revive it, and members would hand it round for ever.
+        if old is not None and _rank(entry) <= _rank(old):
             return None
         if entry.kind == MARK and not self._fence_holds(entry):
             return None
@@ -150,7 +154,7 @@
         for other in list(self._by_kind[ENDPOINT].values()):
             if other.key == fresh.key or other.fields["address"] != fresh.fields["address"]:
                 continue
-            if other.fields["state"] in STICKY:
+            if other.fields["state"] in STICKY or other.expiry <= self._clock.now():
                 continue
             newer = tuple(fresh.fields["born"]) > tuple(other.fields["born"])
             loser = other if newer else fresh
@@ -188,10 +192,11 @@
         return [entry.wire(now) for entry in self.since(seq)]
 
     def tidy(self) -> None:
-        """Drop entries that ended a while ago."""
+        """Drop entries that ended so long ago that no copy of them can be on its way."""
         now = self._clock.now()
+        linger = self._forget_s * LINGER
         for spot, entry in list(self._book.items()):
-            if entry.expiry <= now:
+            if entry.expiry + linger <= now:
                 del self._book[spot]
                 self._by_kind[entry.kind].pop(entry.key, None)
 
--- a/tests/test_timeline.py
+++ b/tests/test_timeline.py
@@ -123,3 +123,27 @@
         assert line.seq == 0
 
     loops.run(main())
+
+
+def test_an_entry_that_ran_out_is_not_revived_by_a_copy_with_a_moment_left() -> None:
+    """Else two members hand it back and forth for ever, each a hop's delay behind."""
+
+    async def main() -> None:
+        one, two = _line("a"), _line("b")
+        marks = timeline.Marks(one, 5.0)
+        marks.set("e", "broke off", "proxy0")
+        await asyncio.sleep(4.99)
+        taken = two.merge(one.wire_since(0))
+        assert taken == 1
+        # Each hop takes 2 ms; the copy travels with what was left when it was sent.
+        for _ in range(200):
+            for here, there in ((two, one), (one, two)):
+                wire = here.wire_since(0)
+                await asyncio.sleep(0.002)
+                here.tidy()
+                there.merge(wire)
+        assert marks.down("e") is None
+        assert two.all(timeline.MARK) == []
+        assert (one.seq, two.seq) == (1, 1)
+
+    loops.run(main())
