--- a/packages/proxy/src/dykeswitch/proxy/program.py
+++ b/packages/proxy/src/dykeswitch/proxy/program.py
@@ -12,6 +12,7 @@
 import dykeswitch.layout.papers as papers
 import dykeswitch.layout.pauses as pauses
 import dykeswitch.logs as logs
+import dykeswitch.logs.counters as counters
 import dykeswitch.membership as membership
 import dykeswitch.outcome as outcome
 import dykeswitch.ports as ports
@@ -69,6 +70,7 @@
             route_handlers=[
                 litestar.get("/healthz", sync_to_thread=False)(self._healthz),
                 litestar.get("/readyz", sync_to_thread=False)(self._readyz),
+                litestar.get("/-/counters", sync_to_thread=False)(self._counters),
                 litestar.asgi("/", is_mount=True, copy_scope=False)(self._gateway),
             ],
             openapi_config=None,
@@ -183,6 +185,11 @@
             page["why"] = why
         return litestar.Response(page, status_code=200 if why is None else 503)
 
+    def _counters(self) -> litestar.Response[bytes]:
+        counts = {**self.carrier.counts, "exchanges_at_work": len(self.carrier.table)}
+        data = counters.page("proxy", self.bounds.name, counts)
+        return litestar.Response(data, media_type="text/plain; version=0.0.4")
+
     # Callers.
 
     async def _gateway(self, scope: ports.Scope, receive: ports.Receive, send: ports.Send) -> None:
--- a/packages/registry/src/dykeswitch/registry/program.py
+++ b/packages/registry/src/dykeswitch/registry/program.py
@@ -14,6 +14,7 @@
 import dykeswitch.layout.papers as papers
 import dykeswitch.layout.pauses as pauses
 import dykeswitch.logs as logs
+import dykeswitch.logs.counters as counters
 import dykeswitch.membership as membership
 import dykeswitch.outcome as outcome
 import dykeswitch.ports as ports
@@ -100,6 +101,7 @@
             route_handlers=[
                 litestar.get("/healthz", sync_to_thread=False)(self._healthz),
                 litestar.get("/readyz", sync_to_thread=False)(self._readyz),
+                litestar.get("/-/counters", sync_to_thread=False)(self._counters),
                 litestar.post("/v1/beat")(self._post_beat),
                 litestar.get("/v1/layout")(self._get_layout),
                 litestar.put("/v1/layout")(self._put_layout),
@@ -194,6 +196,18 @@
             page["why"] = why
         return litestar.Response(page, status_code=200 if why is None else 503)
 
+    def _counters(self) -> litestar.Response[bytes]:
+        up = [e for e in self.line.all(timeline.ENDPOINT) if e.fields["state"] == timeline.UP]
+        counts = {
+            "probes": self.prober.probes,
+            "copies_mended": self.proposer.mended,
+            "endpoints_up": len(up),
+            "endpoints_down": sum(1 for e in up if self.marks.down(e.key) is not None),
+            "member_set_epoch": self.proposer.members.epoch,
+        }
+        data = counters.page("registry", self.bounds.name, counts)
+        return litestar.Response(data, media_type="text/plain; version=0.0.4")
+
     async def _post_beat(self, request: litestar.Request[typing.Any, typing.Any, typing.Any]) -> Page:
         data = await request.body()
         if len(data) > BEAT_MOST:
--- a/tests/test_real.py
+++ b/tests/test_real.py
@@ -55,6 +55,14 @@
     assert len(big.body) == 3000000
 
 
+async def _counters(fleet: fleets.Fleet) -> None:
+    page = (await _ask(fleet, "GET", "/-/counters")).body.decode()
+    assert 'dykeswitch_proxy_answered_total{member="proxy0"} 3.0' in page
+    core = fleet.cores[0][0]
+    reply = await fleet.machine.web.ask("GET", core.web, "/-/counters", [], b"", 5)
+    assert 'dykeswitch_registry_endpoints_up_total{member="core0"} 4.0' in reply.body.decode()
+
+
 async def _refusals(fleet: fleets.Fleet) -> None:
     spot = fleet.proxies[0].web
     missing = await _ask(fleet, "GET", "/nowhere")
@@ -140,7 +148,7 @@
     async def main() -> None:
         async with fleets.running(SMALL, 1) as fleet:
             await fleet.start()
-            for part in (_plain, _refusals, _beats, _operator, _signals):
+            for part in (_plain, _counters, _refusals, _beats, _operator, _signals):
                 await part(fleet)
             lines = [json.loads(line) for line in fleet.proxies[0].log.read_text().splitlines()]
             assert any(line["event"] == "exchange" and line["result"] == 101 for line in lines)
