--- a/packages/cli/src/dykeswitch/cli/operate.py
+++ b/packages/cli/src/dykeswitch/cli/operate.py
@@ -157,7 +157,11 @@
 
 
 async def _query(spoken: argparse.Namespace, spots: list[str]) -> int:
-    ask = json.dumps({"text": " ".join(spoken.text), "by": spoken.by}).encode()
+    # A shell takes the quotes off a reason: words that came as one are quoted again.
+    words = spoken.text
+    if len(words) > 1:
+        words = [f'"{w}"' if " " in w and '"' not in w else w for w in words]
+    ask = json.dumps({"text": " ".join(words), "by": spoken.by}).encode()
     reply = await _ask(spots, "POST", "/v1/query", ask, [("content-type", "application/json")])
     code = _told(reply)
     if code is not None or reply is None:
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+import dykeswitch.proxy.carrier as carriers
 import dykeswitch.proxy.program as proxies
 import dykeswitch.simulator.fleet as fleets
 import dykeswitch.simulator.loop as loops
@@ -144,3 +145,18 @@
         assert owners == ({"exports"} if guarded else {"pages"})
 
     _run(tmp_path, work)
+
+
+def test_fields_of_one_hop_stay_and_all_others_go_on() -> None:
+    heads = [
+        (b"Connection", b"close, X-Mine"),
+        (b"x-mine", b"1"),
+        (b"Transfer-Encoding", b"chunked"),
+        (b"TE", b"trailers"),
+        (b"Cookie", b"a=1"),
+        (b"Cookie", b"b=2"),
+        (b"Accept-Encoding", b"gzip, br"),
+        (b"Content-Encoding", b"gzip"),
+    ]
+    # Repeated fields stay repeated, in their order; encodings are nobody's business here.
+    assert carriers.kept_heads(heads) == heads[4:]
--- a/tests/test_real.py
+++ b/tests/test_real.py
@@ -124,6 +124,41 @@
     assert page["fresh"]["majority"] is True
 
 
+async def _command_line(fleet: fleets.Fleet) -> None:
+    """What the docs tell an operator to type."""
+    at = ",".join(registry.web for registry, _ in fleet.cores)
+    file = fleet.folder / "layout.json"
+    file.write_text(json.dumps(SMALL.layout()))
+
+    async def said(*words: str) -> int:
+        return await asyncio.to_thread(cli.main, list(words))
+
+    assert await said("compare", "--at", at, str(file)) == 1
+    assert await said("apply", "--at", at, str(file)) == 0
+    assert await said("compare", "--at", at, str(file)) == 0
+    assert await said("apply", "--at", at, "--if-version", "999", str(file)) in (0, 1)
+    assert await said("fetch", "--at", at) == 0
+    for sentence in (
+        "who is paused",
+        "show members",
+        "show proxies",
+        "show duties",
+        "show services",
+        "show rules",
+        "show layout",
+        "show endpoints zone z2",
+        "show history service pages",
+        "explain GET shop.example /pages/x",
+        'pause pages-1 for 2h in 30m because "new disk"',
+        "show pauses",
+    ):
+        assert await said("query", "--at", at, *sentence.split(" ")) == 0, sentence
+    unquoted = ["pause", "pages-1", "for", "1s", "because", "new disk"]
+    assert await said("query", "--at", at, *unquoted) == 0
+    assert await said("query", "--at", at, "show", "elephants") == 1
+    assert await said("query", "--at", at, "end", "pause", "p0") == 1
+
+
 async def _signals(fleet: fleets.Fleet) -> None:
     proxy = fleet.proxies[1]
     service = SMALL.services[1]
@@ -148,7 +183,7 @@
     async def main() -> None:
         async with fleets.running(SMALL, 1) as fleet:
             await fleet.start()
-            for part in (_plain, _counters, _refusals, _beats, _operator, _signals):
+            for part in (_plain, _counters, _refusals, _beats, _operator, _command_line, _signals):
                 await part(fleet)
             lines = [json.loads(line) for line in fleet.proxies[0].log.read_text().splitlines()]
             assert any(line["event"] == "exchange" and line["result"] == 101 for line in lines)
