--- /dev/null
+++ b/tests/test_repair.py
@@ -0,0 +1,59 @@
+"""Repair: stale copies mend without traffic, and views forget the dead."""
+
+import asyncio
+import pathlib
+import typing
+
+import dykeswitch.simulator.fleet as fleets
+import dykeswitch.simulator.loop as loops
+import dykeswitch.standin.shape as shapes
+
+SMALL: typing.Final = shapes.Shape(
+    "small", 3, 3, ("z1", "z2"), (shapes.ServiceShape("pages", 2, 1, "/pages", "GET", 0.01),)
+)
+
+
+def _ballots(fleet: fleets.SimFleet) -> set[typing.Any]:
+    return {core.store.daemon.voter._seats["layout"].ballot for core in fleet.cores}
+
+
+def test_a_store_that_missed_a_change_is_mended_without_traffic(tmp_path: pathlib.Path) -> None:
+    async def main() -> None:
+        fleet = fleets.SimFleet(SMALL, 3, tmp_path)
+        await fleet.start()
+        store = fleet.cores[2].store
+        store.lose_power()
+        doc = SMALL.layout()
+        doc["rules"].append({"path": "/more", "service": "pages"})
+        await fleet.apply(doc)
+        store.restart()
+        await fleet.until(lambda: store.daemon is not None and store.daemon.voter.seated(), 5, "the store")
+        assert len(_ballots(fleet)) > 1
+        took = await fleet.until(lambda: len(_ballots(fleet)) == 1, 20, "all copies the same")
+        # One sweep comes every recover_s / 3.
+        assert took < 7.0
+
+    loops.run(main())
+
+
+def test_views_forget_the_dead_and_islands_meet_again(tmp_path: pathlib.Path) -> None:
+    async def main() -> None:
+        fleet = fleets.SimFleet(SMALL, 4, tmp_path)
+        await fleet.start()
+        gone = fleet.edges[2].node
+        gone.lose_power()
+        others = [e.node for e in fleet.edges[:2]] + [c.registry for c in fleet.cores]
+
+        def forgotten() -> bool:
+            return all(gone.name not in node.daemon.spread.view for node in others)
+
+        assert await fleet.until(forgotten, 30, "the dead forgotten") < 15.0
+        inside = [fleet.edges[0].node.name]
+        fleet.world.wires.cut(inside, [n for n in fleet.world.nodes if n not in inside])
+        lone = fleet.edges[0].node.daemon
+        await fleet.until(lambda: lone.ready() == "reaches no other node", 5, "not ready alone")
+        await asyncio.sleep(30.0)
+        fleet.world.wires.heal()
+        assert await fleet.until(lambda: lone.ready() is None, 15, "ready again") < 5.0
+
+    loops.run(main())
