--- a/packages/register/src/dykeswitch/register/proposer.py
+++ b/packages/register/src/dykeswitch/register/proposer.py
@@ -52,6 +52,8 @@
         self.spots: dict[str, str] = {}
         self._held: dict[str, tuple[register.Ballot, register.Value]] = {}
         self.mended = 0
+        # Calls whose answer came too late to count, held until they end.
+        self._late: set[asyncio.Task[None]] = set()
 
     def adopt(self, fresh: register.MemberSet) -> bool:
         """Take up a committed member set if it is newer."""
@@ -91,7 +93,8 @@
             # let calls that run end by themselves.
             for task in tasks:
                 if not task.done():
-                    task.add_done_callback(lambda t: None if t.cancelled() else t.exception())
+                    self._late.add(task)
+                    task.add_done_callback(self._late.discard)
         return yes, no
 
     async def _refusals(self, no: list[outcome.Bad]) -> bool:
--- a/packages/timeline/src/dykeswitch/timeline/__init__.py
+++ b/packages/timeline/src/dykeswitch/timeline/__init__.py
@@ -79,6 +79,7 @@
         self.seq = 0
         self.urgent = 0
         self.news = asyncio.Condition()
+        self._tells: set[asyncio.Task[None]] = set()
         self._wakers: list[typing.Callable[[Entry], None]] = []
 
     def on_change(self, call: typing.Callable[[Entry], None]) -> None:
@@ -173,7 +174,10 @@
             async with self.news:
                 self.news.notify_all()
 
-        asyncio.get_running_loop().create_task(tell())
+        # The loop holds tasks only weakly: one that is let go of may never run.
+        task = asyncio.get_running_loop().create_task(tell())
+        self._tells.add(task)
+        task.add_done_callback(self._tells.discard)
 
     def since(self, seq: int) -> list[Entry]:
         """What was taken up after a point, oldest first."""
