--- a/tests/test_repair.py
+++ b/tests/test_repair.py
@@ -4,8 +4,12 @@
 import pathlib
 import typing
 
+import pytest
+
+import dykeswitch.registry.seating as seatings
 import dykeswitch.simulator.fleet as fleets
 import dykeswitch.simulator.loop as loops
+import dykeswitch.simulator.world as worlds
 import dykeswitch.standin.shape as shapes
 
 SMALL: typing.Final = shapes.Shape(
@@ -57,3 +61,51 @@
         assert await fleet.until(lambda: lone.ready() is None, 15, "ready again") < 5.0
 
     loops.run(main())
+
+
+@pytest.mark.parametrize(
+    "point",
+    [
+        seatings.POINT_JOINT_WRITTEN,
+        seatings.POINT_JOINT_INSTALLED,
+        seatings.POINT_SWEPT,
+        seatings.POINT_NEW_WRITTEN,
+    ],
+)
+def test_a_swap_is_finished_though_its_driver_dies_at_any_point(point: int, tmp_path: pathlib.Path) -> None:
+    async def main() -> None:
+        fleet = fleets.SimFleet(SMALL, 5, tmp_path)
+        await fleet.start()
+        version = await fleet.apply({**SMALL.layout(), "services": {"pages": {}, "spare": {}}})
+        died: list[str] = []
+
+        def arm(node: worlds.Node) -> None:
+            def die() -> None:
+                died.append(node.name)
+                node.kill()
+                fleet.world.loop.call_later(1.0, node.restart, context=loops.EMPTY)
+
+            node.points.armed[point] = die
+
+        for core in fleet.cores:
+            arm(core.registry)
+        old = fleet.cores.pop(2)
+        old.store.lose_power()
+        old.registry.lose_power()
+        fresh = fleet.core("core-new", 2, fleet.world.spot(), fleet.world.spot())
+        fleet.cores.append(fresh)
+        arm(fresh.registry)
+        fresh.store.start()
+        fresh.registry.start()
+
+        def seated() -> bool:
+            voters = [core.store.daemon.voter for core in fleet.cores if core.store.daemon is not None]
+            return len(voters) == 3 and all(v.seated() and not v.members.joint() for v in voters)
+
+        await fleet.until(seated, 40, "the new disk seated")
+        assert died
+        await asyncio.sleep(3.0)
+        got = await fleet.get(fresh)
+        assert (got.status, got.version) == (200, version)
+
+    loops.run(main())
