Accepts carry the ballot that was promised; reads and member sets hold while we wait

Cause: three places used state read after an await as if it were that from before. Ruled out: duties and pauses (their steps run on what was promised), papers (no await between look and write), the voter (it looks again after each sync).

--- a/packages/register/src/dykeswitch/register/proposer.py
+++ b/packages/register/src/dykeswitch/register/proposer.py
@@ -162,12 +162,14 @@
                 fresh = now
             wide = self._groups_for(key, fresh)
             if wide != groups:
-                more, no = await self._all(wide, "prepare", {**ask, "ballot": list(self._ballot())})
+                # The accept goes out under this very ballot: the counter may be moved by
+                # another change of ours while we wait.
+                ballot = self._ballot()
+                more, no = await self._all(wide, "prepare", {**ask, "ballot": list(ballot)})
                 if not register.carried(wide, more):
                     why = _reason(no)
                     await self._refusals(no)
                     continue
-                ballot = (self._count, self._name)
                 if _highest(more)[0] > best:
                     continue
             if epoch != self.members.epoch:
@@ -181,7 +183,8 @@
             )
             self._points.hit(POINT_AFTER_ACCEPT)
             if register.carried(wide, yes):
-                self._held[key] = (ballot, fresh)
+                if key not in self._held or self._held[key][0] < ballot:
+                    self._held[key] = (ballot, fresh)
                 return refused if refused is not None else outcome.Good(fresh)
             await self._refusals(no)
         if sent:
@@ -206,7 +209,7 @@
             ballots = {register.ballot_of(body["ballot"]) for body in yes.values()}
             if len(ballots) == 1:
                 # Everyone in a majority holds this very ballot: it is the newest.
-                return outcome.Good(self._keep(key, ballots.pop(), yes))
+                return outcome.Good(self._keep(key, ballots.pop(), yes, have))
             # A change may be under way: to mend at once would only outvote it.
             if look < LOOKS:
                 await self._clock.sleep(self._wait * 0.05 * (1 + look) * self._dice.random())
@@ -215,13 +218,20 @@
             return await self.change(key, lambda now: now)
         return outcome.bad("no_majority")
 
-    def _keep(self, key: str, ballot: register.Ballot, yes: dict[str, frames.Body]) -> register.Value:
-        have = self._held.get(key)
+    def _keep(
+        self,
+        key: str,
+        ballot: register.Ballot,
+        yes: dict[str, frames.Body],
+        have: tuple[register.Ballot, register.Value] | None,
+    ) -> register.Value:
+        """The value read; `have` is what we held when we asked, for whose sake it may be left out."""
         if have is not None and have[0] == ballot:
             return have[1]
         raw = next((body["value"] for body in yes.values() if "value" in body), None)
         value = register.BLANK if raw is None else register.value_of(raw)
-        self._held[key] = (ballot, value)
+        if key not in self._held or self._held[key][0] < ballot:
+            self._held[key] = (ballot, value)
         return value
 
     async def keys(self) -> list[str] | None:
--- a/packages/registry/src/dykeswitch/registry/seating.py
+++ b/packages/registry/src/dykeswitch/registry/seating.py
@@ -140,18 +140,18 @@
         await self._install(decided)
         return True
 
-    async def _move(self, fresh: register.MemberSet) -> bool:
-        """Decide the next set in the register, under the rule of the present one."""
+    async def _move(self, was: register.MemberSet, fresh: register.MemberSet) -> bool:
+        """Decide the next set in the register, under the rule of the one it was made from."""
         self._ops += 1
         op = f"{self._name}/seat/{self._ops}/{fresh.epoch}"
-        was = self._proposer.members
 
         def step(now: register.Value) -> register.Value | outcome.Bad:
             if now.made(op) is not None:
                 return now
             held = proposers.decode_set(now)
-            # The founding set stands on the disks alone, not in the register.
-            if held.epoch not in (0, was.epoch):
+            # The founding set stands on the disks alone, not in the register. What the
+            # proposer knows by now may be a later set than the one this was made from.
+            if held.epoch != (0 if was.epoch == 1 else was.epoch):
                 return outcome.bad("conflict", f"epoch {held.epoch}")
             return now.next(proposers.encode_set(fresh), op)
 
@@ -176,7 +176,7 @@
         group[spare[0]] = str(self.states[spare[0]]["spot"])
         joint = register.MemberSet(members.epoch + 1, (members.groups[0], tuple(sorted(group.items()))))
         self._note("seating", f"{spare[0]} for {lost[0]}")
-        if not await self._move(joint):
+        if not await self._move(members, joint):
             return
         self._points.hit(POINT_JOINT_WRITTEN)
         self._proposer.adopt(joint)
@@ -201,7 +201,7 @@
                 return
         self._points.hit(POINT_SWEPT)
         fresh = register.MemberSet(joint.epoch + 1, (joint.groups[-1],))
-        if not await self._move(fresh):
+        if not await self._move(joint, fresh):
             return
         self._points.hit(POINT_NEW_WRITTEN)
         self._proposer.adopt(fresh)
--- a/tests/test_register.py
+++ b/tests/test_register.py
@@ -13,6 +13,8 @@
 import dykeswitch.register.proposer as proposers
 import dykeswitch.register.shelf as shelf
 import dykeswitch.register.voter as voters
+import dykeswitch.registry.seating as seatings
+import dykeswitch.settings as settings
 import dykeswitch.simulator.disk as disks
 import dykeswitch.simulator.loop as loops
 import dykeswitch.simulator.world as worlds
@@ -321,3 +323,118 @@
         assert not refused & set(bodies.values())
 
     loops.run(main())
+
+
+class _Book:
+    """Writes down which ballots each disk promised, and under which ones accepts went out."""
+
+    def __init__(self, proposer: proposers.Proposer) -> None:
+        self.promised: dict[register.Ballot, set[str]] = {}
+        self.asked: list[tuple[register.Ballot, bytes]] = []
+        self._ask = proposer._caller.ask
+        proposer._caller.ask = self.ask  # type: ignore[method-assign]
+
+    async def ask(self, spot: str, kind: str, body: frames.Body, wait: float) -> frames.Result:
+        if kind == "accept":
+            self.asked.append((register.ballot_of(body["ballot"]), register.value_of(body["value"]).body))
+        result = await self._ask(spot, kind, body, wait)
+        if kind == "prepare" and isinstance(result, outcome.Good):
+            self.promised.setdefault(register.ballot_of(body["ballot"]), set()).add(str(body["disk"]))
+        return result
+
+
+@pytest.mark.parametrize("seed", range(1, 7))
+def test_every_accept_carries_the_very_ballot_that_was_promised(seed: int, tmp_path: pathlib.Path) -> None:
+    """Two changes of the member key by one proposer, both of which widen the groups."""
+
+    async def main() -> None:
+        bench = Bench(seed, tmp_path, stores=4)
+        every = (await bench.start()).groups[0]
+        old = every[:3]
+        bench.members = register.MemberSet(1, (old,))
+        proposer = bench.proposer("a")
+        book = _Book(proposer)
+
+        def widen(spare: int, op: str) -> proposers.Step:
+            fresh = register.MemberSet(2, (old, tuple(sorted((*old[:spare], *old[spare + 1 :], every[3])))))
+
+            def step(now: register.Value) -> register.Value | outcome.Bad:
+                return now if now.made(op) is not None else now.next(proposers.encode_set(fresh), op)
+
+            return step
+
+        await asyncio.gather(*(proposer.change(register.MEMBERS, widen(n, f"{n}")) for n in range(3)))
+        assert book.asked
+        bodies: dict[register.Ballot, bytes] = {}
+        for ballot, body in book.asked:
+            groups = proposers.decode_set(register.Value(1, body)).groups
+            assert register.carried((old, *groups), book.promised.get(ballot, ())), ballot
+            assert bodies.setdefault(ballot, body) == body, f"two changes share {ballot}"
+
+    loops.run(main())
+
+
+def test_a_read_overtaken_by_our_own_change_is_not_told_as_nothing(tmp_path: pathlib.Path) -> None:
+    """Stores left the value out as we held it; by then we held a newer one."""
+
+    async def main() -> None:
+        bench = Bench(2, tmp_path)
+        await bench.start()
+        proposer = bench.proposer("a")
+        _good(await proposer.change("k", put(b"one", "1")))
+        # Until the last of the three holds it too.
+        await asyncio.sleep(0.1)
+        whole = proposer._all
+
+        async def slowly(groups: typing.Any, kind: str, body: frames.Body) -> typing.Any:
+            found = await whole(groups, kind, body)
+            if kind == "read":
+                proposer._all = whole  # type: ignore[method-assign]
+                _good(await proposer.change("k", put(b"two", "2")))
+            return found
+
+        proposer._all = slowly  # type: ignore[method-assign]
+        assert _good(await proposer.read("k")).version in (1, 2)
+        assert _good(await proposer.read("k")).body == b"two"
+
+    loops.run(main())
+
+
+def test_a_member_set_never_goes_back(tmp_path: pathlib.Path) -> None:
+    """One registry sweeps under a joint set while another finishes it and begins the next."""
+
+    async def main() -> None:
+        bench = Bench(3, tmp_path, stores=4)
+        every = (await bench.start()).groups[0]
+        bench.members = register.MemberSet(1, (every[:3],))
+        slow, fast = bench.proposer("slow"), bench.proposer("fast")
+        bounds = settings.Settings(name="slow", founders=tuple(bench.spots[:3]))
+        seating = seatings.Seating(
+            "slow", bounds, bench.outside, frames.Caller(bench.outside.net), slow, lambda event, what: None
+        )
+        other = seatings.Seating(
+            "fast", bounds, bench.outside, frames.Caller(bench.outside.net), fast, lambda event, what: None
+        )
+        joint = register.MemberSet(2, (every[:3], every[1:]))
+        for one in (seating, other):
+            await one._look(bench.spots)
+        assert await other._move(register.MemberSet(1, (every[:3],)), joint)
+        for one, proposer in ((other, fast), (seating, slow)):
+            proposer.adopt(joint)
+            await one._install(joint)
+        keys = slow.keys
+
+        async def overtaken() -> list[str] | None:
+            await other._finish()
+            assert fast.members.epoch == 3
+            back = register.MemberSet(4, (every[1:], every[:3]))
+            assert await other._move(fast.members, back)
+            slow.adopt(back)
+            return await keys()
+
+        slow.keys = overtaken  # type: ignore[method-assign]
+        await seating._finish()
+        held = proposers.decode_set(_good(await fast.read(register.MEMBERS)))
+        assert held.epoch == 4
+
+    loops.run(main())
