Health page and history are put together from all registries

Cause: each registry showed only what it had probed or heard itself; after a start it knew nothing. Ruled out: keeping both in the register (a write for each probe). Now a registry asks the others when it is asked, spans of time and not wall times travelling, and tells the same change once with how many heard of it. Test: one that just started shows when every endpoint was last checked, and a mark set before its start.

--- a/packages/registry/src/dykeswitch/registry/answers.py
+++ b/packages/registry/src/dykeswitch/registry/answers.py
@@ -64,6 +64,27 @@
         return [row for name in sorted(names) for row in self._kept.get(name, ())]
 
 
+# Registries hear of a change this far apart at the most, by their common time.
+APART_S: typing.Final = 2.0
+
+
+def one_history(books: typing.Sequence[typing.Sequence[list[typing.Any]]], many: int) -> Table:
+    """The histories of several registries as one: the same change is told once, as first heard."""
+    rows: list[list[typing.Any]] = []
+    last: dict[tuple[typing.Any, ...], tuple[float, list[typing.Any]]] = {}
+    for row in sorted((list(row) for book in books for row in book), key=lambda row: (row[0], row[1])):
+        name, at, state, reason, by, until = row
+        when = datetime.datetime.fromisoformat(at).timestamp()
+        known = last.get((name, state, reason, by))
+        if known is not None and when - known[0] < APART_S and known[1][6] < many:
+            known[1][6] += 1
+            continue
+        fresh = [name, at, state, reason, by, until, 1]
+        last[(name, state, reason, by)] = (when, fresh)
+        rows.append(fresh)
+    return Table(("endpoint", "at", "state", "reason", "by", "until", "heard by"), rows)
+
+
 class Answers:
     """Answers the questions that need no change."""
 
@@ -91,6 +112,10 @@
             and ask.wants("endpoint", e.key)
         ]
 
+    def names(self, ask: language.Show) -> list[str]:
+        """The endpoints that a question is about."""
+        return [e.key for e in self._endpoints(ask)]
+
     def standing(self, entry: timeline.Entry) -> list[list[typing.Any]]:
         """Every reason why an endpoint takes no traffic now: why, until, who, kind."""
         found: list[list[typing.Any]] = []
@@ -126,9 +151,6 @@
                 f = e.fields
                 rows.append([e.key, f["service"], f["address"], f.get("zone"), f.get("burden"), state])
             return Table(("endpoint", "service", "address", "zone", "burden", "state"), rows)
-        if ask.subject == "history":
-            names = [e.key for e in self._endpoints(ask)]
-            return Table(("endpoint", "at", "state", "reason", "by", "until"), self.spans.of(names))
         if ask.subject == "pauses":
             rows = [
                 [p.name, p.endpoint, stamp(p.begins), stamp(p.ends), p.reason, p.by]
--- a/packages/registry/src/dykeswitch/registry/prober.py
+++ b/packages/registry/src/dykeswitch/registry/prober.py
@@ -20,7 +20,7 @@
 class Seen:
     """What the last probe of an endpoint found."""
 
-    wall: float
+    at: float
     reason: str | None
 
 
@@ -93,7 +93,7 @@
             if self._stale(begun) or fence is None:
                 return
             self.probes += 1
-            self.seen[entry.key] = Seen(self._clock.wall(), reason)
+            self.seen[entry.key] = Seen(self._clock.now(), reason)
             duty: timeline.Fields = {"slot": slot, "fence": fence}
             if reason is not None:
                 self._marks.set(entry.key, reason, self._name, duty)
--- a/packages/registry/src/dykeswitch/registry/program.py
+++ b/packages/registry/src/dykeswitch/registry/program.py
@@ -108,7 +108,7 @@
                 litestar.get("/v1/endpoints", sync_to_thread=False)(self._get_endpoints),
                 litestar.get("/v1/members", sync_to_thread=False)(self._get_members),
                 litestar.post("/v1/query")(self._post_query),
-                litestar.get("/v1/health", sync_to_thread=False)(self._get_health),
+                litestar.get("/v1/health")(self._get_health),
             ],
             openapi_config=None,
             logging_config=None,
@@ -164,7 +164,39 @@
     # Calls of members.
 
     def kinds(self) -> dict[str, frames.Handle]:
-        return {**self.spread.kinds(), **self.papers.kinds(), "confirm": self._on_confirm}
+        return {
+            **self.spread.kinds(),
+            **self.papers.kinds(),
+            "confirm": self._on_confirm,
+            "seen": self._on_seen,
+            "spans": self._on_spans,
+        }
+
+    async def _on_seen(self, body: frames.Body) -> frames.Result:
+        """What our own probes found last, and how long ago: walls differ, spans do not."""
+        now = self.clock.now()
+        seen = {name: [now - s.at, s.reason] for name, s in self.prober.seen.items()}
+        return outcome.Good({"seen": seen})
+
+    async def _on_spans(self, body: frames.Body) -> frames.Result:
+        """What our own history holds of some endpoints."""
+        names = [str(name) for name in body["names"]]
+        return outcome.Good({"rows": self.answers.spans.of(names)})
+
+    async def _others(self, kind: str, body: frames.Body) -> list[frames.Body]:
+        """What the other registries answer, those that do in time."""
+        spots = list(self.spread.cores().values())
+        found = await asyncio.gather(
+            *(self.caller.ask(spot, kind, body, self.bounds.call_s) for spot in spots)
+        )
+        return [result.value for result in found if isinstance(result, outcome.Good)]
+
+    async def _history(self, ask: language.Show) -> answers.Table:
+        """Every registry's history as one: what one missed, or forgot over a start, others tell."""
+        names = self.answers.names(ask)
+        pages = await self._others("spans", {"names": names})
+        books = [self.answers.spans.of(names), *(page["rows"] for page in pages)]
+        return answers.one_history(books, 1 + len(pages))
 
     async def _on_confirm(self, body: frames.Body) -> frames.Result:
         """What a majority holds at this moment, not what we read a while ago."""
@@ -333,6 +365,8 @@
             bad = await self._read_papers()
             if bad is not None:
                 return bad
+        if ask.subject == "history":
+            return await self._history(ask)
         return self.answers.show(ask) or self._show_fleet(ask)
 
     def _show_fleet(self, ask: language.Show) -> answers.Table:
@@ -444,20 +478,26 @@
             "layout": self.papers.version(papers.LAYOUT),
         }
 
-    def _get_health(self) -> dict[str, typing.Any]:
+    async def _get_health(self) -> dict[str, typing.Any]:
         """The source's health page, with services for its networks."""
+        # Each endpoint is probed by one registry: the page is put together from all.
+        ago = {name: self.clock.now() - s.at for name, s in self.prober.seen.items()}
+        for told in await self._others("seen", {}):
+            for name, (span, _) in told["seen"].items():
+                ago[name] = min(ago.get(name, span), span)
         services: dict[str, dict[str, list[dict[str, typing.Any]]]] = {}
         for entry in sorted(self.line.all(timeline.ENDPOINT), key=lambda e: e.key):
             if entry.fields["state"] in timeline.STICKY:
                 continue
             page = services.setdefault(str(entry.fields["service"]), {"healthy": [], "unhealthy": []})
-            seen = self.prober.seen.get(entry.key)
             mark = self.marks.down(entry.key)
             line: dict[str, typing.Any] = {
                 "id": entry.key,
                 "address": entry.fields["address"],
                 "zone": entry.fields["zone"],
-                "lastChecked": answers.stamp(seen.wall) if seen else None,
+                "lastChecked": (
+                    answers.stamp(self.spread.wall() - ago[entry.key]) if entry.key in ago else None
+                ),
             }
             if entry.fields["state"] == timeline.LAPSED:
                 line["reason"] = "beats stopped"
--- a/tests/test_repair.py
+++ b/tests/test_repair.py
@@ -1,6 +1,7 @@
 """Repair: stale copies mend without traffic, and views forget the dead."""
 
 import asyncio
+import json
 import pathlib
 import typing
 
@@ -109,3 +110,32 @@
         assert (got.status, got.version) == (200, version)
 
     loops.run(main())
+
+
+def test_health_and_history_are_put_together_from_all_registries(tmp_path: pathlib.Path) -> None:
+    """Each endpoint is probed by one registry; one that starts anew has forgotten its history."""
+
+    async def main() -> None:
+        fleet = fleets.SimFleet(SMALL, 6, tmp_path)
+        await fleet.start()
+        fleet.endpoints["pages-0"].plan.fault = "status_502"
+        proxy = fleet.edges[0]
+        for _ in range(6):
+            await fleet.callers.ask(SMALL.services[0], proxy.web)
+        await asyncio.sleep(12.0)
+        fresh = fleet.cores[0]
+        fresh.registry.restart()
+        await fleet.until(lambda: fresh.registry.daemon is not None, 5, "the registry")
+        await fleet.until(lambda: len(fresh.registry.daemon.spread.cores()) == 2, 15, "its fellows")
+        reply = await fleet.outside.web.ask("GET", fresh.web, "/v1/health", [], b"", 5.0)
+        page = json.loads(reply.body)["services"]["pages"]
+        checked = [line["lastChecked"] for side in page.values() for line in side]
+        assert len(checked) == 2
+        assert all(checked)
+        told = await fleet.query("show history endpoint pages-0", fresh)
+        assert told is not None
+        marks = [row for row in told["rows"] if row[3] == "answered 502"]
+        # Who wrote the mark, and that the two that were there heard of it.
+        assert [(row[4], row[6]) for row in marks][0] == (proxy.node.name, 2)
+
+    loops.run(main())
