explain exchange ID: any registry tells what a proxy did for a request, and why

Each exchange keeps a short trail of its passes; a proxy remembers the last 2,048, and a registry asks the proxy whose name the id begins with. What is kept holds no pipe, body or layout. Test: a lost answer of an export, asked of another registry.

--- a/packages/language/src/dykeswitch/language/__init__.py
+++ b/packages/language/src/dykeswitch/language/__init__.py
@@ -8,7 +8,7 @@
 import dykeswitch.outcome as outcome
 
 GRAMMAR: typing.Final = r"""
-start: who | show | explain | pause | end
+start: who | show | explain | trail | pause | end
 
 who: "who"i "is"i "paused"i filter*
 show: "show"i subject filter*
@@ -17,6 +17,7 @@
       | "zone"i NAME -> by_zone
       | "endpoint"i NAME -> by_endpoint
 explain: "explain"i METHOD [HOST] PATH
+trail: "explain"i "exchange"i NAME
 pause: "pause"i NAME "for"i SPAN ["in"i SPAN] "because"i REASON
 end: "end"i "pause"i NAME
 
@@ -78,6 +79,13 @@
     path: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Trail:
+    """What was done for this exchange, and why?"""
+
+    exchange: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Pause:
     """Take an endpoint out for a window of time."""
@@ -95,7 +103,7 @@
     pause: str
 
 
-Command = Show | Explain | Pause | End
+Command = Show | Explain | Trail | Pause | End
 
 
 def _span(token: lark.Token) -> float:
@@ -129,6 +137,9 @@
     def explain(self, parts: list[typing.Any]) -> Command:
         return Explain(str(parts[0]), str(parts[1] or ""), str(parts[2]))
 
+    def trail(self, parts: list[typing.Any]) -> Command:
+        return Trail(str(parts[0]))
+
     def pause(self, parts: list[typing.Any]) -> Command:
         later = _span(parts[2]) if parts[2] is not None else 0.0
         return Pause(str(parts[0]), _span(parts[1]), later, str(parts[3])[1:-1])
--- a/packages/proxy/src/dykeswitch/proxy/carrier.py
+++ b/packages/proxy/src/dykeswitch/proxy/carrier.py
@@ -1,6 +1,7 @@
 """The carrier: the passes that bring an exchange from request to reply."""
 
 import asyncio
+import collections
 import json
 import math
 import random
@@ -38,6 +39,8 @@
 # exchange does not try the whole fleet.
 MISSES_MOST: typing.Final = 6
 IDLE_MOST: typing.Final = 16
+# How many exchanges that are over can still be explained.
+OVER_MOST: typing.Final = 2048
 
 Stage = exchanges.Stage
 
@@ -105,6 +108,9 @@
         self._strikes = soundness.Strikes(bounds.mark_s)
         self.closing = False
         self.counts: dict[str, int] = {}
+        self._over: collections.OrderedDict[str, tuple[exchanges.Step, list[exchanges.Step]]] = (
+            collections.OrderedDict()
+        )
         line.on_change(self._on_entry)
         self._passes: dict[Stage, typing.Callable[[exchanges.Exchange], typing.Awaitable[Stage]]] = {
             Stage.MATCH: self._match,
@@ -141,6 +147,7 @@
         finally:
             if x.pipe is not None:
                 self._put_away(x, sound=False)
+            self._remember(x)
             self._log.info(
                 "exchange",
                 exchange=x.name,
@@ -157,9 +164,40 @@
                 span_ms=round((self._clock.now() - x.born) * 1000, 1),
             )
 
+    def _remember(self, x: exchanges.Exchange) -> None:
+        """Keep the trail for who asks; the exchange itself holds pipes and bodies and is let go."""
+        if x.stage is Stage.DONE:
+            self._step(x, f"answered {x.status}", self._ending(x))
+        self._over[x.name] = (self._heading(x), x.trail)
+        if len(self._over) > OVER_MOST:
+            self._over.popitem(last=False)
+
+    def trail(self, name: str) -> list[exchanges.Step] | None:
+        """What was done for an exchange that is over or at work."""
+        over = self._over.get(name)
+        if over is not None:
+            return [over[0], *over[1]]
+        x = self.table.get(name)
+        return [self._heading(x), *x.trail] if x is not None else None
+
+    def _heading(self, x: exchanges.Exchange) -> exchanges.Step:
+        rule = f"rule {x.rule.name}" if x.rule else "no rule"
+        kind = "writing" if x.writing else "reading"
+        why = f"{rule}, service {x.service or 'none'}, {kind}"
+        return (0.0, f"{x.method} {x.host}{x.path}"[: exchanges.TEXT_MOST], why)
+
+    def _ending(self, x: exchanges.Exchange) -> str:
+        if x.bad is None:
+            return "by the endpoint"
+        return f"{x.bad.code.number} {x.bad.code.tag}: {x.bad.why or x.bad.code.text}"
+
+    def _step(self, x: exchanges.Exchange, what: str, why: str = "") -> None:
+        x.note(self._clock.now(), what, why)
+
     async def cut_short(self, x: exchanges.Exchange) -> None:
         """The grace of an orderly stop is over: a final answer before the pipe closes."""
         self.count("cut_short")
+        self._step(x, "cut short", "this proxy is stopping")
         if x.replied:
             raise BrokenReply("stopped before the reply's end")
         x.head = None
@@ -243,6 +281,9 @@
             return self._give_up(x, "no_endpoint")
         x.endpoint = entry
         x.tried.add(entry.key)
+        mark = self._marks.down(entry.key)
+        why = f"all are marked; its mark ends first ({mark.fields['reason']})" if mark else "open"
+        self._step(x, f"selected {entry.key}", why)
         flights = self.selector.flights
         flights[entry.key] = flights.get(entry.key, 0) + 1
         try:
@@ -251,6 +292,7 @@
             # Nothing was sent: this is no go, and another endpoint may be selected.
             self._land(entry.key)
             x.misses += 1
+            self._step(x, f"no pipe to {entry.key}", flaw.reason)
             self._mark(entry.key, soundness.Fault(flaw.reason))
             if x.misses >= MISSES_MOST:
                 return self._give_up(x, "no_endpoint")
@@ -261,6 +303,7 @@
         # Extra go's are paid for from the shared budget, right before they are made.
         if x.goes and not self._budget(x.service).take(self._clock.now()):
             self.count("over_budget")
+            self._step(x, "no further go", "the shared budget of extra go's is spent")
             self._put_away(x, sound=True)
             return self._give_up(x, "not_run")
         return Stage.DELIVER
@@ -408,6 +451,7 @@
         name = x.endpoint.key
         if x.flaw:
             self._put_away(x, sound=False)
+            self._step(x, f"go to {name} failed, {'sent' if x.sent else 'nothing sent'}", x.flaw)
             if x.flaw not in ("expired", "no longer to be used"):
                 self._mark(name, soundness.Fault(x.flaw))
             if x.sent:
@@ -427,6 +471,7 @@
         fault = soundness.status_fault(x.head.status, promised)
         if fault is None:
             return Stage.REPLY
+        self._step(x, f"{name} answered {x.head.status}", "promised not to have run" if promised else "")
         self._mark(name, fault)
         if promised or not x.writing:
             if x.rest is not None:
@@ -449,6 +494,7 @@
     async def _retry(self, x: exchanges.Exchange) -> Stage:
         # Only what surely did not run may be repeated when it writes.
         if x.writing and x.unknown:
+            self._step(x, "not repeated", "it writes, and may have run")
             return self._give_up(x, "not_run")
         if x.goes >= x.max_tries:
             return self._give_up(x, "not_run")
--- a/packages/proxy/src/dykeswitch/proxy/exchange.py
+++ b/packages/proxy/src/dykeswitch/proxy/exchange.py
@@ -11,6 +11,11 @@
 import dykeswitch.soundness.pipe as pipes
 import dykeswitch.timeline as timeline
 
+TRAIL_MOST: typing.Final = 32
+TEXT_MOST: typing.Final = 200
+# When, after the exchange's begin; what was done; why.
+Step = tuple[float, str, str]
+
 
 class Stage(enum.Enum):
     """The pass that an exchange waits for."""
@@ -66,5 +71,12 @@
     bad: outcome.Bad | None = None
     retry_after: int | None = None
     status: int = 0
+    # What was done, each with its moment: told to an operator who asks.
+    trail: list[Step] = dataclasses.field(default_factory=list)
     # Whether the reply's head is on its way to the caller.
     replied: bool = False
+
+    def note(self, now: float, what: str, why: str = "") -> None:
+        """One step on the trail, while there is room."""
+        if len(self.trail) < TRAIL_MOST:
+            self.trail.append((now - self.born, what, why))
--- a/packages/proxy/src/dykeswitch/proxy/program.py
+++ b/packages/proxy/src/dykeswitch/proxy/program.py
@@ -119,6 +119,7 @@
         fields = {
             "zone": self.bounds.zone,
             "web": self.bounds.web,
+            "spot": self.bounds.member,
             "layout": self.papers.version(papers.LAYOUT),
             "ready": self.ready() is None,
             "since": self._since,
@@ -328,11 +329,18 @@
         x.body = bytes(body)
         return None
 
+    async def _on_exchange(self, body: frames.Body) -> frames.Result:
+        """What was done for one exchange."""
+        trail = self.carrier.trail(str(body["exchange"]))
+        if trail is None:
+            return outcome.bad("no_such", f"no exchange {str(body['exchange'])[:80]} is remembered")
+        return outcome.Good({"trail": [list(step) for step in trail]})
+
     # Running and stopping.
 
     async def run(self) -> None:
         """Serve until told to stop."""
-        kinds = {**self.spread.kinds(), **self.papers.kinds()}
+        kinds = {**self.spread.kinds(), **self.papers.kinds(), "exchange": self._on_exchange}
         ear = frames.Ear(kinds, self.log.note)
         self._ear = await self.machine.net.listen(self.bounds.member, ear.serve)
         try:
--- a/packages/registry/src/dykeswitch/registry/program.py
+++ b/packages/registry/src/dykeswitch/registry/program.py
@@ -356,6 +356,8 @@
     async def _obey(self, ask: language.Command, by: str) -> answers.Table | outcome.Bad:
         if isinstance(ask, language.Explain):
             return self.answers.explain(ask)
+        if isinstance(ask, language.Trail):
+            return await self._trail(ask.exchange)
         if isinstance(ask, language.Pause):
             return await self._pause(ask, by)
         if isinstance(ask, language.End):
@@ -369,6 +371,18 @@
             return await self._history(ask)
         return self.answers.show(ask) or self._show_fleet(ask)
 
+    async def _trail(self, name: str) -> answers.Table | outcome.Bad:
+        """Ask the proxy that carried an exchange what it did; its name begins with the proxy's."""
+        entry = self.line.get(timeline.PROXY, name.rsplit("-", 2)[0])
+        if entry is None or "spot" not in entry.fields:
+            return outcome.bad("no_such", f"no living proxy carried {name}")
+        ask: frames.Body = {"exchange": name}
+        result = await self.caller.ask(str(entry.fields["spot"]), "exchange", ask, self.bounds.call_s)
+        if isinstance(result, outcome.Bad):
+            return result
+        rows = [[round(at * 1000, 1), what, why] for at, what, why in result.value["trail"]]
+        return answers.Table(("after ms", "what", "why"), rows)
+
     def _show_fleet(self, ask: language.Show) -> answers.Table:
         if ask.subject == "proxies":
             rows = [
--- a/packages/timeline/src/dykeswitch/timeline/entries.py
+++ b/packages/timeline/src/dykeswitch/timeline/entries.py
@@ -60,7 +60,7 @@
 MAY: typing.Final[dict[str, dict[str, Test]]] = {
     "endpoint": {"zone": _text, "burden": _number, "interval": _number},
     "mark": {"slot": _count, "fence": _count},
-    "proxy": {"since": _may(_stamp), "extra": _text},
+    "proxy": {"since": _may(_stamp), "extra": _text, "spot": _spot},
     "fence": {},
     "core": {},
     "paper": {},
--- a/tests/test_language.py
+++ b/tests/test_language.py
@@ -14,6 +14,7 @@
     "SHOW duties",
     "explain GET /pages/x",
     "explain POST shop.example /exports",
+    "explain exchange proxy0-1a2b3c4d-7",
     'pause pages-0 for 10m because "new disk"',
     'pause exports-3 for 2h in 30m because "move"',
     "end pause p1a2b",
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -129,6 +129,29 @@
     _run(tmp_path, work)
 
 
+def test_what_became_of_an_exchange_is_told_by_any_registry(tmp_path: pathlib.Path) -> None:
+    async def work(fleet: fleets.SimFleet) -> None:
+        _plan(fleet, "exports", "lose")
+        web = fleet.outside.web
+        reply = await web.ask("POST", fleet.edges[0].web, "/exports/x?ask=a", [], b"{}", 5.0)
+        assert reply.status == 502
+        name = reply.head("dykeswitch-exchange")
+        page = await fleet.query(f"explain exchange {name}", fleet.cores[2])
+        assert page is not None
+        told = [(row[1], row[2]) for row in page["rows"]]
+        assert told[0][0] == "POST dykeswitch.test/exports/x"
+        assert "service exports, writing" in told[0][1]
+        assert told[1][0].startswith("selected exports-")
+        assert told[2][0].endswith("failed, sent")
+        assert told[3:] == [
+            ("not repeated", "it writes, and may have run"),
+            ("answered 502", "108 outcome_unknown: broke off"),
+        ]
+        assert await fleet.query("explain exchange proxy0-00000000-1", fleet.cores[2]) is None
+
+    _run(tmp_path, work)
+
+
 def _unsure(patch: pytest.MonkeyPatch) -> None:
     async def sure(self: proxies.Proxy) -> None:
         return None
