Real trials cut processes off by a relay of our own

Each process names the relay's address and listens behind it (setting `ear`); who calls is learned from a pipe's first frame. A cut holds back what is under way until it is healed. Acts: a proxy isolated while callers hold on to it, half the proxies without cores, and registries split from each other.

--- a/packages/proxy/src/dykeswitch/proxy/program.py
+++ b/packages/proxy/src/dykeswitch/proxy/program.py
@@ -342,7 +342,7 @@
         """Serve until told to stop."""
         kinds = {**self.spread.kinds(), **self.papers.kinds(), "exchange": self._on_exchange}
         ear = frames.Ear(kinds, self.log.note)
-        self._ear = await self.machine.net.listen(self.bounds.member, ear.serve)
+        self._ear = await self.machine.net.listen(self.bounds.ear or self.bounds.member, ear.serve)
         try:
             self._server = await self.machine.web.serve(self.bounds.web, self.app)
             self.log.info("started", web=self.bounds.web, member=self.bounds.member)
--- a/packages/registry/src/dykeswitch/registry/program.py
+++ b/packages/registry/src/dykeswitch/registry/program.py
@@ -525,7 +525,7 @@
     async def run(self) -> None:
         """Serve until told to stop."""
         ear = frames.Ear(self.kinds(), self.log.note)
-        listener = await self.machine.net.listen(self.bounds.member, ear.serve)
+        listener = await self.machine.net.listen(self.bounds.ear or self.bounds.member, ear.serve)
         try:
             self._server = await self.machine.web.serve(self.bounds.web, self.app)
             self.log.info("started", web=self.bounds.web, member=self.bounds.member)
--- a/packages/settings/src/dykeswitch/settings/__init__.py
+++ b/packages/settings/src/dykeswitch/settings/__init__.py
@@ -21,6 +21,7 @@
     name: str = ""
     zone: str = ""
     member: str = ""
+    ear: str = ""
     web: str = ""
     store: str = ""
     seeds: tuple[str, ...] = ()
@@ -123,7 +124,7 @@
     "registry": ("name", "zone", "member", "web", "store"),
     "store": ("name", "store", "web", "data"),
 }
-SPOTS: typing.Final = ("member", "web", "store")
+SPOTS: typing.Final = ("member", "ear", "web", "store")
 SPOT_LISTS: typing.Final = ("seeds", "founders")
 SPANS: typing.Final = ("recover_s", "drain_s", "grace_s", "lead_s", "request_s")
 COUNTS: typing.Final = (
--- a/packages/simulator/src/dykeswitch/simulator/realtrial.py
+++ b/packages/simulator/src/dykeswitch/simulator/realtrial.py
@@ -173,6 +173,63 @@
     await asyncio.sleep(3)
 
 
+async def isolate_proxy(stage: RealStage) -> None:
+    """Cut off from every other node, while callers hold on to it, a rule moves, one leaves."""
+    proxy = stage.dice.choice(stage.fleet.proxies)
+    names = [p.name for p in stage.fleet.proxies] + [registry.name for registry, _ in stage.fleet.cores]
+    stage.fleet.relay.cut([proxy.name], names)
+    holding = asyncio.create_task(_hold_on(stage, proxy, 9.0))
+    await asyncio.sleep(0.5)
+    await stage.put(stage.core())
+    host = stage.dice.choice(stage.live())
+    stage.new_host(host.spec["service"], stage.fleet.spot())
+    host.tell(signal.SIGTERM)
+    await asyncio.sleep(5.0)
+    if not stage.fleet.relay.held:
+        stage.story.crashes.append("the cut held nothing back")
+    await stage.fleet.relay.heal()
+    await holding
+    await asyncio.sleep(2.0)
+
+
+async def _hold_on(stage: RealStage, proxy: real.Process, span: float) -> None:
+    """Callers that come to one proxy all the time, whatever the platform or it may say."""
+    crowd, end = stage.fleet.callers, stage.now + span
+
+    async def rude() -> None:
+        ask = await crowd.ask(stage.dice.choice(stage.fleet.shape.services), proxy.web)
+        stage.story.rude.add(ask.name)
+
+    async with asyncio.TaskGroup() as group:
+        while stage.now < end:
+            await asyncio.sleep(0.1)
+            group.create_task(rude())
+            group.create_task(crowd.rove(proxy.web))
+
+
+async def cut_proxies_from_cores(stage: RealStage) -> None:
+    """Half the proxies lose every core but still reach the other half."""
+    half = stage.dice.sample(stage.fleet.proxies, len(stage.fleet.proxies) // 2)
+    stage.fleet.relay.cut([p.name for p in half], [registry.name for registry, _ in stage.fleet.cores])
+    await asyncio.sleep(2.0)
+    await stage.put(stage.core())
+    await asyncio.sleep(4.0)
+    await stage.fleet.relay.heal()
+    await asyncio.sleep(2.0)
+
+
+async def split_registries(stage: RealStage) -> None:
+    """Registries reach proxies and stores, and not each other."""
+    names = [registry.name for registry, _ in stage.fleet.cores]
+    stage.fleet.relay.cut(names, names)
+    await asyncio.sleep(1.0)
+    await asyncio.gather(*(stage.put(core) for core in stage.fleet.cores))
+    await asyncio.sleep(4.0)
+    await stage.fleet.relay.heal()
+    await stage.get(stage.core())
+    await asyncio.sleep(2.0)
+
+
 async def kill_core_after_ack(stage: RealStage) -> None:
     core = stage.core()
     await stage.put(core)
@@ -333,6 +390,9 @@
     "stop_with_long_work": stop_with_long_work,
     "stop_cores_in_turn": stop_cores_in_turn,
     "freeze_proxy": freeze_proxy,
+    "isolate_proxy": isolate_proxy,
+    "cut_proxies_from_cores": cut_proxies_from_cores,
+    "split_registries": split_registries,
     "kill_core_after_ack": kill_core_after_ack,
     "wipe_disk_after_ack": wipe_disk_after_ack,
     "kill_endpoint": kill_endpoint,
@@ -367,7 +427,11 @@
     shape = shapes.SHAPES[name]
     async with real.running(shape, seed, roving=True) as fleet:
         stage = RealStage(fleet)
+        begun = stage.now
         up = await fleet.start()
+        body = json.dumps(fleet.first, sort_keys=True)
+        first = fleets.Put(begun, body, None, stage.now, 200, fleet.first_version)
+        stage.story.puts.append(first)
         fleet.spawn(stage.sample())
         # Until the proxies are old enough to have their part of the extra goes.
         await asyncio.sleep(scenarios.SETTLED_S)
--- a/packages/standin/src/dykeswitch/standin/fleet.py
+++ b/packages/standin/src/dykeswitch/standin/fleet.py
@@ -21,6 +21,7 @@
 import dykeswitch.ports.real as real
 import dykeswitch.soundness.pipe as pipes
 import dykeswitch.standin.caller as callers
+import dykeswitch.standin.relay as relays
 import dykeswitch.standin.shape as shapes
 
 
@@ -174,6 +175,11 @@
         self.proxies: list[Process] = []
         self.hosts: list[Host] = []
         self._tasks: set[asyncio.Task[None]] = set()
+        self.relay = relays.Relay()
+        # The layout that the fleet begins with, and its version.
+        self.first: dict[str, typing.Any] = {}
+        self.first_version = 0
+        self._ears: dict[str, tuple[str, str]] = {}
         self._build()
         self.callers = callers.Callers(
             shape, self.machine, [p.web for p in self.proxies], self.record, self.dice
@@ -181,7 +187,7 @@
 
     def _build(self) -> None:
         shape = self.shape
-        ears = iter(f"127.0.0.1:{n}" for n in free_ports(shape.cores * 4 + shape.proxies * 2 + 96))
+        ears = iter(f"127.0.0.1:{n}" for n in free_ports(shape.cores * 5 + shape.proxies * 3 + 96))
         self._spare = ears
         members = [next(ears) for _ in range(shape.cores)]
         stores = [next(ears) for _ in range(shape.cores)]
@@ -195,6 +201,7 @@
                 "web": next(ears),
                 "seeds": ",".join(members),
             }
+            self._relayed(flags)
             self.proxies.append(Process("proxy", f"proxy{n}", flags, self.folder))
         for service in (*shape.services, *self.slots):
             for n in range(service.endpoints):
@@ -215,12 +222,19 @@
             "seeds": ",".join(seeds),
             "founders": ",".join(founders),
         }
+        self._relayed(registry)
         keeper = {"name": f"{name}-store", "store": store, "web": next(self._spare), "data": str(data)}
         return (
             Process("registry", name, registry, self.folder),
             Process("store", f"{name}-store", keeper, self.folder),
         )
 
+    def _relayed(self, flags: dict[str, str]) -> None:
+        """Where others may be cut off from it, a process listens behind the relay."""
+        if self.slots:
+            flags["ear"] = next(self._spare)
+            self._ears[flags["name"]] = (flags["member"], flags["ear"])
+
     def spot(self) -> str:
         return next(self._spare)
 
@@ -268,11 +282,14 @@
     async def start(self) -> float:
         """Start all, send the layout, and wait until every proxy is ready."""
         begun = self.machine.clock.now()
+        for name, (spot, ear) in self._ears.items():
+            await self.relay.open(name, spot, ear)
         for process in self.processes():
             process.start()
         self.spawn(self.callers.watch())
         first = self.shape.layout()
-        await self.apply(shapes.roving(first, 0) if self.slots else first)
+        self.first = shapes.roving(first, 0) if self.slots else first
+        self.first_version = await self.apply(self.first)
         await self.until(lambda: len(self.callers.ready) == len(self.proxies), 60, "all proxies ready")
         while await self.known() < len(self.hosts):
             await self.machine.clock.sleep(0.05)
@@ -324,6 +341,7 @@
     async def stop(self) -> None:
         for task in list(self._tasks):
             task.cancel()
+        self.relay.close()
         for host in self.hosts:
             host.tell(signal.SIGKILL)
         for process in self.processes():
