--- a/packages/frames/src/dykeswitch/frames/__init__.py
+++ b/packages/frames/src/dykeswitch/frames/__init__.py
@@ -150,11 +150,11 @@
             async with asyncio.timeout(wait):
                 return await self._ask(spot, {**body, "kind": kind}, wait)
         except TimeoutError:
-            return outcome.bad("no_answer", spot)
+            return outcome.bad("no_reply", spot)
         except FrameFault as flaw:
             return flaw.bad
         except OSError as flaw:
-            return outcome.bad("no_answer", f"{spot}: {flaw}")
+            return outcome.bad("no_reply", f"{spot}: {flaw}")
 
     async def _ask(self, spot: str, body: Body, wait: float) -> Result:
         idle = self._idle.setdefault(spot, collections.deque())
@@ -170,7 +170,7 @@
                 return result
         pipe = FramePipe(await self._net.dial(spot, wait))
         result = await self._once(spot, pipe, body)
-        return outcome.bad("no_answer", f"{spot}: closed") if result is None else result
+        return outcome.bad("no_reply", f"{spot}: closed") if result is None else result
 
     async def _once(self, spot: str, pipe: FramePipe, body: Body) -> Result | None:
         done = False
--- a/packages/outcome/src/dykeswitch/outcome/__init__.py
+++ b/packages/outcome/src/dykeswitch/outcome/__init__.py
@@ -99,7 +99,7 @@
     Code(501, "bad_frame", 400, "a frame is malformed"),
     Code(502, "frame_too_big", 413, "a frame is over the bound"),
     Code(503, "other_version", 400, "a frame is of another version"),
-    Code(504, "no_answer", 504, "the member did not answer in time"),
+    Code(504, "no_reply", 504, "the member did not answer in time"),
     Code(505, "no_kind", 400, "the member does not know this kind of call"),
     Code(506, "broke", 500, "the member failed on this call"),
     Code(601, "bad_settings", 500, "the settings have faults"),
--- a/packages/proxy/src/dykeswitch/proxy/carrier.py
+++ b/packages/proxy/src/dykeswitch/proxy/carrier.py
@@ -523,7 +523,7 @@
         if x.bad is not None or x.head is None:
             bad = x.bad or outcome.bad("outcome_unknown", x.unknown)
             x.bad = bad
-            await self.answer(x, bad)
+            await self.refuse(x, bad)
             return Stage.DONE
         x.status = x.head.status
         heads = [(k.lower(), v) for k, v in kept_heads(x.head.heads)]
@@ -548,7 +548,7 @@
         await x.send({"type": "http.response.start", "status": x.status, "headers": heads})
         if x.rest is None:
             await x.send({"type": "http.response.body", "body": x.buffer})
-            self.count("answered")
+            self.count("replied")
             return Stage.DONE
         await self._stream(x)
         return Stage.DONE
@@ -569,9 +569,9 @@
             raise BrokenReply(str(flaw)) from flaw
         self._put_away(x, sound=True)
         await x.send({"type": "http.response.body", "body": b""})
-        self.count("answered")
+        self.count("replied")
 
-    async def answer(self, x: exchanges.Exchange, bad: outcome.Bad) -> None:
+    async def refuse(self, x: exchanges.Exchange, bad: outcome.Bad) -> None:
         """An answer of our own."""
         x.status = bad.code.status
         self.count(f"result_{bad.code.number}")
--- a/packages/proxy/src/dykeswitch/proxy/program.py
+++ b/packages/proxy/src/dykeswitch/proxy/program.py
@@ -54,7 +54,7 @@
         self.papers = papers.Papers(self.line, self.caller, bounds.call_s, self._reads)
         self.carrier = carrier.Carrier(bounds, machine, self.line, self.marks, log, dice, self)
         self._pauses: list[pauses.Pause] = []
-        self.carrier.selector.paused = self._paused
+        self.carrier.selector.paused = self.paused
         self._names = f"{dice.getrandbits(32):08x}"
         self._turn = 0
         self._tick = self.clock.now()
@@ -108,7 +108,7 @@
 
         return take
 
-    def _paused(self, endpoint: str) -> str | None:
+    def paused(self, endpoint: str) -> str | None:
         """The reason of a planned pause that is open now."""
         if not self._pauses:
             return None
@@ -257,7 +257,7 @@
         # is still on its way count too, or slow senders would be without bound.
         if len(self.carrier.table) >= self.bounds.exchanges_most:
             x.retry_after = 1
-            await self.carrier.answer(x, outcome.bad("too_busy"))
+            await self.carrier.refuse(x, outcome.bad("too_busy"))
             return
         self.carrier.table[x.name] = x
         try:
@@ -265,7 +265,7 @@
                 self._hurry(x)
                 bad = await self._intake(x, receive)
                 if bad is not None:
-                    await self.carrier.answer(x, bad)
+                    await self.carrier.refuse(x, bad)
                     return
                 await self.carrier.carry(x)
         except TimeoutError:
--- a/packages/registry/src/dykeswitch/registry/program.py
+++ b/packages/registry/src/dykeswitch/registry/program.py
@@ -20,10 +20,10 @@
 import dykeswitch.ports as ports
 import dykeswitch.register as register
 import dykeswitch.register.proposer as proposers
-import dykeswitch.registry.answers as answers
 import dykeswitch.registry.duties as duties
 import dykeswitch.registry.endpoints as endpoints
 import dykeswitch.registry.prober as probers
+import dykeswitch.registry.replies as replies
 import dykeswitch.registry.seating as seatings
 import dykeswitch.settings as settings
 import dykeswitch.timeline as timeline
@@ -88,7 +88,7 @@
         self.layout: layouts.Layout | None = None
         self._dice = dice
         self.pauses: list[pauses.Pause] = []
-        self.answers = answers.Answers(
+        self.replies = replies.Replies(
             self.line, self.marks, self.spread.wall, lambda: self.layout, lambda: self.pauses
         )
         self._ops = 0
@@ -181,7 +181,7 @@
     async def _on_spans(self, body: frames.Body) -> frames.Result:
         """What our own history holds of some endpoints."""
         names = [str(name) for name in body["names"]]
-        return outcome.Good({"rows": self.answers.spans.of(names)})
+        return outcome.Good({"rows": self.replies.spans.of(names)})
 
     async def _others(self, kind: str, body: frames.Body) -> list[frames.Body]:
         """What the other registries answer, those that do in time."""
@@ -191,12 +191,12 @@
         )
         return [result.value for result in found if isinstance(result, outcome.Good)]
 
-    async def _history(self, ask: language.Show) -> answers.Table:
+    async def _history(self, ask: language.Show) -> replies.Table:
         """Every registry's history as one: what one missed, or forgot over a start, others tell."""
-        names = self.answers.names(ask)
+        names = self.replies.names(ask)
         pages = await self._others("spans", {"names": names})
-        books = [self.answers.spans.of(names), *(page["rows"] for page in pages)]
-        return answers.one_history(books, 1 + len(pages))
+        books = [self.replies.spans.of(names), *(page["rows"] for page in pages)]
+        return replies.one_history(books, 1 + len(pages))
 
     async def _on_confirm(self, body: frames.Body) -> frames.Result:
         """What a majority holds at this moment, not what we read a while ago."""
@@ -353,9 +353,9 @@
             "cut_off": alone,
         }
 
-    async def _obey(self, ask: language.Command, by: str) -> answers.Table | outcome.Bad:
+    async def _obey(self, ask: language.Command, by: str) -> replies.Table | outcome.Bad:
         if isinstance(ask, language.Explain):
-            return self.answers.explain(ask)
+            return self.replies.explain(ask)
         if isinstance(ask, language.Trail):
             return await self._trail(ask.exchange)
         if isinstance(ask, language.Pause):
@@ -369,9 +369,9 @@
                 return bad
         if ask.subject == "history":
             return await self._history(ask)
-        return self.answers.show(ask) or self._show_fleet(ask)
+        return self.replies.show(ask) or self._show_fleet(ask)
 
-    async def _trail(self, name: str) -> answers.Table | outcome.Bad:
+    async def _trail(self, name: str) -> replies.Table | outcome.Bad:
         """Ask the proxy that carried an exchange what it did; its name begins with the proxy's."""
         entry = self.line.get(timeline.PROXY, name.rsplit("-", 2)[0])
         if entry is None or "spot" not in entry.fields:
@@ -381,9 +381,9 @@
         if isinstance(result, outcome.Bad):
             return result
         rows = [[round(at * 1000, 1), what, why] for at, what, why in result.value["trail"]]
-        return answers.Table(("after ms", "what", "why"), rows)
+        return replies.Table(("after ms", "what", "why"), rows)
 
-    def _show_fleet(self, ask: language.Show) -> answers.Table:
+    def _show_fleet(self, ask: language.Show) -> replies.Table:
         if ask.subject == "proxies":
             rows = [
                 [
@@ -397,14 +397,14 @@
                 for e in sorted(self.line.all(timeline.PROXY), key=lambda e: e.key)
                 if ask.wants("zone", str(e.fields["zone"]))
             ]
-            return answers.Table(("proxy", "zone", "address", "layout", "ready", "extra"), rows)
+            return replies.Table(("proxy", "zone", "address", "layout", "ready", "extra"), rows)
         if ask.subject == "duties":
             held = sorted(self.duties.owners().items())
-            return answers.Table(("slot", "owner", "fence"), [[s, o, f] for s, (o, f) in held])
+            return replies.Table(("slot", "owner", "fence"), [[s, o, f] for s, (o, f) in held])
         if ask.subject == "layout":
             version = self.papers.version(papers.LAYOUT)
             rules = len(self.layout.rules) if self.layout else 0
-            return answers.Table(("version", "rules"), [[version, rules]])
+            return replies.Table(("version", "rules"), [[version, rules]])
         rows = [
             [e.key, "registry", e.fields["zone"], e.fields["web"], "live"]
             for e in sorted(self.line.all(timeline.CORE), key=lambda e: e.key)
@@ -415,9 +415,9 @@
             rows.append([disk, "store", "", state["spot"], seat])
         missing = sorted(set(seated) - set(self.seating.states))
         rows += [[disk, "store", "", seated[disk], "silent"] for disk in missing]
-        return answers.Table(("member", "kind", "zone", "address", "state"), rows)
+        return replies.Table(("member", "kind", "zone", "address", "state"), rows)
 
-    async def _pause(self, ask: language.Pause, by: str) -> answers.Table | outcome.Bad:
+    async def _pause(self, ask: language.Pause, by: str) -> replies.Table | outcome.Bad:
         wall = self.spread.wall()
         name = f"p{self._dice.getrandbits(32):08x}"
         fresh = pauses.Pause(
@@ -430,7 +430,7 @@
 
         return await self._edit_pauses(edit)
 
-    async def _end_pause(self, name: str) -> answers.Table | outcome.Bad:
+    async def _end_pause(self, name: str) -> replies.Table | outcome.Bad:
         def edit(now: list[pauses.Pause]) -> list[pauses.Pause] | outcome.Bad:
             if all(p.name != name for p in now):
                 return outcome.bad("no_such", f"no pause {name}")
@@ -440,7 +440,7 @@
 
     async def _edit_pauses(
         self, edit: typing.Callable[[list[pauses.Pause]], list[pauses.Pause] | outcome.Bad]
-    ) -> answers.Table | outcome.Bad:
+    ) -> replies.Table | outcome.Bad:
         self._ops += 1
         op = f"{self.bounds.name}/{self._boot}/pauses/{self._ops}"
 
@@ -458,7 +458,7 @@
         await self._publish(papers.PAUSES, result.value)
         await self._handed(papers.PAUSES, result.value.version)
         self.log.info("pauses changed", version=result.value.version)
-        found = self.answers.show(language.Show("pauses"))
+        found = self.replies.show(language.Show("pauses"))
         assert found is not None
         return found
 
@@ -510,7 +510,7 @@
                 "address": entry.fields["address"],
                 "zone": entry.fields["zone"],
                 "lastChecked": (
-                    answers.stamp(self.spread.wall() - ago[entry.key]) if entry.key in ago else None
+                    replies.stamp(self.spread.wall() - ago[entry.key]) if entry.key in ago else None
                 ),
             }
             if entry.fields["state"] == timeline.LAPSED:
@@ -518,7 +518,7 @@
             elif mark is not None:
                 line["reason"] = mark.fields["reason"]
             page["unhealthy" if "reason" in line else "healthy"].append(line)
-        return {"timestamp": answers.stamp(self.clock.wall()), "services": services}
+        return {"timestamp": replies.stamp(self.clock.wall()), "services": services}
 
     # Running and stopping.
 
--- a/packages/registry/src/dykeswitch/registry/answers.py
+++ b/packages/registry/src/dykeswitch/registry/replies.py
@@ -1,4 +1,4 @@
-"""Answers to operators: what the language asks, out of what this registry knows."""
+"""Replies to operators: what the language asks, out of what this registry knows."""
 
 import collections
 import dataclasses
@@ -85,8 +85,8 @@
     return Table(("endpoint", "at", "state", "reason", "by", "until", "heard by"), rows)
 
 
-class Answers:
-    """Answers the questions that need no change."""
+class Replies:
+    """Replies the questions that need no change."""
 
     def __init__(
         self,
--- a/packages/simulator/src/dykeswitch/simulator/faults/operators.py
+++ b/packages/simulator/src/dykeswitch/simulator/faults/operators.py
@@ -53,7 +53,7 @@
     if page is None or not any(row[1] == name for row in page["rows"]):
         stage.flaw("a planned pause was lost by the restart of all cores")
     await asyncio.sleep(6.0)
-    still = [e.node.name for e in stage.up_edges() if e.node.daemon._paused(name)]
+    still = [e.node.name for e in stage.up_edges() if e.node.daemon.paused(name)]
     if still:
         stage.flaw(f"{still} still held the pause after its end")
 
@@ -80,7 +80,7 @@
         return
     stage.story.paused.append(histories.Span(name, begun, begun + 5.0))
     await asyncio.sleep(8.5)
-    still = [e.node.name for e in stage.up_edges() if e.node.daemon._paused(name)]
+    still = [e.node.name for e in stage.up_edges() if e.node.daemon.paused(name)]
     if still:
         stage.flaw(f"{still} still held the pause after its end")
     core.registry.clock.jump = 0.0
@@ -117,7 +117,7 @@
     return put
 
 
-async def lose_the_answer(stage: stages.Stage) -> None:
+async def lose_the_reply(stage: stages.Stage) -> None:
     """The answer to a change is lost on its way; the operator repeats the change."""
     core = stage.core()
     doc = stage.layout()
@@ -165,7 +165,7 @@
     "burst_layouts": burst_layouts,
     "burst_by_two": burst_by_two,
     "race_operators": race_operators,
-    "lose_the_answer": lose_the_answer,
+    "lose_the_reply": lose_the_reply,
     "kill_proposer": kill_proposer,
     "large_layout": large_layout,
     "large_and_small": large_and_small,
--- a/packages/simulator/src/dykeswitch/simulator/fleet.py
+++ b/packages/simulator/src/dykeswitch/simulator/fleet.py
@@ -362,15 +362,6 @@
                 )
             await asyncio.sleep(0.05)
 
-    def seats(self) -> list[dict[str, typing.Any]]:
-        """What each living store holds, for the checker."""
-        found = []
-        for core in self.cores:
-            if core.store.up and core.store.daemon is not None:
-                voter = core.store.daemon.voter
-                found.append({"name": core.store.name, "disk": voter.disk_id, "seats": voter._seats})
-        return found
-
 
 def _disk_of(node: worlds.Node) -> disks.SimDisk:
     assert node.disk is not None
--- a/packages/simulator/src/dykeswitch/simulator/history.py
+++ b/packages/simulator/src/dykeswitch/simulator/history.py
@@ -101,7 +101,7 @@
     ]
 
 
-def whole_answers(story: History) -> list[str]:
+def whole_replies(story: History) -> list[str]:
     """No one else's answer, and none that is cut yet looks complete."""
     return [f"{a.name}: {a.wrong}" for a in story.asks if a.wrong]
 
@@ -377,7 +377,7 @@
 CHECKS: typing.Final[dict[str, Check]] = {
     "run_twice": run_twice,
     "told_not_done": told_not_done,
-    "whole_answers": whole_answers,
+    "whole_replies": whole_replies,
     "right_owner": right_owner,
     "not_after_leaving": not_after_leaving,
     "not_while_paused": not_while_paused,
--- a/packages/simulator/src/dykeswitch/simulator/trial.py
+++ b/packages/simulator/src/dykeswitch/simulator/trial.py
@@ -70,7 +70,7 @@
     with concurrent.futures.ProcessPoolExecutor(workers) as pool:
         for verdict in pool.map(_safe_day, jobs):
             name = "+".join(verdict.faults)
-            for key in ("asked", "answered", "turned_away", "unknown", "no_answer", "run_twice", "late"):
+            for key in ("asked", "replied", "turned_away", "unknown", "no_reply", "run_twice", "late"):
                 sums[key] += verdict.figures.get(key, 0)
                 by_fault[name][key] += verdict.figures.get(key, 0)
             excuses.update(verdict.excuses)
--- a/packages/simulator/src/dykeswitch/simulator/whatif.py
+++ b/packages/simulator/src/dykeswitch/simulator/whatif.py
@@ -148,15 +148,15 @@
     return {
         "variant": variant.name,
         "asked": asked,
-        "answered_share": round(sum(t["answered"] for t in tallies) / max(1, asked), 5),
-        "answered_share_by_seed": [round(t["answered"] / max(1, t["asked"]), 5) for t in tallies],
+        "replied_share": round(sum(t["replied"] for t in tallies) / max(1, asked), 5),
+        "replied_share_by_seed": [round(t["replied"] / max(1, t["asked"]), 5) for t in tallies],
         "turned_away": sum(t["turned_away"] for t in tallies),
         "unknown": sum(t["unknown"] for t in tallies),
         "endpoint_said_no": sum(t["other_status"] for t in tallies),
-        "machine_gone": sum(t["no_answer"] for t in tallies),
+        "machine_gone": sum(t["no_reply"] for t in tallies),
         "p50_ms": statistics.median(t["p50_ms"] or 0 for t in tallies),
         "p99_ms": statistics.median(t["p99_ms"] or 0 for t in tallies),
-        "answers_by_result": dict(results.most_common()),
+        "replies_by_result": dict(results.most_common()),
         "marks_by_reason": dict(why.most_common()),
     }
 
--- a/packages/standin/src/dykeswitch/standin/caller.py
+++ b/packages/standin/src/dykeswitch/standin/caller.py
@@ -233,15 +233,15 @@
     by_result = collections.Counter(a.result for a in asks if a.result)
     return {
         "asked": len(asks),
-        "answered": sum(1 for a in asks if a.status == 200 and not a.wrong),
+        "replied": sum(1 for a in asks if a.status == 200 and not a.wrong),
         "turned_away": sum(1 for a in asks if a.result in (102, 103, 104, 111, 112, 114, 116)),
         "unknown": sum(1 for a in asks if a.result in (108, 109, 110, 113)),
         "other_status": sum(1 for a in asks if a.status not in (0, 200) and not a.result),
-        "no_answer": sum(1 for a in asks if a.flaw),
+        "no_reply": sum(1 for a in asks if a.flaw),
         "run_twice": sum(1 for a in asks if a.writing and len(runs.get(a.name, ())) > 1),
         "told_not_but_ran": sum(1 for name in told_not if runs.get(name)),
         "late": sum(1 for a in asks if a.ended - a.begun > expiry_s + 0.5),
-        "wrong_answer": sum(1 for a in asks if a.wrong),
+        "wrong_reply": sum(1 for a in asks if a.wrong),
         "wrong_owner": sum(1 for a in asks for r in runs.get(a.name, ()) if r.service != a.service),
         "results": {str(k): v for k, v in sorted(by_result.items())},
         "p50_ms": round(1000 * took[len(took) // 2], 1) if took else None,
--- a/packages/standin/src/dykeswitch/standin/endpoint.py
+++ b/packages/standin/src/dykeswitch/standin/endpoint.py
@@ -148,7 +148,7 @@
                     talk.receive_data(await pipe.read(65536))
                     continue
                 if isinstance(event, h11.Request):
-                    if not await self._answer(talk, pipe, event):
+                    if not await self._reply_to(talk, pipe, event):
                         return
                     if talk.states != {h11.CLIENT: h11.DONE, h11.SERVER: h11.DONE}:
                         return
@@ -173,7 +173,7 @@
             else:
                 return None
 
-    async def _answer(self, talk: h11.Connection, pipe: ports.Pipe, ask: h11.Request) -> bool:
+    async def _reply_to(self, talk: h11.Connection, pipe: ports.Pipe, ask: h11.Request) -> bool:
         body = await self._body(talk, pipe)
         if body is None:
             return False
--- a/packages/standin/src/dykeswitch/standin/fleet.py
+++ b/packages/standin/src/dykeswitch/standin/fleet.py
@@ -383,7 +383,7 @@
             for key in ("p50_ms", "p99_ms")
             if figures[key] and base[key]
         }
-        direct = {key: base[key] for key in ("asked", "answered", "p50_ms", "p99_ms")}
+        direct = {key: base[key] for key in ("asked", "replied", "p50_ms", "p99_ms")}
         return {
             **head,
             **figures,
--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -14,7 +14,7 @@
     assert verdict.breaches == {}
     assert verdict.figures["asked"] > 300
     # No day passes because nothing was asked or answered.
-    assert verdict.figures["answered"] > 0.6 * verdict.figures["asked"]
+    assert verdict.figures["replied"] > 0.6 * verdict.figures["asked"]
 
 
 @pytest.mark.parametrize("seed", [21, 22])
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -63,13 +63,13 @@
 
 
 def _always_hint(patch: pytest.MonkeyPatch) -> None:
-    answer = carriers.Carrier.answer
+    answer = carriers.Carrier.refuse
 
     async def hinted(self: carriers.Carrier, x: exchanges.Exchange, bad: outcome.Bad) -> None:
         x.retry_after = 1
         await answer(self, x, bad)
 
-    patch.setattr(carriers.Carrier, "answer", hinted)
+    patch.setattr(carriers.Carrier, "refuse", hinted)
 
 
 def _forgetful_shelf(patch: pytest.MonkeyPatch) -> None:
@@ -129,7 +129,7 @@
 
 
 def _no_pauses(patch: pytest.MonkeyPatch) -> None:
-    patch.setattr(proxies.Proxy, "_paused", lambda self, endpoint: None)
+    patch.setattr(proxies.Proxy, "paused", lambda self, endpoint: None)
 
 
 def _no_knocking(patch: pytest.MonkeyPatch) -> None:
@@ -197,7 +197,7 @@
     (_no_proof, "hand_over_address", "right_owner"),
     (_always_retry, "lose_replies", "run_twice"),
     (_no_budget, "fail_service", "extra_bound"),
-    (_cut_passes, "cut_bodies", "whole_answers"),
+    (_cut_passes, "cut_bodies", "whole_replies"),
     (_always_hint, "lose_replies", "told_not_done"),
     (_forgetful_shelf, "restart_all_cores", "register_holds"),
     (_rude_stop, "restart_in_turn", "not_dropped"),
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -109,7 +109,7 @@
     story.leaks.append("3 exchanges are still counted")
 
 
-def _other_answer(story: histories.History) -> None:
+def _other_reply(story: histories.History) -> None:
     story.asks[0].wrong = "someone else's"
 
 
@@ -188,7 +188,7 @@
 BREAKS: typing.Final[dict[str, list[typing.Callable[[histories.History], None]]]] = {
     "run_twice": [_twice],
     "told_not_done": [_told, _told_by_endpoint],
-    "whole_answers": [_other_answer],
+    "whole_replies": [_other_reply],
     "right_owner": [_other_owner],
     "not_after_leaving": [_after_leaving],
     "not_while_paused": [_while_paused],
--- a/tests/test_real.py
+++ b/tests/test_real.py
@@ -57,7 +57,7 @@
 
 async def _counters(fleet: fleets.Fleet) -> None:
     page = (await _ask(fleet, "GET", "/-/counters")).body.decode()
-    assert 'dykeswitch_proxy_answered_total{member="proxy0"} 3.0' in page
+    assert 'dykeswitch_proxy_replied_total{member="proxy0"} 3.0' in page
     core = fleet.cores[0][0]
     reply = await fleet.machine.web.ask("GET", core.web, "/-/counters", [], b"", 5)
     assert 'dykeswitch_registry_endpoints_up_total{member="core0"} 4.0' in reply.body.decode()
