--- a/packages/cli/src/dykeswitch/cli/main.py
+++ b/packages/cli/src/dykeswitch/cli/main.py
@@ -14,6 +14,7 @@
 import dykeswitch.simulator.scenario as scenarios
 import dykeswitch.simulator.trial as trials
 import dykeswitch.simulator.whatif as whatif
+import dykeswitch.simulator.whatreal as whatreal
 import dykeswitch.standin.fleet as fleets
 import dykeswitch.standin.shape as shapes
 
@@ -48,6 +49,8 @@
     sub.add_argument("--span", type=float, default=30.0, help="seconds of traffic (default 30)")
     sub.add_argument("--scale", type=float, default=0.2, help="times the shape's rate (default 0.2)")
     sub.add_argument("--seeds", type=int, default=3, help="seeds, the same for both variants")
+    text = "play the first variant on real processes too ('down' events only) and set both side by side"
+    sub.add_argument("--real", action="store_true", help=text)
     text = "bring about the brief's failures in the simulator under many seeds; judge each day"
     sub = words.add_parser("trial", help=text, description=text)
     sub.add_argument("shape", choices=["ghent", "lima"])
@@ -100,6 +103,15 @@
             sys.stderr.write(f"dykeswitch: {side}\n")
             return 2
         pages.append(whatif.ask(shapes.SHAPES[spoken.shape], side, seeds, spoken.span, spoken.scale))
+    first = sides[0]
+    if spoken.real and isinstance(first, whatif.Variant):
+        if any(event.act != "down" for event in first.events):
+            sys.stderr.write("dykeswitch: --real plays 'down' events only\n")
+            return 2
+        shape = shapes.SHAPES[spoken.shape]
+        found = asyncio.run(whatreal.ask(shape, first, 1, spoken.span, spoken.scale))
+        print(json.dumps([pages[0], found, whatreal.compare(pages[0], found)], indent=2))
+        return 0
     if len(pages) == 2:
         pages.append({"second less first": whatif.differ(pages[0], pages[1])})
     print(json.dumps(pages, indent=2))
--- a/packages/simulator/src/dykeswitch/simulator/whatif.py
+++ b/packages/simulator/src/dykeswitch/simulator/whatif.py
@@ -11,6 +11,7 @@
 import dykeswitch.outcome as outcome
 import dykeswitch.simulator.fleet as fleets
 import dykeswitch.simulator.loop as loops
+import dykeswitch.simulator.scenario as scenarios
 import dykeswitch.standin.caller as callers
 import dykeswitch.standin.shape as shapes
 
@@ -116,6 +117,7 @@
 ) -> tuple[dict[str, typing.Any], collections.Counter[str]]:
     fleet = fleets.SimFleet(shape, seed, scratch, scale, variant.bounds)
     await fleet.start()
+    await asyncio.sleep(scenarios.SETTLED_S)
     play = _Play(fleet)
     for event in variant.events:
         fleet.spawn(play.play(event))
@@ -139,6 +141,11 @@
             tally, marks = loops.run(work)
         tallies.append(tally)
         why += marks
+    return {**page(variant.name, tallies), "marks_by_reason": dict(why.most_common())}
+
+
+def page(name: str, tallies: typing.Sequence[dict[str, typing.Any]]) -> dict[str, typing.Any]:
+    """Tallies of several runs as one page."""
     asked = sum(t["asked"] for t in tallies)
     texts = {str(c.number): c.text for c in outcome.TABLE.values()}
     results: collections.Counter[str] = collections.Counter()
@@ -146,7 +153,7 @@
         for number, count in tally["results"].items():
             results[f"{number} {texts[number]}"] += count
     return {
-        "variant": variant.name,
+        "variant": name,
         "asked": asked,
         "replied_share": round(sum(t["replied"] for t in tallies) / max(1, asked), 5),
         "replied_share_by_seed": [round(t["replied"] / max(1, t["asked"]), 5) for t in tallies],
@@ -157,7 +164,6 @@
         "p50_ms": statistics.median(t["p50_ms"] or 0 for t in tallies),
         "p99_ms": statistics.median(t["p99_ms"] or 0 for t in tallies),
         "replies_by_result": dict(results.most_common()),
-        "marks_by_reason": dict(why.most_common()),
     }
 
 
--- a/tests/test_repair.py
+++ b/tests/test_repair.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+import dykeswitch.register.shelf as shelf
 import dykeswitch.registry.seating as seatings
 import dykeswitch.simulator.fleet as fleets
 import dykeswitch.simulator.loop as loops
@@ -139,3 +140,52 @@
         assert [(row[4], row[6]) for row in marks][0] == (proxy.node.name, 2)
 
     loops.run(main())
+
+
+def _dark_at(fleet: fleets.SimFleet, node: worlds.Node, point: int, died: list[int]) -> None:
+    """Power goes at the next passing of a point, and comes back a second later."""
+
+    def dark() -> None:
+        died.append(point)
+        node.lose_power()
+        fleet.world.loop.call_later(1.0, node.restart, context=loops.EMPTY)
+        raise OSError("power")
+
+    node.points.armed[point] = dark
+
+
+@pytest.mark.parametrize("point", range(shelf.POINT_BEFORE, shelf.POINT_OLD_DROPPED + 1))
+def test_power_lost_at_each_point_of_founding_and_sweeping(point: int, tmp_path: pathlib.Path) -> None:
+    async def main() -> None:
+        fleet = fleets.SimFleet(SMALL, 10 + point, tmp_path)
+        died: list[int] = []
+        store = fleet.cores[1].store
+        # The disk's own id is the first write, and the founding set the second.
+        passes = 0
+
+        def later() -> None:
+            nonlocal passes
+            passes += 1
+            if passes == 1:
+                store.points.armed[point] = later
+            else:
+                _dark_at(fleet, store, point, died)
+
+        store.points.armed[point] = later
+        await fleet.start()
+        voters = [core.store for core in fleet.cores]
+        await fleet.until(lambda: all(v.up and v.daemon.voter.seated() for v in voters), 20, "all seated")
+        assert died
+        # The same for the write by which a sweep mends a copy that lags.
+        store.lose_power()
+        version = await fleet.apply({**SMALL.layout(), "services": {"pages": {}, "spare": {}}})
+        _dark_at(fleet, store, point, died)
+        store.restart()
+        await fleet.until(lambda: len(died) > 1, 20, "power lost in a mending write")
+        await asyncio.sleep(2.0)
+        await fleet.until(lambda: store.up and len(_ballots(fleet)) == 1, 20, "all copies the same")
+        assert not store.flaw
+        got = await fleet.get(fleet.cores[1])
+        assert (got.status, got.version) == (200, version)
+
+    loops.run(main())
