--- a/tests/test_repair.py
+++ b/tests/test_repair.py
@@ -209,7 +209,7 @@
         assert asked.result == 116
         assert asked.ended - asked.begun < 0.05
         fleet.world.wires.heal()
-        while node.daemon.ready() is not None:
+        while node.daemon.ready() is not None:  # noqa: ASYNC110
             await asyncio.sleep(0.0001)
         assert node.daemon.papers.version("layout") == version
 
