A woken proxy does not go by its old layout because it forgot the cores meanwhile

A freeze outlasts the 3 s for which cores are remembered: the proxy that woke found no core to ask, took that for the loss of all cores, and went on by its last list. Ruled out: the relay (cuts held nothing then), a reply that lay waiting. Now it asks the cores it last knew; a confirming that fails ends the doubt only if somebody was heard since, and not by words that lay waiting; an exchange waits for it up to drain_s and is then refused (116) rather than sent by what may be old. Found by its test: with all cores dark a pair of proxies lost touch, each turn spent on seeds that are gone; seeds are now asked beside the neighbours, and a neighbour that is gone costs no more than a turn.

--- a/packages/membership/src/dykeswitch/membership/__init__.py
+++ b/packages/membership/src/dykeswitch/membership/__init__.py
@@ -85,6 +85,7 @@
         # Where members were heard to be, and when last: also those that fell silent.
         self._book: collections.OrderedDict[str, float] = collections.OrderedDict()
         self._knock: asyncio.Task[bool] | None = None
+        self._seeking: asyncio.Task[bool] | None = None
 
     def kinds(self) -> dict[str, frames.Handle]:
         return {"shuffle": self._on_shuffle, "tell": self._on_tell, "poll": self._on_poll}
@@ -196,7 +197,7 @@
         async with asyncio.TaskGroup() as group:
             turn = 0
             while True:
-                await self._shuffle(turn)
+                await self._shuffle(turn, group)
                 self._tend(group)
                 if turn % KNOCK_TURNS == 0 and (self._knock is None or self._knock.done()):
                     # One that comes back may know only seeds that are gone for good: it can't
@@ -210,16 +211,19 @@
                 span = self._shuffle_s * (0.2 if turn < 5 else 1.0)
                 await self._clock.sleep(span * (0.75 + self._dice.random() / 2))
 
-    async def _shuffle(self, turn: int) -> None:
+    async def _shuffle(self, turn: int, group: asyncio.TaskGroup) -> None:
         for member in self.view.values():
             member.age += 1
         known = list(self.view.values())
         seeds = [s for s in self._seeds if s not in {m.spot for m in known}]
         # Islands that forgot each other meet again through seeds, so ask one now and then.
         if seeds and (len(known) < 2 or turn % 4 == 0):
-            spots = seeds if not known else [self._dice.choice(seeds)]
-            await asyncio.gather(*(self._trade(spot, "") for spot in spots))
-            return
+            if not known:
+                await asyncio.gather(*(self._trade(spot, "") for spot in seeds))
+                return
+            # Seeds may all be down: the neighbours there are must not wait for that.
+            if self._seeking is None or self._seeking.done():
+                self._seeking = group.create_task(self._trade(self._dice.choice(seeds), ""))
         if not known:
             return
         oldest = max(known, key=lambda m: (m.age, m.name))
@@ -235,7 +239,9 @@
             "items": self.line.wire_since(cursor.ours),
             "cursor": [cursor.boot, cursor.theirs],
         }
-        result = await self._caller.ask(spot, "shuffle", body, self._call_s)
+        # No longer than to the next turn: one neighbour that is gone must not keep us from
+        # the others for longer than it takes to seem cut off.
+        result = await self._caller.ask(spot, "shuffle", body, min(self._call_s, self._shuffle_s))
         if isinstance(result, outcome.Bad):
             # What it missed while away is sent again.
             self._cursors.pop(spot, None)
--- a/packages/proxy/src/dykeswitch/proxy/carrier.py
+++ b/packages/proxy/src/dykeswitch/proxy/carrier.py
@@ -48,8 +48,8 @@
 class Senses(typing.Protocol):
     """What the carrier asks of the proxy that it is part of."""
 
-    async def sure(self) -> None:
-        """Return once what we hold is known to be of today."""
+    async def sure(self) -> bool:
+        """Whether what we hold is of today, found out first where that is in doubt."""
         ...
 
     def gapped(self) -> bool:
@@ -224,8 +224,10 @@
 
     async def _match(self, x: exchanges.Exchange) -> Stage:
         # After a freeze the layout and list in hand may be long out of date.
-        await self._senses.sure()
+        sure = await self._senses.sure()
         found = self._find_rule(x)
+        if not sure and found != "no_layout":
+            return self._give_up(x, "cut_off")
         if found is not None:
             return self._end(x, found)
         self._budget(x.service).request()
@@ -264,7 +266,7 @@
         return budget
 
     async def _select(self, x: exchanges.Exchange) -> Stage:
-        await self._senses.sure()
+        sure = await self._senses.sure()
         # A layout may have come since: the rule of this moment decides.
         found = self._find_rule(x)
         if found is not None:
@@ -274,7 +276,7 @@
             return self._give_up(x, "expired")
         # The platform has asked since we were cut off: who comes all the same is told
         # at once, for the last list in hand may be out of date by now.
-        if self._deaf():
+        if not sure or self._deaf():
             return self._give_up(x, "cut_off")
         entry = self.selector.select(x.service, x.tried)
         if entry is None:
--- a/packages/proxy/src/dykeswitch/proxy/program.py
+++ b/packages/proxy/src/dykeswitch/proxy/program.py
@@ -63,6 +63,9 @@
         self._confirming: asyncio.Task[bool] | None = None
         self._confirmed = False
         self._cut_off = False
+        self._doubt_at = self._tick
+        # The cores we last knew of.
+        self._cores: dict[str, str] = {}
         # Our rank among the proxies goes by when we first were confirmed.
         self._since: list[typing.Any] | None = None
         self._shared_from: float | None = None
@@ -162,24 +165,37 @@
         """Whether our own clock shows a gap."""
         return self.clock.now() - self._tick > self.bounds.gap_s
 
-    async def sure(self) -> None:
-        """Return at once, unless our own clock shows a gap: then confirm first."""
+    async def sure(self) -> bool:
+        """Whether what we hold is of today: at once, unless our clock shows a gap; then confirm."""
         if self.gapped():
-            self._doubt = True
+            self._doubt_now()
+        end = self.clock.now() + self.bounds.drain_s
+        while self._doubt and self.clock.now() < end:
+            # Nobody is there to ask: the caller is told so at once.
+            if self._cut_off and self.silent() > self.bounds.drain_s:
+                return False
+            if self._confirming is None or self._confirming.done():
+                self._confirming = asyncio.create_task(self._confirm())
+            await asyncio.shield(self._confirming)
+            # One that never was confirmed has nothing yet to go by.
+            if not self._confirmed:
+                return False
+            if self._doubt:
+                await self.clock.sleep(self.bounds.tick_s)
+        return not self._doubt
+
+    def _doubt_now(self) -> None:
         if not self._doubt:
-            return
-        # Nobody is there to ask: the caller is told so at once.
-        if self._cut_off and self.silent() > self.bounds.drain_s:
-            return
-        if self._confirming is None or self._confirming.done():
-            self._confirming = asyncio.create_task(self._confirm())
-        await asyncio.shield(self._confirming)
+            self._doubt_at = self.clock.now()
+        self._doubt = True
 
     async def _confirm(self) -> bool:
         """Ask every core for what a majority holds now, and catch up with it."""
         begun = self._tick = self.clock.now()
-        deaf = self.silent() > self.bounds.drain_s
-        spots = list(self.spread.cores().values())
+        # A freeze may outlast what is known of the cores: who was one may be one still.
+        known = self.spread.cores()
+        self._cores = known or self._cores
+        spots = list(self._cores.values())
         good = False
         calls = [asyncio.create_task(self._confirm_at(spot)) for spot in spots]
         while calls and not good:
@@ -201,11 +217,15 @@
                 # By now the whole timeline was merged, so this is later than all before us.
                 self._since = list(self.line.stamp())
                 self._rank()
-        elif self._confirmed and not deaf and not self.papers.behind():
+        elif self._confirmed and self._in_company() and not self.papers.behind():
             # No core can be reached: go on with the last list, as asked for.
             self._doubt = False
         return good
 
+    def _in_company(self) -> bool:
+        """Whether somebody was heard since we began to doubt, and not by words that lay waiting."""
+        return self.spread.heard > self._doubt_at + self.bounds.gap_s / 2
+
     async def _confirm_at(self, spot: str) -> bool:
         ask = {"name": self.bounds.name, "items": [], "cursor": ["", 0], "hold": 0.0}
         result = await self.caller.ask(spot, "confirm", ask, self.bounds.call_s)
@@ -392,7 +412,7 @@
             # A freeze looks like silence, but who wakes can ask.
             self._cut_off = not self.gapped() and self.silent() > self.bounds.drain_s
             if self.gapped():
-                self._doubt = True
+                self._doubt_now()
                 self.log.warning("frozen", span_s=round(self.clock.now() - self._tick, 2))
             stall = self.clock.now() - self._tick - self.bounds.tick_s
             self.carrier.most("longest_stall_ms", int(stall * 1000))
@@ -400,7 +420,7 @@
             # Who heard nobody for so long may have missed a change: the first word it hears
             # again tells nothing of that.
             if self.silent() > self.bounds.drain_s:
-                self._doubt = True
+                self._doubt_now()
             if self._doubt and (self._confirming is None or self._confirming.done()):
                 self._confirming = asyncio.create_task(self._confirm())
             await self.clock.sleep(self.bounds.tick_s)
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -153,8 +153,8 @@
 
 
 def _unsure(patch: pytest.MonkeyPatch) -> None:
-    async def sure(self: proxies.Proxy) -> None:
-        return None
+    async def sure(self: proxies.Proxy) -> bool:
+        return True
 
     patch.setattr(proxies.Proxy, "sure", sure)
     patch.setattr(proxies.Proxy, "gapped", lambda self: False)
@@ -175,12 +175,16 @@
         node.freeze()
         asking = asyncio.create_task(_many(fleet, PAGES, 10))
         await asyncio.sleep(0.5)
+        if not guarded:
+            # No news is faster than the exchanges that wait: chance would else hide it.
+            fleet.world.wires.cut([node.name], [n for n in fleet.world.nodes if n != node.name])
         doc = SMALL.layout()
         doc["rules"][0]["service"] = "exports"
         await fleet.apply(doc)
         await asyncio.sleep(3.0)
         node.thaw()
         asks = await asking
+        fleet.world.wires.heal()
         owners = {
             fleet.endpoints[name].service for _, ask, name in fleet.hits if ask in {a.name for a in asks}
         }
@@ -217,6 +221,49 @@
     _run(tmp_path, work)
 
 
+def test_a_proxy_that_wakes_with_no_core_in_mind_does_not_go_by_its_old_layout(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Frozen for longer than cores are remembered, and asked before anybody else is heard."""
+
+    async def work(fleet: fleets.SimFleet) -> None:
+        node = fleet.edges[0].node
+        node.freeze()
+        # What others send meanwhile is lost, as by a pipe that was reset.
+        fleet.world.wires.cut([node.name], [n for n in fleet.world.nodes if n != node.name])
+        doc = SMALL.layout()
+        doc["rules"][0]["service"] = "exports"
+        await fleet.apply(doc)
+        await asyncio.sleep(6.0)
+        node.thaw()
+        asking = asyncio.create_task(_many(fleet, PAGES, 10))
+        await asyncio.sleep(0.01)
+        fleet.world.wires.heal()
+        asks = {a.name for a in await asking}
+        owners = {fleet.endpoints[name].service for _, ask, name in fleet.hits if ask in asks}
+        assert owners <= {"exports"}
+        later = await _many(fleet, PAGES, 3)
+        assert [a.status for a in later] == [200] * 3
+
+    _run(tmp_path, work)
+
+
+def test_all_cores_down_a_woken_proxy_serves_on_by_the_last_list(tmp_path: pathlib.Path) -> None:
+    async def work(fleet: fleets.SimFleet) -> None:
+        for core in fleet.cores:
+            core.registry.lose_power()
+            core.store.lose_power()
+        await asyncio.sleep(4.0)
+        node = fleet.edges[0].node
+        node.freeze()
+        await asyncio.sleep(4.0)
+        node.thaw()
+        await fleet.until(lambda: node.daemon.ready() is None, 4.0, "ready by the last list")
+        assert [a.status for a in await _many(fleet, PAGES, 5)] == [200] * 5
+
+    _run(tmp_path, work)
+
+
 def test_fields_of_one_hop_stay_and_all_others_go_on() -> None:
     heads = [
         (b"Connection", b"close, X-Mine"),
