--- a/packages/cli/src/dykeswitch/cli/daemons.py
+++ b/packages/cli/src/dykeswitch/cli/daemons.py
@@ -2,6 +2,7 @@
 
 import argparse
 import asyncio
+import contextlib
 import os
 import pathlib
 import random
@@ -12,11 +13,9 @@
 import dykeswitch.logs as logs
 import dykeswitch.outcome as outcome
 import dykeswitch.ports.real as real
-import dykeswitch.proxy.program as proxies
 import dykeswitch.register.shelf as shelf
-import dykeswitch.registry.program as registries
 import dykeswitch.settings as settings
-import dykeswitch.store.program as stores
+import dykeswitch.tongue as tongues
 
 EXIT_SETTINGS: typing.Final = 2
 
@@ -28,26 +27,71 @@
 
     def stop(self) -> None: ...
 
+    def retold(self, bounds: settings.Settings) -> None:
+        """Take up changed settings, as far as a running program can."""
+        ...
 
-def _build(program: str, bounds: settings.Settings) -> Daemon:
+
+Read = typing.Callable[[], outcome.Good[settings.Settings] | outcome.Bad]
+
+
+def _build(program: str, bounds: settings.Settings, tongue: tongues.Tongue) -> Daemon:
     machine = real.machine(bounds.head_most)
     log = logs.Log(program, bounds.name, bounds.log_level, machine.clock)
     log.bridge()
     # Ids drawn here must never be drawn twice in a fleet.
     dice = random.SystemRandom()
+    # Each brought in only where it runs: starting is part of recovery.
     if program == "proxy":
-        return proxies.Proxy(bounds, machine, log, dice)
+        import dykeswitch.proxy.program as proxies
+
+        return proxies.Proxy(bounds, machine, log, dice, tongue)
     if program == "registry":
-        return registries.Registry(bounds, machine, log, dice)
+        import dykeswitch.registry.program as registries
+
+        return registries.Registry(bounds, machine, log, dice, tongue)
+    import dykeswitch.store.program as stores
+
     return stores.Store(bounds, machine, real.RealDisk(pathlib.Path(bounds.data)), log, dice)
 
 
-async def _run(program: str, bounds: settings.Settings) -> None:
-    daemon = _build(program, bounds)
+class Told:
+    """What a process is told: read at the start, and again whenever it may have changed."""
+
+    def __init__(self, read: Read) -> None:
+        self._read = read
+        self.bounds: settings.Settings | None = None
+
+    def look(self) -> outcome.Good[settings.Settings] | outcome.Bad:
+        """Read it; one that has faults is told of and changes nothing."""
+        found = self._read()
+        if isinstance(found, outcome.Good):
+            self.bounds = found.value
+        return found
+
+
+async def _watch(told: Told, daemon: Daemon, bounds: settings.Settings, sign: asyncio.Event) -> None:
+    """Have the program retold when its settings change, with a signal or without one."""
+    held = bounds
+    while True:
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(bounds.drain_s):
+                await sign.wait()
+        sign.clear()
+        found = told.look()
+        if isinstance(found, outcome.Good) and found.value != held:
+            held = found.value
+            daemon.retold(held)
+
+
+async def _run(program: str, told: Told, tongue: tongues.Tongue) -> None:
+    bounds = told.bounds
+    assert bounds is not None
+    daemon = _build(program, bounds, tongue)
     loop = asyncio.get_running_loop()
     asked = 0
 
-    def told() -> None:
+    def stop() -> None:
         nonlocal asked
         asked += 1
         # The second signal means now.
@@ -56,8 +100,14 @@
         daemon.stop()
 
     for sign in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(sign, told)
-    await daemon.run()
+        loop.add_signal_handler(sign, stop)
+    changed = asyncio.Event()
+    loop.add_signal_handler(signal.SIGHUP, changed.set)
+    watch = asyncio.create_task(_watch(told, daemon, bounds, changed))
+    try:
+        await daemon.run()
+    finally:
+        watch.cancel()
 
 
 def _plain(code: outcome.Code, text: str) -> int:
@@ -67,7 +117,13 @@
 
 def run(program: str, spoken: argparse.Namespace) -> int:
     """Run a program until it is told to stop; its exit code."""
-    result = settings.gather(program, spoken)
+    return start(program, lambda: settings.gather(program, spoken), tongues.Own())
+
+
+def start(program: str, read: Read, tongue: tongues.Tongue) -> int:
+    """Run a program by what `read` tells it, in an outside's own tongue; its exit code."""
+    told = Told(read)
+    result = told.look()
     if isinstance(result, outcome.Bad):
         return _plain(result.code, "; ".join(result.faults))
     bounds = result.value
@@ -76,7 +132,7 @@
         if not folder.is_dir() or not os.access(folder, os.W_OK):
             return _plain(outcome.TABLE["no_folder"], bounds.data)
     try:
-        asyncio.run(_run(program, bounds))
+        asyncio.run(_run(program, told, tongue))
     except shelf.Damage as flaw:
         return _plain(outcome.TABLE["disk_fault"], str(flaw))
     except OSError as flaw:
--- a/packages/layout/src/dykeswitch/layout/__init__.py
+++ b/packages/layout/src/dykeswitch/layout/__init__.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import json
+import random
 import typing
 
 import dykeswitch.outcome as outcome
@@ -15,6 +16,14 @@
     expiry_s: float
     request_s: float
     max_tries: int
+    pipes_most: int
+
+
+class ShareDoc(typing.TypedDict):
+    """One service's part of a rule that is split over several."""
+
+    service: str
+    weight: float
 
 
 class RuleDoc(typing.TypedDict, total=False):
@@ -25,17 +34,32 @@
     path: str
     methods: list[str]
     service: str
+    split: list[ShareDoc]
     writing: bool
     expiry_s: float
     request_s: float
     max_tries: int
+    aim_s: float
+    rank: int
+
+
+class BoundsDoc(typing.TypedDict, total=False):
+    """What callers may send, and how long they may take or stay idle: bytes and seconds."""
 
+    head_most: int
+    body_most: int
+    head_s: float
+    idle_s: float
 
-class LayoutDoc(typing.TypedDict):
-    """A whole layout as the operator writes it."""
+
+class LayoutDoc(typing.TypedDict, total=False):
+    """A whole layout as the operator writes it; `services` and `rules` must be there."""
 
     services: dict[str, ServiceDoc]
     rules: list[RuleDoc]
+    number: int
+    bounds: BoundsDoc
+    doubles: str
 
 
 # Methods that the HTTP standard calls safe: they may be run any number of times.
@@ -45,6 +69,11 @@
 )
 TOKEN: typing.Final = frozenset("abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.")
 FAULTS_MOST: typing.Final = 200
+TRIES_MOST: typing.Final = 100
+RANK_MOST: typing.Final = 1000
+NUMBER_MOST: typing.Final = 2**53
+BYTES_MOST: typing.Final = 2**40
+DOUBLES: typing.Final = ("fault", "first")
 DEFAULT_PROBE: typing.Final = "/healthz"
 # How many rules are read at a stretch before others have their turn.
 STRETCH: typing.Final = 100
@@ -56,6 +85,18 @@
 
     name: str
     probe: str
+    # How many pipes an endpoint takes from all of us together, where the operator says.
+    pipes_most: int | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Bounds:
+    """What callers may send (bytes) and how long they may take (seconds); nothing where unsaid."""
+
+    head_most: int | None = None
+    body_most: int | None = None
+    head_s: float | None = None
+    idle_s: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -71,6 +112,25 @@
     expiry_s: float | None
     request_s: float | None
     max_tries: int | None
+    # Services with their weights, where requests are split over several.
+    split: tuple[tuple[str, float], ...] = ()
+    # The span in seconds within which a reply is worth its whole to the caller.
+    aim_s: float | None = None
+    # What goes first when not all can be served: 0 before 1.
+    rank: int = 1
+
+    def services(self) -> tuple[str, ...]:
+        """Every service that a request under this rule may go to."""
+        return tuple(name for name, weight in self.split if weight > 0) if self.split else (self.service,)
+
+    def draw(self, dice: random.Random) -> str:
+        """The service of one request: drawn by weight where the rule is split."""
+        if not self.split:
+            return self.service
+        names, weights = zip(*self.split)
+        if not sum(weights):
+            return ""
+        return str(dice.choices(names, weights)[0])
 
     def writes(self, method: str) -> bool:
         """Stated by the rule, else told by the method."""
@@ -84,6 +144,9 @@
         self.services = services
         self.rules: list[Rule] = []
         self.doc = doc
+        # The operator's own number, where layouts are numbered: the highest wins.
+        self.number = doc.get("number")
+        self.bounds = Bounds(**doc.get("bounds", {}))
         self._index: dict[str, dict[str, list[Rule]]] = {}
 
     def add(self, rule: Rule) -> None:
@@ -165,10 +228,13 @@
         return float(raw)
 
     def tries(self, path: str, raw: object) -> int | None:
+        return self.whole(path, raw, 1, TRIES_MOST)
+
+    def whole(self, path: str, raw: object, least: int, most: int) -> int | None:
         if raw is None:
             return None
-        if isinstance(raw, bool) or not isinstance(raw, int) or not 1 <= raw <= 10:
-            self.fault(path, "must be a whole number from 1 to 10")
+        if isinstance(raw, bool) or not isinstance(raw, int) or not least <= raw <= most:
+            self.fault(path, f"must be a whole number from {least} to {most}")
             return None
         return raw
 
@@ -193,7 +259,12 @@
     raw = _parse(data)
     if isinstance(raw, outcome.Bad):
         return raw
-    steps = _check(raw.value)
+    return await check_gently(raw.value)
+
+
+async def check_gently(raw: object) -> Read:
+    """Check a layout as a whole, letting others have their turn."""
+    steps = _check(raw)
     while True:
         try:
             next(steps)
@@ -225,8 +296,12 @@
     if not isinstance(raw, dict):
         return outcome.bad("bad_layout", faults=("layout: must be an object",))
     see.keys("", raw, LayoutDoc.__annotations__)
+    see.whole("number", raw.get("number"), 0, NUMBER_MOST)
+    if raw.get("doubles", "fault") not in DOUBLES:
+        see.fault("doubles", f"must be one of {', '.join(DOUBLES)}")
+    _bounds(see, raw.get("bounds", {}))
     services = _services(see, raw.get("services"))
-    rules = yield from _rules(see, raw.get("rules"), services)
+    rules = yield from _rules(see, raw.get("rules"), services, raw.get("doubles") == "first")
     if see.faults:
         return outcome.bad("bad_layout", faults=tuple(see.faults))
     layout = Layout(services, typing.cast(LayoutDoc, raw))
@@ -237,6 +312,17 @@
     return outcome.Good(layout)
 
 
+def _bounds(see: _Checker, raw: object) -> None:
+    if not isinstance(raw, dict):
+        see.fault("bounds", "must be an object")
+        return
+    see.keys("bounds", raw, BoundsDoc.__annotations__)
+    for key in ("head_most", "body_most"):
+        see.whole(f"bounds.{key}", raw.get(key), 1, BYTES_MOST)
+    for key in ("head_s", "idle_s"):
+        see.span(f"bounds.{key}", raw.get(key))
+
+
 def _services(see: _Checker, raw: object) -> dict[str, Service]:
     services: dict[str, Service] = {}
     if not isinstance(raw, dict):
@@ -252,12 +338,13 @@
         see.span(f"{path}.expiry_s", doc.get("expiry_s"))
         see.span(f"{path}.request_s", doc.get("request_s"))
         see.tries(f"{path}.max_tries", doc.get("max_tries"))
-        services[name] = Service(name, see.path(f"{path}.probe", doc.get("probe"), DEFAULT_PROBE))
+        most = see.whole(f"{path}.pipes_most", doc.get("pipes_most"), 1, NUMBER_MOST)
+        services[name] = Service(name, see.path(f"{path}.probe", doc.get("probe"), DEFAULT_PROBE), most)
     return services
 
 
 def _rules(
-    see: _Checker, raw: object, services: dict[str, Service]
+    see: _Checker, raw: object, services: dict[str, Service], doubles: bool
 ) -> typing.Generator[None, None, list[Rule]]:
     rules: list[Rule] = []
     taken: dict[tuple[str, str, str], int] = {}
@@ -274,12 +361,19 @@
         rule = _rule(see, path, doc, n)
         if rule.service and rule.service not in services:
             see.fault(f"{path}.service", f"no such service '{rule.service}'")
-        # Two rules for the same requests would leave the choice to chance.
+        for name, _ in rule.split:
+            if name not in services:
+                see.fault(f"{path}.split", f"no such service '{name}'")
+        # Two rules for the same requests would leave the choice to chance: a fault, unless
+        # the operator says that the first one has them.
+        twice = False
         for method in sorted(rule.methods) or [""]:
             first = taken.setdefault((rule.host, rule.path, method), n)
-            if first != n:
+            twice = twice or first != n
+            if first != n and not doubles:
                 see.fault(path, f"matches the same requests as rules[{first}]")
-        rules.append(rule)
+        if not twice:
+            rules.append(rule)
     return rules
 
 
@@ -288,8 +382,11 @@
     host = see.text(f"{path}.host", doc.get("host")).lower()
     if host and (not set(host) <= TOKEN or len(host) > 253):
         see.fault(f"{path}.host", "must be a host's name without a port")
-    if "service" not in doc:
+    split = _split(see, f"{path}.split", doc.get("split"))
+    if "service" not in doc and not split:
         see.fault(f"{path}.service", "missing")
+    if "service" in doc and split:
+        see.fault(f"{path}.split", "stands beside a service; one of the two decides")
     methods = doc.get("methods", [])
     if not isinstance(methods, list) or not all(isinstance(m, str) and m in METHODS for m in methods):
         see.fault(f"{path}.methods", f"must be a list out of {', '.join(sorted(METHODS))}")
@@ -308,17 +405,40 @@
         expiry_s=see.span(f"{path}.expiry_s", doc.get("expiry_s")),
         request_s=see.span(f"{path}.request_s", doc.get("request_s")),
         max_tries=see.tries(f"{path}.max_tries", doc.get("max_tries")),
+        split=split,
+        aim_s=see.span(f"{path}.aim_s", doc.get("aim_s")),
+        rank=see.whole(f"{path}.rank", doc.get("rank", 1), 0, RANK_MOST) or 0,
     )
 
 
+def _split(see: _Checker, path: str, raw: object) -> tuple[tuple[str, float], ...]:
+    if raw is None:
+        return ()
+    if not isinstance(raw, list) or not raw:
+        see.fault(path, "must be a list of services with weights")
+        return ()
+    found = []
+    for n, doc in enumerate(raw):
+        if not isinstance(doc, dict):
+            see.fault(f"{path}[{n}]", "must be an object")
+            continue
+        see.keys(f"{path}[{n}]", doc, ShareDoc.__annotations__)
+        weight = doc.get("weight")
+        if isinstance(weight, bool) or not isinstance(weight, (int, float)) or not 0 <= weight < 1e12:
+            see.fault(f"{path}[{n}].weight", "must be a number from 0")
+            weight = 0.0
+        found.append((see.name(f"{path}[{n}].service", doc.get("service")), float(weight)))
+    return tuple(found)
+
+
 def pack(layout: Layout) -> bytes:
     """The one spelling of a layout by which two are told to be the same."""
     return json.dumps(layout.doc, sort_keys=True, separators=(",", ":"), ensure_ascii=True).encode()
 
 
-def limits(layout: Layout, rule: Rule) -> ServiceDoc:
-    """A rule's bounds, with its service's where it has none of its own."""
-    doc = layout.doc["services"][rule.service]
+def limits(layout: Layout, rule: Rule, service: str = "") -> ServiceDoc:
+    """A rule's bounds, with those of the service drawn where it has none of its own."""
+    doc = layout.doc["services"].get(service or rule.service, {})
     merged: ServiceDoc = {}
     expiry = rule.expiry_s if rule.expiry_s is not None else doc.get("expiry_s")
     request = rule.request_s if rule.request_s is not None else doc.get("request_s")
--- a/packages/membership/src/dykeswitch/membership/__init__.py
+++ b/packages/membership/src/dykeswitch/membership/__init__.py
@@ -87,6 +87,10 @@
         self._knock: asyncio.Task[bool] | None = None
         self._seeking: asyncio.Task[bool] | None = None
 
+    def reseed(self, seeds: typing.Sequence[str]) -> None:
+        """Other members to begin with, from now on."""
+        self._seeds = [seed for seed in seeds if seed != self.me.spot]
+
     def kinds(self) -> dict[str, frames.Handle]:
         return {"shuffle": self._on_shuffle, "tell": self._on_tell, "poll": self._on_poll}
 
--- a/packages/ports/src/dykeswitch/ports/real.py
+++ b/packages/ports/src/dykeswitch/ports/real.py
@@ -10,11 +10,12 @@
 import time
 import typing
 
-import httpx
-import uvicorn
-
 import dykeswitch.ports as ports
 
+if typing.TYPE_CHECKING:
+    import httpx
+    import uvicorn
+
 T = typing.TypeVar("T")
 
 READ_SIZE: typing.Final = 65536
@@ -145,18 +146,10 @@
         return await asyncio.to_thread(work)
 
 
-class _Server(uvicorn.Server):
-    """Uvicorn without its own signal handlers: the program has its own."""
-
-    @contextlib.contextmanager
-    def capture_signals(self) -> collections.abc.Generator[None, None, None]:
-        yield
-
-
 class RealWebServer:
     """One application served by uvicorn in this process."""
 
-    def __init__(self, server: uvicorn.Server, task: "asyncio.Task[None]") -> None:
+    def __init__(self, server: "uvicorn.Server", task: "asyncio.Task[None]") -> None:
         self._server = server
         self._task = task
 
@@ -176,6 +169,16 @@
         self._client: httpx.AsyncClient | None = None
 
     async def serve(self, spot: str, app: ports.App) -> ports.WebServer:
+        # Brought in where it is needed: a store serves no web, and starting is part of recovery.
+        import uvicorn
+
+        class Server(uvicorn.Server):
+            """Uvicorn without its own signal handlers: the program has its own."""
+
+            @contextlib.contextmanager
+            def capture_signals(self) -> collections.abc.Generator[None, None, None]:
+                yield
+
         host, port = split_spot(spot)
         # Bind first, so that a taken port is told as one plain line.
         # The protocol is named: asyncio turns Nagle's delay off only where it is, and a
@@ -190,6 +193,7 @@
         config = uvicorn.Config(
             typing.cast(typing.Any, app),
             http="h11",
+            interface="asgi3",
             ws="none",
             lifespan="off",
             log_config=None,
@@ -201,7 +205,7 @@
             timeout_keep_alive=60,
             backlog=1024,
         )
-        server = _Server(config)
+        server = Server(config)
         task = asyncio.create_task(server.serve(sockets=[sock]))
         while not server.started:
             if task.done():
@@ -219,6 +223,9 @@
         body: bytes,
         wait: float,
     ) -> ports.Reply:
+        # Only the tools ask by web; the programs never load it.
+        import httpx
+
         if self._client is None:
             self._client = httpx.AsyncClient(trust_env=False, limits=httpx.Limits(max_connections=1000))
         try:
--- a/packages/proxy/src/dykeswitch/proxy/carrier.py
+++ b/packages/proxy/src/dykeswitch/proxy/carrier.py
@@ -3,7 +3,6 @@
 import asyncio
 import collections
 import json
-import math
 import random
 import typing
 
@@ -18,6 +17,7 @@
 import dykeswitch.soundness as soundness
 import dykeswitch.soundness.pipe as pipes
 import dykeswitch.timeline as timeline
+import dykeswitch.tongue as tongues
 
 # Fields of one hop, which the HTTP standard forbids to pass on.
 HOP: typing.Final = frozenset(
@@ -33,8 +33,6 @@
         b"upgrade",
     }
 )
-EXPIRY: typing.Final = b"dykeswitch-expiry-ms"
-EXCHANGE: typing.Final = b"dykeswitch-exchange"
 # Pipes that failed before anything was sent cost the endpoint nothing; still one
 # exchange does not try the whole fleet.
 MISSES_MOST: typing.Final = 6
@@ -92,7 +90,11 @@
         log: logs.Log,
         dice: random.Random,
         senses: Senses,
+        tongue: tongues.Tongue | None = None,
     ) -> None:
+        self._tongue: tongues.Tongue = tongue or tongues.Own()
+        self._heads = self._tongue.heads
+        self._dice = dice
         self._bounds = bounds
         self._net = machine.net
         self._clock = machine.clock
@@ -240,10 +242,14 @@
         rule = self.layout.match(x.host, x.path, x.method)
         if rule is None:
             return "no_rule"
-        limits = layouts.limits(self.layout, rule)
+        # Drawn once where the rule is split, and again only if the rule has moved on.
+        if x.service not in rule.services():
+            x.service = rule.draw(self._dice)
+        if not x.service:
+            return "no_rule"
+        limits = layouts.limits(self.layout, rule, x.service)
         x.layout = self.layout
         x.rule = rule
-        x.service = rule.service
         x.writing = rule.writes(x.method)
         x.request_s = limits.get("request_s", self._bounds.request_s)
         x.max_tries = limits.get("max_tries", self._bounds.max_tries)
@@ -257,7 +263,7 @@
         if self.layout is x.layout or self.layout is None:
             return self.layout is not None
         rule = self.layout.match(x.host, x.path, x.method)
-        return rule is not None and rule.service == x.service
+        return rule is not None and x.service in rule.services()
 
     def _budget(self, service: str) -> budgets.Budget:
         budget = self._budgets.get(service)
@@ -319,31 +325,34 @@
         held = self._idle.get(entry.key, [])
         while held:
             pipe = held.pop()
-            # A pipe that lay idle may by now lead to whoever took the address over
-            # without our hearing of it: only a fresh proof tells.
-            if not pipe.usable() or pipe.spot != spot:
+            if not pipe.usable() or pipe.spot != spot or self._stale(pipe, now):
                 pipe.close()
                 continue
-            if now - pipe.used < self._bounds.drain_s / 4:
+            # A pipe that lay idle may by now lead to whoever took the address over without
+            # our hearing of it: only a fresh proof tells, or the id that the request bears.
+            if now - pipe.used < self._bounds.drain_s / 4 or self._bounds.proof == "header":
                 return pipe
             if await self._still_proven(pipe, probe, left):
                 return pipe
         left = max(0.0, x.expiry - self._clock.now())
+        dial_s = min(self._bounds.dial_s, left)
+        if self._bounds.proof == "header":
+            names = self._heads.exchange
+            return await pipes.open_pipe(self._net, self._clock, entry.key, spot, dial_s, names)
+        wait = min(self._bounds.probe_wait_s, left)
         return await pipes.open_proven(
-            self._net,
-            self._clock,
-            entry.key,
-            spot,
-            probe,
-            min(self._bounds.dial_s, left),
-            min(self._bounds.probe_wait_s, left),
+            self._net, self._clock, entry.key, spot, probe, dial_s, wait, self._heads
         )
 
+    def _stale(self, pipe: pipes.EndpointPipe, now: float) -> bool:
+        """Whether the endpoint is about to close an idle pipe, by its own word."""
+        return pipe.idle_s is not None and now - pipe.used > pipe.idle_s / 2
+
     async def _still_proven(self, pipe: pipes.EndpointPipe, probe: str, left: float) -> bool:
         """Prove an idle pipe anew; one that fails is closed, and judged by a fresh one."""
         try:
             async with asyncio.timeout(min(self._bounds.probe_wait_s, left)):
-                if await pipes.prove(pipe, probe) is None and pipe.usable():
+                if await pipes.prove(pipe, probe, self._heads.served_by) is None and pipe.usable():
                     return True
         except TimeoutError as flaw:
             # It hangs: a fresh pipe would only hang as long again.
@@ -425,12 +434,20 @@
 
     def _heads_for(self, x: exchanges.Exchange) -> pipes.Heads:
         left = max(1, int((x.expiry - self._clock.now()) * 1000))
-        heads = [(k, v) for k, v in kept_heads(x.heads) if k not in (EXPIRY, EXCHANGE, b"content-length")]
-        if x.body or any(k == b"content-length" for k, _ in x.heads):
+        names = self._heads
+        ours = {names.expiry, names.expected, b"content-length"}
+        if not self._tongue.named_by_caller:
+            ours.add(names.exchange)
+        heads = [(k, v) for k, v in kept_heads(x.heads) if k not in ours]
+        # One that came in chunks goes on with a length: it is whole by now.
+        if x.body or any(k in (b"content-length", b"transfer-encoding") for k, _ in x.heads):
             heads.append((b"content-length", str(len(x.body)).encode()))
-        heads.append((b"via", b"1.1 dykeswitch"))
-        heads.append((EXPIRY, str(left).encode()))
-        heads.append((EXCHANGE, x.name.encode()))
+        heads.append((names.expiry, str(left).encode()))
+        if x.endpoint is not None:
+            heads.append((names.expected, x.endpoint.key.encode()))
+        if not self._tongue.named_by_caller:
+            heads.append((b"via", b"1.1 dykeswitch"))
+            heads.append((names.exchange, x.name.encode()))
         return heads
 
     async def _gather(self, x: exchanges.Exchange) -> None:
@@ -460,21 +477,26 @@
                 x.unknown = x.flaw
             return Stage.RETRY
         assert x.head is not None
-        served = x.head.get(soundness.SERVED_BY)
-        if served is not None and served.decode("latin-1") != name:
+        served = x.head.get(self._heads.served_by)
+        promised = self._tongue.promised(x.head.status, x.head.heads)
+        other = served is not None and served.decode("latin-1") != name
+        bare = x.head.status < 300 and self._heads.seal and x.head.get(self._heads.seal) is None
+        if (other and not promised) or bare:
             # Someone else's reply, or an address that changed hands under our pipe.
-            x.flaw = soundness.WRONG_ID_REPLY
+            x.flaw = soundness.WRONG_ID_REPLY if other else soundness.GARBAGE
             x.unknown = x.flaw
             x.head, x.buffer, x.rest = None, b"", None
             self._put_away(x, sound=False)
             self._mark(name, soundness.Fault(x.flaw))
             return Stage.RETRY
-        promised = x.head.get(soundness.PROMISE) == soundness.NOT_RUN
         fault = soundness.status_fault(x.head.status, promised)
-        if fault is None:
+        if promised and x.head.status == soundness.MISDIRECTED:
+            fault = soundness.Fault(soundness.WRONG_ID_REPLY)
+        if fault is None and not promised:
             return Stage.REPLY
         self._step(x, f"{name} answered {x.head.status}", "promised not to have run" if promised else "")
-        self._mark(name, fault)
+        if fault is not None:
+            self._mark(name, fault)
         if promised or not x.writing:
             if x.rest is not None:
                 self._put_away(x, sound=False)
@@ -516,10 +538,10 @@
         x.retry_after = self._come_back(x)
         return self._end(x, tag, x.flaw)
 
-    def _come_back(self, x: exchanges.Exchange) -> int:
+    def _come_back(self, x: exchanges.Exchange) -> float:
         """In how many seconds the first of the service's marks runs out."""
         wait = self.selector.open_in(x.service, self._clock.now())
-        return max(1, min(math.ceil(wait), math.ceil(self._bounds.mark_s)))
+        return max(self._bounds.back_s, min(wait, self._bounds.mark_s))
 
     async def _reply(self, x: exchanges.Exchange) -> Stage:
         if x.bad is not None or x.head is None:
@@ -535,13 +557,15 @@
             heads = [(k, v) for k, v in heads if k != b"retry-after"]
         elif x.status in soundness.FREE and not any(k == b"retry-after" for k, _ in heads):
             # Given up on, and nothing of it runs any more: say when to come back.
-            heads.append((b"retry-after", str(self._come_back(x)).encode()))
+            heads.append((b"retry-after", self._tongue.hint(self._come_back(x))))
         bodiless = x.method == "HEAD" or x.status in (204, 304) or x.status < 200
         if x.rest is None and not bodiless:
             heads = [(k, v) for k, v in heads if k != b"content-length"]
             heads.append((b"content-length", str(len(x.buffer)).encode()))
-        heads.append((b"via", b"1.1 dykeswitch"))
-        heads.append((EXCHANGE, x.name.encode()))
+        if not self._tongue.named_by_caller:
+            heads = [(k, v) for k, v in heads if k != self._heads.exchange]
+            heads.append((b"via", b"1.1 dykeswitch"))
+            heads.append((self._heads.exchange, x.name.encode()))
         if self._parting():
             heads.append((b"connection", b"close"))
         if x.rest is None:
@@ -583,10 +607,10 @@
             (b"content-type", b"application/json"),
             (b"content-length", str(len(body)).encode()),
             (b"dykeswitch-result", str(bad.code.number).encode()),
-            (EXCHANGE, x.name.encode()),
+            (self._heads.exchange, x.name.encode()),
         ]
         if x.retry_after is not None:
-            heads.append((b"retry-after", str(x.retry_after).encode()))
+            heads.append((b"retry-after", self._tongue.hint(x.retry_after)))
         if self._parting():
             heads.append((b"connection", b"close"))
         x.replied = True
--- a/packages/proxy/src/dykeswitch/proxy/exchange.py
+++ b/packages/proxy/src/dykeswitch/proxy/exchange.py
@@ -69,7 +69,7 @@
     # Whether any go may have run, or run still, with its end unknown to us.
     unknown: str = ""
     bad: outcome.Bad | None = None
-    retry_after: int | None = None
+    retry_after: float | None = None
     status: int = 0
     # What was done, each with its moment: told to an operator who asks.
     trail: list[Step] = dataclasses.field(default_factory=list)
--- a/packages/proxy/src/dykeswitch/proxy/program.py
+++ b/packages/proxy/src/dykeswitch/proxy/program.py
@@ -12,7 +12,6 @@
 import dykeswitch.layout.papers as papers
 import dykeswitch.layout.pauses as pauses
 import dykeswitch.logs as logs
-import dykeswitch.logs.counters as counters
 import dykeswitch.membership as membership
 import dykeswitch.outcome as outcome
 import dykeswitch.ports as ports
@@ -20,18 +19,27 @@
 import dykeswitch.proxy.exchange as exchanges
 import dykeswitch.settings as settings
 import dykeswitch.timeline as timeline
+import dykeswitch.tongue as tongues
+import dykeswitch.tongue.page as pages
 
 # The part of the grace after which work still in hand is answered.
 LAST_CALL: typing.Final = 0.88
+NO_BOUNDS: typing.Final = layouts.Bounds()
 
 
 class Proxy:
     """One proxy."""
 
     def __init__(
-        self, bounds: settings.Settings, machine: ports.Machine, log: logs.Log, dice: random.Random
+        self,
+        bounds: settings.Settings,
+        machine: ports.Machine,
+        log: logs.Log,
+        dice: random.Random,
+        tongue: tongues.Tongue | None = None,
     ) -> None:
         self.bounds = bounds
+        self.tongue: tongues.Tongue = tongue or tongues.Own()
         self.machine = machine
         self.log = log
         self.clock = machine.clock
@@ -52,7 +60,7 @@
             log.note,
         )
         self.papers = papers.Papers(self.line, self.caller, bounds.call_s, self._reads)
-        self.carrier = carrier.Carrier(bounds, machine, self.line, self.marks, log, dice, self)
+        self.carrier = carrier.Carrier(bounds, machine, self.line, self.marks, log, dice, self, self.tongue)
         self._pauses: list[pauses.Pause] = []
         self.carrier.selector.paused = self.paused
         self._names = f"{dice.getrandbits(32):08x}"
@@ -73,6 +81,7 @@
         # When an orderly stop has no more time for what is at work.
         self._ends: float | None = None
         self._server: ports.WebServer | None = None
+        self._ready_server: ports.WebServer | None = None
         self._ear: ports.Listener | None = None
         self.stopping = False
         self._stop = asyncio.Event()
@@ -99,7 +108,11 @@
                 self.log.info("pauses taken up", version=version, pauses=len(planned))
 
             return plan
-        result = await layouts.read_gently(data)
+        raw = self.tongue.layout(data)
+        if isinstance(raw, outcome.Bad):
+            self.log.error("layout refused", version=version, why=raw.why)
+            return None
+        result = await layouts.check_gently(raw.value)
         if isinstance(result, outcome.Bad):
             # It was checked before it was accepted: keep the one we have.
             self.log.error("layout refused", version=version, faults=result.faults[:5])
@@ -264,6 +277,9 @@
         return litestar.Response(page, status_code=200 if why is None else 503)
 
     def _counters(self) -> litestar.Response[bytes]:
+        # Brought in when somebody asks: few do, and each start would pay for it.
+        import dykeswitch.logs.counters as counters
+
         counts = {
             **self.carrier.counts,
             "exchanges_at_work": len(self.carrier.table),
@@ -327,9 +343,9 @@
         )
 
     async def _intake(self, x: exchanges.Exchange, receive: ports.Receive) -> outcome.Bad | None:
-        if sum(len(k) + len(v) for k, v in x.heads) > self.bounds.head_most:
+        if sum(len(k) + len(v) for k, v in x.heads) > (self._taken().head_most or self.bounds.head_most):
             return outcome.bad("head_too_big")
-        text = next((v for k, v in x.heads if k == carrier.EXPIRY), None)
+        text = tongues.find(x.heads, self.tongue.heads.expiry)
         if text is not None:
             if not text.isdigit() or len(text) > 9:
                 return outcome.bad("bad_expiry", text[:40].decode("latin-1"))
@@ -340,15 +356,21 @@
         except TimeoutError:
             return outcome.bad("expired", "the request's body did not come in time")
 
+    def _taken(self) -> layouts.Bounds:
+        """What the operator lets callers send; the settings hold where the layout says nothing."""
+        layout = self.carrier.layout
+        return layout.bounds if layout is not None else NO_BOUNDS
+
     async def _body(self, x: exchanges.Exchange, receive: ports.Receive) -> outcome.Bad | None:
         body = bytearray()
+        most = min(self._taken().body_most or self.bounds.body_most, self.bounds.body_most)
         while True:
             message = await receive()
             if message["type"] == "http.disconnect":
                 return outcome.bad("caller_left")
             body += message.get("body", b"")
-            if len(body) > self.bounds.body_most:
-                return outcome.bad("body_too_big", f"over {self.bounds.body_most} bytes")
+            if len(body) > most:
+                return outcome.bad("body_too_big", f"over {most} bytes")
             if not message.get("more_body"):
                 break
         x.body = bytes(body)
@@ -369,7 +391,12 @@
         ear = frames.Ear(kinds, self.log.note)
         self._ear = await self.machine.net.listen(self.bounds.ear or self.bounds.member, ear.serve)
         try:
-            self._server = await self.machine.web.serve(self.bounds.web, self.app)
+            # With an address of its own for readiness, all that comes on `web` is for endpoints.
+            app: ports.App = self._gateway if self.bounds.ready else self.app
+            self._server = await self.machine.web.serve(self.bounds.web, app)
+            if self.bounds.ready:
+                asked = pages.app(self.tongue.ready_path, self.ready)
+                self._ready_server = await self.machine.web.serve(self.bounds.ready, asked)
             self.log.info("started", web=self.bounds.web, member=self.bounds.member)
             async with asyncio.TaskGroup() as group:
                 tasks = [
@@ -383,6 +410,8 @@
                 for task in tasks:
                     task.cancel()
         finally:
+            if self._ready_server is not None:
+                await self._ready_server.stop(0.0)
             self._ear.close()
             self.caller.close()
             self.carrier.close()
@@ -392,6 +421,11 @@
         """Ask for an orderly stop."""
         self._stop.set()
 
+    def retold(self, bounds: settings.Settings) -> None:
+        """Take up changed settings, as far as a running program can: seeds; the rest at a start."""
+        self.spread.reseed(bounds.seeds)
+        self.log.info("settings taken up", seeds=len(bounds.seeds))
+
     async def _leave(self) -> None:
         self.stopping = True
         # Callers on kept pipes are told with each reply to go elsewhere.
--- a/packages/registry/src/dykeswitch/registry/endpoints.py
+++ b/packages/registry/src/dykeswitch/registry/endpoints.py
@@ -12,6 +12,8 @@
 MISSED: typing.Final = 3.5
 INTERVAL_LEAST: typing.Final = 0.2
 NAME_MOST: typing.Final = 128
+# A told burden that moved by less is no news.
+BURDEN_STEP: typing.Final = 0.1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -25,6 +27,41 @@
     burden: float
     interval_s: float
     leaving: bool
+    # Still serving what it has, but nothing new is to come: it leaves as surely.
+    draining: bool = False
+    # Requests it works on at once, where it says so.
+    slots: int | None = None
+    # Rises with each beat, so that a late one is told by it.
+    count: int | None = None
+    # For how many seconds more it is slow, having just started.
+    warm_s: float = 0.0
+
+
+KEYS: typing.Final = (
+    "id",
+    "service",
+    "address",
+    "zone",
+    "burden",
+    "interval_s",
+    "leaving",
+    "draining",
+    "slots",
+    "count",
+    "warm_s",
+)
+COUNT_MOST: typing.Final = 2**53
+
+
+def _whole(raw: dict[str, object], key: str, least: int, faults: list[str]) -> int | None:
+    """An optional whole number of a beat."""
+    found = raw.get(key)
+    if found is None:
+        return None
+    if isinstance(found, bool) or not isinstance(found, int) or not least <= found < COUNT_MOST:
+        faults.append(f"{key}: must be a whole number from {least}")
+        return None
+    return found
 
 
 def read_beat(raw: object) -> outcome.Good[Beat] | outcome.Bad:
@@ -33,11 +70,19 @@
         return outcome.bad("bad_beat", faults=("beat: must be an object",))
     faults: list[str] = []
     for key in raw:
-        if key not in ("id", "service", "address", "zone", "burden", "interval_s", "leaving"):
+        if key not in KEYS:
             faults.append(f"{key}: unknown key")
     leaving = raw.get("leaving", False)
     if not isinstance(leaving, bool):
         faults.append("leaving: must be true or false")
+    draining = raw.get("draining", False)
+    if not isinstance(draining, bool):
+        faults.append("draining: must be true or false")
+    slots, count = _whole(raw, "slots", 1, faults), _whole(raw, "count", 0, faults)
+    warm = raw.get("warm_s", 0.0)
+    if isinstance(warm, bool) or not isinstance(warm, (int, float)) or not 0 <= warm < 1e6:
+        faults.append("warm_s: must be a number from 0")
+        warm = 0.0
     for key in ("id", "service", "zone"):
         text = raw.get(key)
         # Who leaves need only say who it is.
@@ -67,6 +112,10 @@
             float(burden),
             max(INTERVAL_LEAST, float(interval)),
             bool(leaving),
+            bool(draining),
+            slots,
+            count,
+            float(warm),
         )
     )
 
@@ -81,6 +130,10 @@
         # When we last saw a beat of an id, by whatever way it came.
         self._seen: dict[str, float] = {}
         self._own: dict[str, float] = {}
+        # The highest count of beats heard of an id.
+        self._counts: dict[str, int] = {}
+        # Ids heard since the other registries were last told.
+        self._fresh: set[str] = set()
         line.on_change(self._on_entry)
 
     def _on_entry(self, entry: timeline.Entry) -> None:
@@ -99,6 +152,7 @@
         else:
             self._seen.pop(entry.key, None)
             self._own.pop(entry.key, None)
+            self._counts.pop(entry.key, None)
 
     def _grace(self, entry: timeline.Entry) -> float:
         return float(entry.fields.get("interval", 2.0)) * MISSED
@@ -106,7 +160,7 @@
     def beat(self, beat: Beat) -> outcome.Good[dict[str, object]] | outcome.Bad:
         """Take a beat; the reply says when to beat again."""
         old = self._line.get(timeline.ENDPOINT, beat.name)
-        if beat.leaving:
+        if beat.leaving or beat.draining:
             # An id we never heard of may have been heard elsewhere: it leaves all the same.
             fields = dict(old.fields) if old is not None else self._fields(beat, [0, ""])
             if fields["state"] not in timeline.STICKY:
@@ -116,16 +170,45 @@
         if old is not None and old.fields["state"] in timeline.STICKY:
             return outcome.bad("beat_gone", f"{beat.name} {old.fields['state']}")
         now = self._clock.now()
+        # One that was overtaken on its way says nothing of today.
+        if beat.count is not None:
+            if beat.count < self._counts.get(beat.name, 0):
+                return outcome.Good({"late": True})
+            self._counts[beat.name] = beat.count
         moved = old is None or old.fields["address"] != beat.address or old.fields["service"] != beat.service
         born = list(self._line.stamp()) if moved or old is None else old.fields["born"]
         fields = self._fields(beat, born)
         urgent = old is None or any(
             old.fields[k] != fields[k] for k in ("state", "service", "address", "zone")
         )
-        self._own[beat.name] = now
-        self._line.write(timeline.ENDPOINT, beat.name, fields, self._bounds.forget_s, urgent)
+        self._own[beat.name] = self._seen[beat.name] = now
+        self._fresh.add(beat.name)
+        # That it is there still is between registries; only what has changed goes to all, and
+        # what would be forgotten for want of news.
+        if urgent or old is None or self._worn(old, fields):
+            self._line.write(timeline.ENDPOINT, beat.name, fields, self._bounds.forget_s, urgent)
         return outcome.Good({"beat_again_s": min(beat.interval_s, self._bounds.dead_s)})
 
+    def _worn(self, old: timeline.Entry, fields: timeline.Fields) -> bool:
+        """Whether an entry should be written again, though nothing urgent has changed."""
+        if old.expiry - self._clock.now() < self._bounds.forget_s / 2:
+            return True
+        if old.fields.get("slots") != fields.get("slots"):
+            return True
+        return abs(float(old.fields.get("burden", 0.0)) - float(fields["burden"])) >= BURDEN_STEP
+
+    def told(self) -> list[str]:
+        """Ids heard since this was last asked."""
+        fresh, self._fresh = sorted(self._fresh), set()
+        return fresh
+
+    def heard(self, names: typing.Iterable[str]) -> None:
+        """Another registry heard these a moment ago."""
+        now = self._clock.now()
+        for name in names:
+            if name in self._seen:
+                self._seen[name] = now
+
     def _fields(self, beat: Beat, born: list[typing.Any]) -> timeline.Fields:
         return {
             "service": beat.service,
@@ -135,6 +218,8 @@
             "interval": beat.interval_s,
             "state": timeline.UP,
             "born": born,
+            **({"slots": beat.slots} if beat.slots is not None else {}),
+            **({"warm": beat.warm_s} if beat.warm_s else {}),
         }
 
     def lapse(self) -> list[str]:
--- a/packages/registry/src/dykeswitch/registry/program.py
+++ b/packages/registry/src/dykeswitch/registry/program.py
@@ -14,7 +14,6 @@
 import dykeswitch.layout.papers as papers
 import dykeswitch.layout.pauses as pauses
 import dykeswitch.logs as logs
-import dykeswitch.logs.counters as counters
 import dykeswitch.membership as membership
 import dykeswitch.outcome as outcome
 import dykeswitch.ports as ports
@@ -27,6 +26,7 @@
 import dykeswitch.registry.seating as seatings
 import dykeswitch.settings as settings
 import dykeswitch.timeline as timeline
+import dykeswitch.tongue as tongues
 
 Page = litestar.Response[dict[str, typing.Any]]
 BEAT_MOST: typing.Final = 16384
@@ -50,9 +50,15 @@
     """One registry."""
 
     def __init__(
-        self, bounds: settings.Settings, machine: ports.Machine, log: logs.Log, dice: random.Random
+        self,
+        bounds: settings.Settings,
+        machine: ports.Machine,
+        log: logs.Log,
+        dice: random.Random,
+        tongue: tongues.Tongue | None = None,
     ) -> None:
         self.bounds = bounds
+        self.tongue: tongues.Tongue = tongue or tongues.Own()
         self.machine = machine
         self.log = log
         self.clock = machine.clock
@@ -109,6 +115,7 @@
                 litestar.get("/v1/members", sync_to_thread=False)(self._get_members),
                 litestar.post("/v1/query")(self._post_query),
                 litestar.get("/v1/health")(self._get_health),
+                *self.tongue.calls(self),
             ],
             openapi_config=None,
             logging_config=None,
@@ -123,7 +130,8 @@
         if name == papers.PAUSES:
             planned = pauses.read(data)
             return lambda: setattr(self, "pauses", planned)
-        result = await layouts.read_gently(data)
+        raw = self.tongue.layout(data)
+        result = raw if isinstance(raw, outcome.Bad) else await layouts.check_gently(raw.value)
         if isinstance(result, outcome.Bad):
             self.log.error("layout refused", version=version, faults=result.faults[:5])
             return None
@@ -170,6 +178,7 @@
             "confirm": self._on_confirm,
             "seen": self._on_seen,
             "spans": self._on_spans,
+            "heard": self._on_heard,
         }
 
     async def _on_seen(self, body: frames.Body) -> frames.Result:
@@ -178,6 +187,19 @@
         seen = {name: [now - s.at, s.reason] for name, s in self.prober.seen.items()}
         return outcome.Good({"seen": seen})
 
+    async def _on_heard(self, body: frames.Body) -> frames.Result:
+        """Another registry heard beats of these."""
+        self.endpoints.heard([str(name) for name in body["names"]])
+        return outcome.Good({})
+
+    async def _keep_telling(self) -> None:
+        """Tell the other registries whose beats we heard: who is silent for one is not for all."""
+        while True:
+            names = self.endpoints.told()
+            if names:
+                await self._others("heard", {"names": names})
+            await self.clock.sleep(self.bounds.dead_s / 3)
+
     async def _on_spans(self, body: frames.Body) -> frames.Result:
         """What our own history holds of some endpoints."""
         names = [str(name) for name in body["names"]]
@@ -234,6 +256,9 @@
         return litestar.Response(page, status_code=200 if why is None else 503)
 
     def _counters(self) -> litestar.Response[bytes]:
+        # Brought in when somebody asks: few do, and each start would pay for it.
+        import dykeswitch.logs.counters as counters
+
         up = [e for e in self.line.all(timeline.ENDPOINT) if e.fields["state"] == timeline.UP]
         counts = {
             "probes": self.prober.probes,
@@ -253,10 +278,49 @@
             raw = json.loads(data)
         except (ValueError, RecursionError) as flaw:
             return _page(outcome.bad("bad_json", str(flaw)[:200]))
+        return _page(await self.beat(raw))
+
+    async def beat(self, raw: object) -> outcome.Good[dict[str, object]] | outcome.Bad:
+        """Take a beat in the product's own form."""
         beat = endpoints.read_beat(raw)
-        if isinstance(beat, outcome.Bad):
-            return _page(beat)
-        return _page(self.endpoints.beat(beat.value))
+        return beat if isinstance(beat, outcome.Bad) else self.endpoints.beat(beat.value)
+
+    async def newest(self) -> outcome.Good[bytes] | outcome.Bad:
+        """The newest layout, as it was sent, from a majority."""
+        result = await self.proposer.read(papers.LAYOUT)
+        if isinstance(result, outcome.Bad):
+            return result
+        await self._publish(papers.LAYOUT, result.value)
+        if not result.value.version:
+            return outcome.bad("no_such", "no layout yet")
+        return outcome.Good(result.value.body)
+
+    async def put(self, data: bytes, want: int | None = None) -> outcome.Good[int] | outcome.Bad:
+        """Take a layout as it was sent; its version in the register, once it is in force.
+
+        A numbered layout moves the register only if its number is higher than the one that
+        stands; an older or equal one is acknowledged and changes nothing.
+        """
+        raw = self.tongue.layout(data)
+        checked = raw if isinstance(raw, outcome.Bad) else await layouts.check_gently(raw.value)
+        if isinstance(checked, outcome.Bad):
+            return checked
+        kept = layouts.pack(checked.value) if isinstance(self.tongue, tongues.Own) else data
+        result = await self._change(papers.LAYOUT, kept, want, checked.value.number)
+        if isinstance(result, outcome.Bad):
+            return result
+        await self._publish(papers.LAYOUT, result.value)
+        await self._handed(papers.LAYOUT, result.value.version)
+        self.log.info("layout accepted", version=result.value.version, number=checked.value.number)
+        return outcome.Good(result.value.version)
+
+    def _number(self, body: bytes) -> int | None:
+        """The operator's number of a layout that the register holds."""
+        raw = self.tongue.layout(body) if body else outcome.bad("no_such")
+        if isinstance(raw, outcome.Bad) or not isinstance(raw.value, dict):
+            return None
+        number = raw.value.get("number")
+        return number if isinstance(number, int) else None
 
     async def _get_layout(self) -> litestar.Response[typing.Any]:
         result = await self.proposer.read(papers.LAYOUT)
@@ -279,17 +343,10 @@
             if not text.isdigit():
                 return _page(outcome.bad("bad_match", match[:80]))
             want = int(text)
-        checked = await layouts.read_gently(await request.body())
-        if isinstance(checked, outcome.Bad):
-            return _page(checked)
-        data = layouts.pack(checked.value)
-        result = await self._change(papers.LAYOUT, data, want)
+        result = await self.put(await request.body(), want)
         if isinstance(result, outcome.Bad):
             return _page(result)
-        await self._publish(papers.LAYOUT, result.value)
-        await self._handed(papers.LAYOUT, result.value.version)
-        self.log.info("layout accepted", version=result.value.version)
-        return _page(outcome.Good({"version": result.value.version}), result.value.version)
+        return _page(outcome.Good({"version": result.value}), result.value)
 
     async def _handed(self, name: str, version: int) -> None:
         """Wait a moment until two proxies hold it, so that it spreads even if all cores go dark."""
@@ -301,7 +358,9 @@
                 return
             await self.clock.sleep(self.bounds.gap_s / 100)
 
-    async def _change(self, name: str, data: bytes, want: int | None) -> proposers.Read:
+    async def _change(
+        self, name: str, data: bytes, want: int | None, number: int | None
+    ) -> proposers.Read:
         self._ops += 1
         op = f"{self.bounds.name}/{self._boot}/{name}/{self._ops}"
 
@@ -309,6 +368,11 @@
             # Ours already, or the same body by a repeat after an unknown outcome.
             if now.made(op) is not None or now.body == data:
                 return now
+            held = self._number(now.body)
+            if held is not None and number is None:
+                return outcome.bad("lost_race", f"layouts are numbered; the newest is {held}")
+            if held is not None and number is not None and number <= held:
+                return now
             if want is not None and now.version != want:
                 return outcome.bad("lost_race", f"newest is {now.version}")
             return now.next(data, op)
@@ -539,6 +603,7 @@
                         self._keep_reading(),
                         self._keep_duties(),
                         self._keep_lapsing(),
+                        self._keep_telling(),
                         self._keep_swept(),
                         self.prober.run(),
                     )
@@ -559,6 +624,11 @@
         """Ask for an orderly stop."""
         self._stop.set()
 
+    def retold(self, bounds: settings.Settings) -> None:
+        """Take up changed settings, as far as a running program can: seeds; the rest at a start."""
+        self.spread.reseed(bounds.seeds)
+        self.log.info("settings taken up", seeds=len(bounds.seeds))
+
     def live(self) -> list[str]:
         """Registries known to be alive, ourselves among them."""
         return sorted({self.bounds.name, *self.spread.cores()})
--- a/packages/settings/src/dykeswitch/settings/__init__.py
+++ b/packages/settings/src/dykeswitch/settings/__init__.py
@@ -23,6 +23,7 @@
     member: str = ""
     ear: str = ""
     web: str = ""
+    ready: str = ""
     store: str = ""
     seeds: tuple[str, ...] = ()
     founders: tuple[str, ...] = ()
@@ -43,6 +44,9 @@
     reply_buffer: int = 1024 * 1024
     head_most: int = 32768
     layout_most: int = 4 * 1024 * 1024
+    proof: str = "probe"
+    back_s: float = 1.0
+    cores_lost: int = 1
     log_level: str = "info"
 
     # Constants as ratios to the bounds.
@@ -122,11 +126,11 @@
 NEEDS: typing.Final[dict[str, tuple[str, ...]]] = {
     "proxy": ("name", "zone", "member", "web", "seeds"),
     "registry": ("name", "zone", "member", "web", "store"),
-    "store": ("name", "store", "web", "data"),
+    "store": ("name", "store", "data"),
 }
-SPOTS: typing.Final = ("member", "ear", "web", "store")
+SPOTS: typing.Final = ("member", "ear", "web", "ready", "store")
 SPOT_LISTS: typing.Final = ("seeds", "founders")
-SPANS: typing.Final = ("recover_s", "drain_s", "grace_s", "lead_s", "request_s")
+SPANS: typing.Final = ("recover_s", "drain_s", "grace_s", "lead_s", "request_s", "back_s")
 COUNTS: typing.Final = (
     "max_tries",
     "proxies",
@@ -184,8 +188,12 @@
             faults.append(f"{name}: {kept[name]} is less than 1")
     if "extra_share" in kept and not 0 <= kept["extra_share"] <= 1:
         faults.append("extra_share: not within 0 to 1")
+    if "cores_lost" in kept and kept["cores_lost"] < 0:
+        faults.append("cores_lost: less than 0")
     if "extra_floor" in kept and kept["extra_floor"] < 0:
         faults.append("extra_floor: less than 0")
+    if kept.get("proof", "probe") not in ("probe", "header"):
+        faults.append("proof: not one of probe, header")
     if kept.get("log_level", "info") not in ("debug", "info", "warning", "error"):
         faults.append("log_level: not one of debug, info, warning, error")
     if faults:
--- a/packages/soundness/src/dykeswitch/soundness/__init__.py
+++ b/packages/soundness/src/dykeswitch/soundness/__init__.py
@@ -5,9 +5,8 @@
 
 # The header by which an endpoint names itself, on probes and on replies alike.
 SERVED_BY: typing.Final = b"dykeswitch-served-by"
-# An endpoint's promise, in a reply, that the request did not run and will not.
-PROMISE: typing.Final = b"dykeswitch-promise"
-NOT_RUN: typing.Final = b"not-run"
+# The status by which another endpoint than the one meant refuses a request unrun.
+MISDIRECTED: typing.Final = 421
 
 # Plain reasons, as operators read them.
 REFUSED: typing.Final = "refused the pipe"
@@ -19,6 +18,7 @@
 WRONG_ID_REPLY: typing.Final = "wrong identity on reply"
 PROBE_TIMED_OUT: typing.Final = "timed out on probe"
 UNFRAMED: typing.Final = "answered without a length"
+OTHERS_REPLY: typing.Final = "answered another exchange"
 
 # The source marks on any non-200. Here only these say that the endpoint itself
 # fails; the rest speak of the request. How many are free before a mark is set:
--- a/packages/soundness/src/dykeswitch/soundness/pipe.py
+++ b/packages/soundness/src/dykeswitch/soundness/pipe.py
@@ -2,16 +2,23 @@
 
 import asyncio
 import dataclasses
-import ssl
+import re
 import typing
 
-import httpcore
+import h11
 
 import dykeswitch.ports as ports
 import dykeswitch.soundness as soundness
+import dykeswitch.tongue as tongue
 
 Heads = list[tuple[bytes, bytes]]
 
+READ_SIZE: typing.Final = 65536
+PROBE_MOST: typing.Final = 65536
+# How many replies that belong to earlier exchanges are passed over before ours.
+SURPLUS_MOST: typing.Final = 3
+ENDED_BY: typing.Final = re.compile(rb"timeout\s*=\s*(\d{1,6})")
+
 
 class Flaw(Exception):
     """A go that failed, with what it means for endpoint and caller."""
@@ -22,45 +29,6 @@
         self.sent = sent
 
 
-class _Stream(httpcore.AsyncNetworkStream):
-    """Our pipe as the HTTP library wants it; counts what was written."""
-
-    def __init__(self, pipe: ports.Pipe) -> None:
-        self._pipe = pipe
-        self.wrote = 0
-        # Asked right before the first byte of an exchange: may it still go?
-        self.gate: typing.Callable[[], bool] | None = None
-
-    async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
-        try:
-            return await self._pipe.read(max_bytes)
-        except OSError as flaw:
-            raise httpcore.ReadError(str(flaw)) from flaw
-
-    async def write(self, buffer: bytes, timeout: float | None = None) -> None:
-        if not buffer:
-            return
-        gate, self.gate = self.gate, None
-        if gate is not None and not gate():
-            raise Flaw("no longer to be used", sent=False)
-        self.wrote += len(buffer)
-        try:
-            await self._pipe.write(buffer)
-        except OSError as flaw:
-            raise httpcore.WriteError(str(flaw)) from flaw
-
-    async def aclose(self) -> None:
-        self._pipe.close()
-
-    async def start_tls(
-        self, ssl_context: ssl.SSLContext, server_hostname: str | None = None, timeout: float | None = None
-    ) -> httpcore.AsyncNetworkStream:
-        raise NotImplementedError
-
-    def get_extra_info(self, info: str) -> typing.Any:
-        return self._pipe.ended() if info == "is_readable" else None
-
-
 @dataclasses.dataclass(slots=True)
 class Head:
     """The head of an endpoint's reply."""
@@ -69,25 +37,26 @@
     heads: Heads
 
     def get(self, name: bytes) -> bytes | None:
-        for key, text in self.heads:
-            if key.lower() == name:
-                return text
-        return None
+        return tongue.find(self.heads, name)
 
 
 class EndpointPipe:
-    """One proven pipe to one endpoint by its registered id."""
+    """One pipe to one endpoint by its registered id; one exchange at a time."""
 
-    def __init__(self, endpoint: str, spot: str, pipe: ports.Pipe, now: float) -> None:
+    def __init__(
+        self, endpoint: str, spot: str, pipe: ports.Pipe, now: float, exchange: bytes = b""
+    ) -> None:
         self.endpoint = endpoint
         self.spot = spot
         self._pipe = pipe
-        self._stream = _Stream(pipe)
-        host, _, port = spot.rpartition(":")
-        self._origin = httpcore.Origin(b"http", host.encode(), int(port))
-        self._core = httpcore.AsyncHTTP11Connection(self._origin, self._stream)
-        self._reply: httpcore.Response | None = None
+        self._talk = h11.Connection(h11.CLIENT)
+        # The field that names the exchange in request and reply, where there is one.
+        self._exchange = exchange
+        self._asked: list[bytes] = []
+        self._wrote = 0
         self.used = now
+        # Until when the endpoint said that it keeps an idle pipe, in seconds of idling.
+        self.idle_s: float | None = None
         self.closed = False
 
     def close(self) -> None:
@@ -95,7 +64,9 @@
         self._pipe.close()
 
     def usable(self) -> bool:
-        return not self.closed and not self._pipe.ended() and self._core.is_idle()
+        if self.closed or self._pipe.ended():
+            return False
+        return self._talk.our_state is h11.IDLE and not self._talk.trailing_data[0]
 
     async def send(
         self,
@@ -106,47 +77,121 @@
         gate: typing.Callable[[], bool] | None = None,
     ) -> Head:
         """Send a request and bring back the reply's head."""
-        before = self._stream.wrote
-        self._stream.gate = gate
-        url = httpcore.URL(scheme=b"http", host=self._origin.host, port=self._origin.port, target=target)
-        ask = httpcore.Request(method.encode(), url, headers=heads, content=body if body else None)
+        before = self._wrote
+        name = tongue.find(heads, self._exchange) if self._exchange else None
         try:
-            self._reply = await self._core.handle_async_request(ask)
+            data = self._request(method, target, heads, body)
+            # Right before the first byte: may it still go?
+            if gate is not None and not gate():
+                raise Flaw("no longer to be used", sent=False)
+            self._wrote += len(data)
+            await self._pipe.write(data)
+            return await self._head(name, method, target, heads)
         except Flaw:
             self.close()
             raise
-        except httpcore.RemoteProtocolError as flaw:
+        except h11.ProtocolError as flaw:
             self.close()
-            gone = "disconnected" in str(flaw)
-            reason = soundness.BROKE_OFF if gone else soundness.GARBAGE
-            raise Flaw(reason, self._stream.wrote > before) from flaw
-        except (httpcore.NetworkError, httpcore.ProtocolError, httpcore.ConnectionNotAvailable) as flaw:
+            raise Flaw(soundness.GARBAGE, self._wrote > before) from flaw
+        except OSError as flaw:
             self.close()
-            raise Flaw(soundness.BROKE_OFF, self._stream.wrote > before) from flaw
+            raise Flaw(soundness.BROKE_OFF, self._wrote > before) from flaw
         except BaseException:
             # Timed out or cancelled: what comes on this pipe later belongs to nobody.
             self.close()
             raise
-        return Head(self._reply.status, list(self._reply.headers))
+
+    def _request(self, method: str, target: bytes, heads: Heads, body: bytes) -> bytes:
+        data = self._talk.send(h11.Request(method=method, target=target, headers=heads)) or b""
+        if body:
+            data += self._talk.send(h11.Data(data=body)) or b""
+        return data + (self._talk.send(h11.EndOfMessage()) or b"")
+
+    async def _event(self) -> typing.Any:
+        """The next event of the reply; a pipe that ends within it raises."""
+        while True:
+            event = self._talk.next_event()
+            if event is not h11.NEED_DATA:
+                return event
+            data = await self._pipe.read(READ_SIZE)
+            if not data and self._talk.their_state is h11.SEND_RESPONSE:
+                raise Flaw(soundness.BROKE_OFF, True)
+            try:
+                self._talk.receive_data(data)
+                if not data:
+                    event = self._talk.next_event()
+                    if event is not h11.NEED_DATA:
+                        return event
+                    raise Flaw(soundness.BROKE_OFF, True)
+            except h11.RemoteProtocolError as flaw:
+                if not data:
+                    raise Flaw(soundness.BROKE_OFF, True) from flaw
+                raise
+
+    async def _head(self, name: bytes | None, method: str, target: bytes, heads: Heads) -> Head:
+        for _ in range(SURPLUS_MOST):
+            event = await self._event()
+            while isinstance(event, h11.InformationalResponse):
+                event = await self._event()
+            if not isinstance(event, h11.Response):
+                raise Flaw(soundness.BROKE_OFF, True)
+            head = Head(event.status_code, [(bytes(k), bytes(v)) for k, v in event.headers.raw_items()])
+            back = head.get(self._exchange) if name is not None else None
+            if back is None or back == name:
+                if name is not None:
+                    self._asked = [*self._asked[-SURPLUS_MOST:], name]
+                self._learn(head)
+                return head
+            if back not in self._asked:
+                raise Flaw(soundness.OTHERS_REPLY, True)
+            # A second reply to an exchange of before: the id tells it from ours, which
+            # is still to come.
+            await self._pass_over(method, target, heads)
+        raise Flaw(soundness.OTHERS_REPLY, True)
+
+    async def _pass_over(self, method: str, target: bytes, heads: Heads) -> None:
+        """Read to the end of a reply that is not ours, and look for ours behind it."""
+        while not isinstance(event := await self._event(), h11.EndOfMessage):
+            if not isinstance(event, h11.Data):
+                raise Flaw(soundness.BROKE_OFF, True)
+        rest, over = self._talk.trailing_data
+        self._talk = h11.Connection(h11.CLIENT)
+        # As if just sent: the bytes themselves went out before.
+        self._request(method, target, [(k, v) for k, v in heads if k != b"content-length"], b"")
+        if rest or over:
+            self._talk.receive_data(rest)
+
+    def _learn(self, head: Head) -> None:
+        told = ENDED_BY.search(head.get(b"keep-alive") or b"")
+        if told is not None:
+            self.idle_s = float(told.group(1))
 
     def wrote_since(self, mark: int) -> bool:
-        return self._stream.wrote > mark
+        return self._wrote > mark
 
     def wrote(self) -> int:
-        return self._stream.wrote
+        return self._wrote
 
     async def parts(self) -> typing.AsyncIterator[bytes]:
         """The reply's body; raises when it is cut short."""
-        assert self._reply is not None
         try:
-            async for part in typing.cast(typing.AsyncIterable[bytes], self._reply.stream):
-                yield part
+            while True:
+                event = await self._event()
+                if isinstance(event, h11.Data):
+                    yield bytes(event.data)
+                elif isinstance(event, h11.EndOfMessage):
+                    break
+                else:
+                    raise Flaw(soundness.BROKE_OFF, True)
             # Only now is the pipe free for another exchange.
-            await self._reply.aclose()
-        except httpcore.RemoteProtocolError as flaw:
+            if self._talk.our_state is h11.DONE and self._talk.their_state is h11.DONE:
+                self._talk.start_next_cycle()
+            else:
+                self.close()
+        except h11.ProtocolError as flaw:
             self.close()
             raise Flaw(soundness.BROKE_OFF, True) from flaw
-        except (httpcore.NetworkError, httpcore.ProtocolError) as flaw:
+        except OSError as flaw:
             self.close()
             raise Flaw(soundness.BROKE_OFF, True) from flaw
         except BaseException:
@@ -154,36 +199,51 @@
             raise
 
 
-async def prove(pipe: EndpointPipe, path: str) -> str | None:
+async def prove(pipe: EndpointPipe, path: str, served_by: bytes = soundness.SERVED_BY) -> str | None:
     """Probe on this very pipe; the reason it is not sound, or nothing."""
     heads = [(b"host", pipe.spot.encode()), (b"user-agent", b"dykeswitch-probe"), (b"accept", b"*/*")]
     head = await pipe.send("GET", path.encode(), heads, b"")
     size = 0
     async for part in pipe.parts():
         size += len(part)
-        if size > 65536:
+        if size > PROBE_MOST:
             return "answered too much on probe"
     if head.status != 200:
         return f"answered {head.status} on probe"
-    if (head.get(soundness.SERVED_BY) or b"").decode("latin-1") != pipe.endpoint:
+    if (head.get(served_by) or b"").decode("latin-1") != pipe.endpoint:
         return soundness.WRONG_ID
     return None
 
 
-async def open_proven(
-    net: ports.Network, clock: ports.Clock, endpoint: str, spot: str, path: str, dial_s: float, probe_s: float
+async def open_pipe(
+    net: ports.Network, clock: ports.Clock, endpoint: str, spot: str, dial_s: float, exchange: bytes = b""
 ) -> EndpointPipe:
-    """A fresh pipe that has shown it leads to the registered id."""
+    """A fresh pipe that has shown nothing yet but that somebody is there."""
     try:
         raw = await net.dial(spot, dial_s)
     except ConnectionRefusedError as flaw:
         raise Flaw(soundness.REFUSED, False) from flaw
     except (OSError, TimeoutError) as flaw:
         raise Flaw(soundness.NO_ROAD, False) from flaw
-    pipe = EndpointPipe(endpoint, spot, raw, clock.now())
+    return EndpointPipe(endpoint, spot, raw, clock.now(), exchange)
+
+
+async def open_proven(
+    net: ports.Network,
+    clock: ports.Clock,
+    endpoint: str,
+    spot: str,
+    path: str,
+    dial_s: float,
+    probe_s: float,
+    names: tongue.Heads | None = None,
+) -> EndpointPipe:
+    """A fresh pipe that has shown it leads to the registered id."""
+    served_by = names.served_by if names is not None else soundness.SERVED_BY
+    pipe = await open_pipe(net, clock, endpoint, spot, dial_s, names.exchange if names is not None else b"")
     try:
         async with asyncio.timeout(probe_s):
-            reason = await prove(pipe, path)
+            reason = await prove(pipe, path, served_by)
     except TimeoutError as flaw:
         pipe.close()
         raise Flaw(soundness.PROBE_TIMED_OUT, False) from flaw
--- a/packages/store/src/dykeswitch/store/program.py
+++ b/packages/store/src/dykeswitch/store/program.py
@@ -2,15 +2,13 @@
 
 import asyncio
 import random
-import typing
-
-import litestar
 
 import dykeswitch.frames as frames
 import dykeswitch.logs as logs
 import dykeswitch.ports as ports
 import dykeswitch.register.voter as voters
 import dykeswitch.settings as settings
+import dykeswitch.tongue.page as pages
 
 
 class Store:
@@ -30,42 +28,33 @@
         self.voter = voters.Voter(disk, machine.points, dice)
         self._stop = asyncio.Event()
         self.stopping = False
-        self.app = litestar.Litestar(
-            route_handlers=[
-                litestar.get("/healthz", sync_to_thread=False)(self._healthz),
-                litestar.get("/readyz", sync_to_thread=False)(self._readyz),
-            ],
-            openapi_config=None,
-            logging_config=None,
-        )
-
-    def _healthz(self) -> dict[str, str]:
-        return {"state": "alive"}
 
-    def _readyz(self) -> litestar.Response[dict[str, typing.Any]]:
-        why = None
+    def ready(self) -> str | None:
+        """Why this store is not ready, or nothing."""
         if self.stopping:
-            why = "stopping"
-        elif self.voter.damaged:
-            why = f"disk: {self.voter.damaged}"
-        elif not self.voter.seated():
-            why = "not seated in a member set"
-        page: dict[str, typing.Any] = {"ready": why is None, "disk": self.voter.disk_id}
-        if why is not None:
-            page["why"] = why
-        return litestar.Response(page, status_code=200 if why is None else 503)
+            return "stopping"
+        if self.voter.damaged:
+            return f"disk: {self.voter.damaged}"
+        if not self.voter.seated():
+            return "not seated in a member set"
+        return None
 
     async def run(self) -> None:
         """Vote until told to stop."""
         await self.voter.open()
         ear = frames.Ear(self.voter.kinds(), self.log.note)
         listener = await self.machine.net.listen(self.bounds.store, ear.serve)
+        server: ports.WebServer | None = None
         try:
-            server = await self.machine.web.serve(self.bounds.web, self.app)
+            if self.bounds.web:
+                more = {"disk": self.voter.disk_id}
+                app = pages.app("/readyz", self.ready, more)
+                server = await self.machine.web.serve(self.bounds.web, app)
             self.log.info("started", store=self.bounds.store, disk=self.voter.disk_id)
             await self._stop.wait()
             self.stopping = True
-            await server.stop(1.0)
+            if server is not None:
+                await server.stop(1.0)
         finally:
             listener.close()
         self.log.info("stopped")
@@ -73,3 +62,7 @@
     def stop(self) -> None:
         """Ask for an orderly stop."""
         self._stop.set()
+
+    def retold(self, bounds: settings.Settings) -> None:
+        """Take up changed settings, as far as a running program can: seeds; the rest at a start."""
+        self.log.info("settings changed")
--- a/packages/timeline/src/dykeswitch/timeline/entries.py
+++ b/packages/timeline/src/dykeswitch/timeline/entries.py
@@ -58,7 +58,13 @@
     "paper": {"version": _count},
 }
 MAY: typing.Final[dict[str, dict[str, Test]]] = {
-    "endpoint": {"zone": _text, "burden": _number, "interval": _number},
+    "endpoint": {
+        "zone": _text,
+        "burden": _number,
+        "interval": _number,
+        "slots": _count,
+        "warm": _number,
+    },
     "mark": {"slot": _count, "fence": _count},
     "proxy": {"since": _may(_stamp), "extra": _text, "spot": _spot},
     "fence": {},
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -28,7 +28,7 @@
 
 
 def _no_proof(patch: pytest.MonkeyPatch) -> None:
-    async def proven(pipe: pipes.EndpointPipe, path: str) -> None:
+    async def proven(pipe: pipes.EndpointPipe, path: str, served_by: bytes) -> None:
         return None
 
     patch.setattr(pipes, "prove", proven)
