Selection by expected finish, near zones first; news goes to cores only, and from there to all

Now an endpoint is selected by the finish to be expected (own go's, told burden that fades into the usual, learnt pace, slots, warm-up), another zone's only if sooner by `far_share` of the aim. Proxies tell their own news to the cores, which all proxies poll; neighbours trade four times more slowly while cores answer; cores show by calls that they live, not by entries. Failures that load or callers may cause mark an endpoint only in a row of three, or at a quarter of all. An endpoint's leaving is acknowledged once as many other cores hold it as may be lost at once and one more; a disk whose address another one answers at gives way without a wait.

--- a/packages/membership/src/dykeswitch/membership/__init__.py
+++ b/packages/membership/src/dykeswitch/membership/__init__.py
@@ -26,6 +26,10 @@
 # How many addresses are kept in mind, and how often one of them is knocked at.
 BOOK_MOST: typing.Final = 256
 KNOCK_TURNS: typing.Final = 2
+# How many holds a core may be silent before it is taken for dead.
+ALIVE_HOLDS: typing.Final = 3
+# While cores answer, polls carry the news: neighbours trade so many times more slowly.
+CALM: typing.Final = 4
 
 
 @dataclasses.dataclass(slots=True)
@@ -81,6 +85,8 @@
         self._cursors: dict[str, Cursor] = {}
         self._walls: dict[str, tuple[float, float]] = {}
         self.heard = -1e9
+        # When each member was heard last, by its name.
+        self._last: dict[str, float] = {}
         self._tasks: dict[tuple[str, str], asyncio.Task[None]] = {}
         # Where members were heard to be, and when last: also those that fell silent.
         self._book: collections.OrderedDict[str, float] = collections.OrderedDict()
@@ -96,7 +102,8 @@
 
     # The calls we answer.
 
-    def _head(self) -> frames.Body:
+    def head(self) -> frames.Body:
+        """What each call between members begins with: who speaks, how far, and the wall time."""
         wall = self._clock.wall()
         return {"name": self.me.name, "boot": self.boot, "seq": self.line.seq, "wall": wall}
 
@@ -107,8 +114,11 @@
         wall, name = body.get("wall"), body.get("name")
         if isinstance(wall, float) and math.isfinite(wall) and isinstance(name, str) and len(name) <= 128:
             self._walls[name] = (wall - self._clock.wall(), now)
+            self._last[name] = now
             if len(self._walls) > BOOK_MOST:
                 del self._walls[next(iter(self._walls))]
+            if len(self._last) > BOOK_MOST:
+                del self._last[min(self._last, key=lambda n: self._last[n])]
 
     def wall(self) -> float:
         """The fleet's common wall time: the median, so one clock that jumps moves nothing."""
@@ -122,12 +132,12 @@
         self._learn(body["view"])
         self.line.merge(body["items"])
         items = self._fresh_for(body)
-        return outcome.Good({**self._head(), "view": sample, "items": items})
+        return outcome.Good({**self.head(), "view": sample, "items": items})
 
     async def _on_tell(self, body: frames.Body) -> frames.Result:
         self._heard(body)
         self.line.merge(body["items"])
-        return outcome.Good(self._head())
+        return outcome.Good(self.head())
 
     async def _on_poll(self, body: frames.Body) -> frames.Result:
         self._heard(body)
@@ -141,7 +151,7 @@
                     # In this order, so that what is no number holds it no longer either.
                     self.line.news, lambda: self.line.urgent > seq, min(self._hold_s, float(body["hold"]))
                 )
-        head = self._head()
+        head = self.head()
         return outcome.Good({**head, "items": self.line.wire_since(seq)})
 
     def _fresh_for(self, body: frames.Body) -> list[timeline.Wire]:
@@ -188,12 +198,20 @@
         spots = [spot for spot, at in self._book.items() if at > young and spot not in near]
         return self._dice.choice(spots) if spots else None
 
-    def cores(self) -> dict[str, str]:
-        """Every registry known, by name, with its address."""
+    def known_cores(self) -> dict[str, str]:
+        """Every registry there was of late, by name, with its address."""
         return {
             e.key: str(e.fields["spot"]) for e in self.line.all(timeline.CORE) if e.key != self.me.name
         }
 
+    def cores(self) -> dict[str, str]:
+        """Every registry heard of late: by us, or by whoever told us of it for the first time."""
+        edge = self._clock.now() - self._hold_s * ALIVE_HOLDS
+        known = self.known_cores()
+        for name in known:
+            self._last.setdefault(name, self._clock.now())
+        return {name: spot for name, spot in known.items() if self._last[name] > edge}
+
     # The tasks.
 
     async def run(self) -> None:
@@ -212,7 +230,7 @@
                 self.line.tidy()
                 turn += 1
                 # A short first while: a new member should be known soon.
-                span = self._shuffle_s * (0.2 if turn < 5 else 1.0)
+                span = self._shuffle_s * (0.2 if turn < 5 else CALM if self.cores() else 1.0)
                 await self._clock.sleep(span * (0.75 + self._dice.random() / 2))
 
     async def _shuffle(self, turn: int, group: asyncio.TaskGroup) -> None:
@@ -238,7 +256,7 @@
         cursor = self._cursors.get(spot) or Cursor()
         seq = self.line.seq
         body = {
-            **self._head(),
+            **self.head(),
             "view": self._sample(name),
             "items": self.line.wire_since(cursor.ours),
             "cursor": [cursor.boot, cursor.theirs],
@@ -274,14 +292,17 @@
             return None
 
     def _tend(self, group: asyncio.TaskGroup) -> None:
-        cores = self.cores()
+        known = self.known_cores()
+        near = [m.spot for m in self.view.values()]
+        # Every proxy polls every core, so news told to the cores is told to all. Only while no
+        # core is heard do neighbours tell each other.
+        told = list(known.values()) if self.cores() else [*known.values(), *near]
         wanted: dict[tuple[str, str], typing.Callable[[str], typing.Awaitable[None]]] = {}
-        for spot in [*cores.values(), *(m.spot for m in self.view.values())]:
+        for spot in told:
             if spot != self.me.spot:
                 wanted[("push", spot)] = self._push
         if self.me.kind == "proxy":
-            # Seeds are polled too until cores are known by their own entries.
-            for spot in cores.values():
+            for spot in known.values():
                 wanted[("pull", spot)] = self._pull
         for key, task in list(self._tasks.items()):
             if key not in wanted:
@@ -294,19 +315,27 @@
     async def _push(self, spot: str) -> None:
         """Tell one member of urgent news as it comes."""
         sent = self.line.seq if spot in self._cursors else 0
+        core = self.me.kind == "registry"
         while True:
             async with self.line.news:
-                while self.line.urgent <= sent:
-                    await self.line.news.wait()
+                # Cores show each other that they are there; a proxy speaks when it has news.
+                wait = self._hold_s if core else math.inf
+                await ports.wait_for(self.line.news, lambda: self.line.urgent > sent, wait)
             upto = self.line.seq
-            body = {**self._head(), "items": self.line.wire_since(sent)}
-            result = await self._caller.ask(spot, "tell", body, self._call_s)
+            # What a proxy heard from others they tell the cores themselves.
+            own = not core and bool(self.cores())
+            items = self.line.wire_since(sent, own) if self.line.urgent > sent else []
+            if not core and not items:
+                sent = upto
+                continue
+            result = await self._caller.ask(spot, "tell", {**self.head(), "items": items}, self._call_s)
             if isinstance(result, outcome.Bad):
                 # Shuffles and polls carry the rest once it is back.
                 await self._clock.sleep(self._shuffle_s)
                 continue
-            self.heard = self._clock.now()
-            sent = upto
+            self._heard(result.value)
+            if items:
+                sent = upto
 
     async def _pull(self, spot: str) -> None:
         """Ask one core with what we have; it answers when there is news."""
@@ -314,8 +343,9 @@
         while True:
             seq = self.line.seq
             body = {
-                **self._head(),
-                "items": self.line.wire_since(cursor.ours),
+                **self.head(),
+                # A core that started anew is told all; else each tells of its own.
+                "items": self.line.wire_since(cursor.ours, own=cursor.ours > 0),
                 "cursor": [cursor.boot, cursor.theirs],
                 "hold": self._hold_s,
             }
--- a/packages/ports/src/dykeswitch/ports/__init__.py
+++ b/packages/ports/src/dykeswitch/ports/__init__.py
@@ -7,6 +7,7 @@
 import asyncio
 import functools
 import ipaddress
+import math
 import pathlib
 import typing
 
@@ -153,7 +154,7 @@
 async def wait_for(cond: asyncio.Condition, test: typing.Callable[[], bool], span: float) -> bool:
     """Wait on a held condition until the test holds or the span is over."""
     try:
-        async with asyncio.timeout(span):
+        async with asyncio.timeout(span if span < math.inf else None):
             await cond.wait_for(test)
         return True
     except TimeoutError:
--- a/packages/proxy/src/dykeswitch/proxy/carrier.py
+++ b/packages/proxy/src/dykeswitch/proxy/carrier.py
@@ -103,7 +103,7 @@
         self._log = log
         self._senses = senses
         self.layout: layouts.Layout | None = None
-        self.selector = selection.Selector(line, marks, bounds.zone, dice)
+        self.selector = selection.Selector(line, marks, bounds, dice)
         self.table: dict[str, exchanges.Exchange] = {}
         self._idle: dict[str, list[pipes.EndpointPipe]] = {}
         self._budgets: dict[str, budgets.Budget] = {}
@@ -284,7 +284,7 @@
         # at once, for the last list in hand may be out of date by now.
         if not sure or self._deaf():
             return self._give_up(x, "cut_off")
-        entry = self.selector.select(x.service, x.tried)
+        entry = self.selector.select(x.service, x.tried, x.rule.aim_s if x.rule else None)
         if entry is None:
             return self._give_up(x, "no_endpoint")
         x.endpoint = entry
@@ -292,13 +292,13 @@
         mark = self._marks.down(entry.key)
         why = f"all are marked; its mark ends first ({mark.fields['reason']})" if mark else "open"
         self._step(x, f"selected {entry.key}", why)
-        flights = self.selector.flights
-        flights[entry.key] = flights.get(entry.key, 0) + 1
+        x.ahead = self.selector.ahead(entry)
+        self.selector.begun(entry.key)
         try:
             x.pipe = await self._pipe_to(x, entry)
         except pipes.Flaw as flaw:
             # Nothing was sent: this is no go, and another endpoint may be selected.
-            self._land(entry.key)
+            self.selector.ended(entry.key)
             x.misses += 1
             self._step(x, f"no pipe to {entry.key}", flaw.reason)
             self._mark(entry.key, soundness.Fault(flaw.reason))
@@ -306,7 +306,7 @@
                 return self._give_up(x, "no_endpoint")
             return Stage.SELECT
         except BaseException:
-            self._land(entry.key)
+            self.selector.ended(entry.key)
             raise
         # Extra go's are paid for from the shared budget, right before they are made.
         if x.goes and not self._budget(x.service).take(self._clock.now()):
@@ -363,20 +363,12 @@
         pipe.close()
         return False
 
-    def _land(self, endpoint: str) -> None:
-        flights = self.selector.flights
-        left = flights.get(endpoint, 0) - 1
-        if left > 0:
-            flights[endpoint] = left
-        else:
-            flights.pop(endpoint, None)
-
     def _put_away(self, x: exchanges.Exchange, sound: bool) -> None:
         """Give a pipe back for the next exchange, or close it."""
         pipe, x.pipe = x.pipe, None
         if pipe is None:
             return
-        self._land(pipe.endpoint)
+        self.selector.ended(pipe.endpoint)
         entry = self._line.get(timeline.ENDPOINT, pipe.endpoint)
         held = self._idle.setdefault(pipe.endpoint, [])
         stays = entry is not None and entry.fields["state"] == timeline.UP
@@ -427,6 +419,7 @@
             x.flaw = flaw.reason
         finally:
             # Also when we are cut short: whether it may have run must be known.
+            x.took = self._clock.now() - begun
             x.sent = pipe.wrote_since(mark)
             if x.sent:
                 x.goes += 1
@@ -472,7 +465,7 @@
             self._put_away(x, sound=False)
             self._step(x, f"go to {name} failed, {'sent' if x.sent else 'nothing sent'}", x.flaw)
             if x.flaw not in ("expired", "no longer to be used"):
-                self._mark(name, soundness.Fault(x.flaw))
+                self._mark(name, soundness.flaw_fault(x.flaw))
             if x.sent:
                 x.unknown = x.flaw
             return Stage.RETRY
@@ -489,10 +482,16 @@
             self._put_away(x, sound=False)
             self._mark(name, soundness.Fault(x.flaw))
             return Stage.RETRY
+        burden = tongues.burden(x.head.get(self._heads.burden))
+        if not promised:
+            self.selector.learn(x.endpoint, x.took, x.ahead, burden)
+        elif x.head.status != soundness.MISDIRECTED:
+            self.selector.full(name)
         fault = soundness.status_fault(x.head.status, promised)
         if promised and x.head.status == soundness.MISDIRECTED:
             fault = soundness.Fault(soundness.WRONG_ID_REPLY)
         if fault is None and not promised:
+            self._strikes.sound(name, self._clock.now())
             return Stage.REPLY
         self._step(x, f"{name} answered {x.head.status}", "promised not to have run" if promised else "")
         if fault is not None:
--- a/packages/proxy/src/dykeswitch/proxy/exchange.py
+++ b/packages/proxy/src/dykeswitch/proxy/exchange.py
@@ -65,6 +65,9 @@
     buffer: bytes = b""
     rest: typing.AsyncIterator[bytes] | None = None
     flaw: str = ""
+    # How many requests were thought to be ahead of this go, and how long it took (seconds).
+    ahead: float = 0.0
+    took: float = 0.0
     sent: bool = False
     # Whether any go may have run, or run still, with its end unknown to us.
     unknown: str = ""
--- a/packages/proxy/src/dykeswitch/proxy/program.py
+++ b/packages/proxy/src/dykeswitch/proxy/program.py
@@ -142,7 +142,7 @@
             "since": self._since,
             "extra": "shares" if self._shared_from is not None else "none",
         }
-        self.line.write(timeline.PROXY, self.bounds.name, fields, self.bounds.dead_s * 2, urgent=False)
+        self.line.write(timeline.PROXY, self.bounds.name, fields, self.bounds.dead_s * 4, urgent=False)
 
     # Our part of the fleet's extra go's.
 
@@ -206,7 +206,7 @@
         """Ask every core for what a majority holds now, and catch up with it."""
         begun = self._tick = self.clock.now()
         # A freeze may outlast what is known of the cores: who was one may be one still.
-        known = self.spread.cores()
+        known = self.spread.known_cores()
         self._cores = known or self._cores
         spots = list(self._cores.values())
         good = False
@@ -471,4 +471,4 @@
         while True:
             self._rank()
             self._say_self()
-            await self.clock.sleep(self.bounds.dead_s / 2)
+            await self.clock.sleep(self.bounds.dead_s)
--- a/packages/proxy/src/dykeswitch/proxy/selection.py
+++ b/packages/proxy/src/dykeswitch/proxy/selection.py
@@ -1,13 +1,27 @@
-"""Selection: only among endpoints that no mark stands against."""
+"""Selection: only among endpoints that no mark stands against, by the finish to be expected.
+
+The source picks any unmarked backend ("How Passive Health Checks Work"); which of them is free.
+"""
 
 import dataclasses
+import math
 import random
 import typing
 
+import dykeswitch.settings as settings
 import dykeswitch.timeline as timeline
+import dykeswitch.tongue as tongues
 
-# Another zone's endpoint must be this much less burdened to be preferred.
-FAR: typing.Final = 1.5
+# How many replies weigh as much as what is thought of the whole service.
+PRIOR: typing.Final = 4.0
+# How many replies an endpoint's pace is the mean of, about.
+MEMORY: typing.Final = 24.0
+# Two finishes that differ by less are alike: the lot decides, so that proxies do not herd.
+LOT: typing.Final = 0.1
+# What a service is thought to take before any reply came, as a part of an exchange's most.
+FIRST_PACE: typing.Final = 1 / 300
+# An endpoint that has just started is thought to be so many times as slow.
+WARM: typing.Final = 1.6
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -18,19 +32,56 @@
     reason: str
 
 
+@dataclasses.dataclass(slots=True)
+class Pace:
+    """How long one request takes when it need not wait, in seconds: a mean that forgets."""
+
+    total: float = 0.0
+    count: float = 0.0
+
+    def add(self, span: float) -> None:
+        fade = 1 - 1 / MEMORY
+        self.total = self.total * fade + span
+        self.count = self.count * fade + 1
+
+    def mean(self, prior: float) -> float:
+        return (self.total + prior * PRIOR) / (self.count + PRIOR)
+
+
+@dataclasses.dataclass(slots=True)
+class Seen:
+    """What one proxy knows of an endpoint's work."""
+
+    pace: Pace = dataclasses.field(default_factory=Pace)
+    # What others had there when it was last told, when that was, and what they have on the mean.
+    others: float = 0.0
+    at: float = -1e9
+    usual: float = 0.0
+    slots: int = 0
+    # Until when it is slow, having just started.
+    warm: float = -1e9
+
+
 class Selector:
     """Selects an endpoint for a go."""
 
     def __init__(
-        self, line: timeline.Timeline, marks: timeline.Marks, zone: str, dice: random.Random
+        self,
+        line: timeline.Timeline,
+        marks: timeline.Marks,
+        bounds: settings.Settings,
+        dice: random.Random,
     ) -> None:
         self._line = line
         self._marks = marks
-        self._zone = zone
+        self._bounds = bounds
+        self._zone = bounds.zone
         self._dice = dice
         self.flights: dict[str, int] = {}
         self.paused: typing.Callable[[str], str | None] = lambda endpoint: None
         self._services: dict[str, set[str]] = {}
+        self._seen: dict[str, Seen] = {}
+        self._paces: dict[str, Pace] = {}
         line.on_change(self._note)
 
     def _note(self, entry: timeline.Entry) -> None:
@@ -40,6 +91,13 @@
             names.discard(entry.key)
         if entry.fields["state"] == timeline.UP:
             self._services.setdefault(str(entry.fields["service"]), set()).add(entry.key)
+            seen = self._seen.setdefault(entry.key, Seen())
+            seen.slots = int(entry.fields.get("slots", 0)) or seen.slots
+            warm = float(entry.fields.get("warm", 0.0))
+            if warm and seen.warm < 0:
+                seen.warm = self._line.clock.now() + warm
+        elif entry.fields["state"] in timeline.STICKY:
+            self._seen.pop(entry.key, None)
 
     def up(self, service: str) -> list[timeline.Entry]:
         """Endpoints of a service that neither left, lapsed nor are planned away."""
@@ -61,13 +119,13 @@
             and self.paused(endpoint.key) is None
         )
 
-    def select(self, service: str, tried: set[str]) -> timeline.Entry | None:
+    def select(self, service: str, tried: set[str], aim_s: float | None = None) -> timeline.Entry | None:
         """The endpoint for the next go."""
         every = self.up(service)
         fresh = [e for e in every if e.key not in tried]
         sound = [e for e in fresh if self._marks.down(e.key) is None]
         if sound:
-            return self._lighter(sound)
+            return self._soonest(service, sound, aim_s)
         if any(self._marks.down(e.key) is None for e in every):
             # The only unmarked ones have been tried by this very exchange.
             return None
@@ -82,15 +140,93 @@
         mark = self._marks.down(endpoint)
         return mark.expiry if mark is not None else 0.0
 
-    def _lighter(self, sound: list[timeline.Entry]) -> timeline.Entry:
-        """The less burdened of two drawn by lot, so that proxies do not herd."""
-        pair = self._dice.sample(sound, min(2, len(sound)))
-        return min(pair, key=self.score)
+    def _soonest(
+        self, service: str, sound: list[timeline.Entry], aim_s: float | None
+    ) -> timeline.Entry:
+        """The one that is to finish first; another zone's must be sooner by a part of the aim."""
+        base = self._base(service)
+        far = self._bounds.far_share * (aim_s if aim_s is not None else base * 4)
+
+        def cost(entry: timeline.Entry) -> float:
+            span = self.finish_s(entry, base)
+            if entry.fields.get("zone") != self._zone:
+                span += far
+            return span + base * LOT * self._dice.random()
+
+        return min(sound, key=cost)
+
+    def _base(self, service: str) -> float:
+        """What a request of a service takes, in seconds, as far as we know."""
+        pace = self._paces.get(service)
+        return pace.mean(self._bounds.request_s * FIRST_PACE) if pace is not None else (
+            self._bounds.request_s * FIRST_PACE
+        )
 
-    def score(self, entry: timeline.Entry) -> float:
-        burden = max(0.0, float(entry.fields.get("burden", 0.0)))
-        near = 1.0 if entry.fields.get("zone") == self._zone else FAR
-        return (1 + self.flights.get(entry.key, 0)) * (1 + burden) * near
+    def waiting(self, endpoint: str, base: float) -> float:
+        """How many requests an endpoint is thought to have at this moment, ours among them."""
+        own = self.flights.get(endpoint, 0)
+        seen = self._seen.get(endpoint)
+        if seen is None:
+            return own
+        # What was told fades into what is usual as fast as requests come and go.
+        age = self._line.clock.now() - seen.at
+        fresh = math.exp(-age / max(base, 1e-3))
+        return own + seen.others * fresh + seen.usual * (1 - fresh)
+
+    def finish_s(self, entry: timeline.Entry, base: float) -> float:
+        """In how many seconds one more request is to be answered there."""
+        seen = self._seen.get(entry.key) or Seen()
+        pace = seen.pace.mean(base)
+        if self._line.clock.now() < seen.warm:
+            pace *= WARM
+        # Endpoints that tell no slots are thought to share their strength among all.
+        slots = seen.slots or 1
+        told = max(0.0, float(entry.fields.get("burden", 0.0)))
+        ahead = self.waiting(entry.key, base) + told * slots
+        return pace * (1 + max(0.0, ahead + 1 - slots) / slots)
+
+    def ahead(self, entry: timeline.Entry) -> float:
+        """How many requests are thought to be before one that is sent now."""
+        return self.waiting(entry.key, self._base(str(entry.fields["service"])))
+
+    # What replies teach.
+
+    def begun(self, endpoint: str) -> None:
+        self.flights[endpoint] = self.flights.get(endpoint, 0) + 1
+
+    def ended(self, endpoint: str) -> None:
+        left = self.flights.get(endpoint, 0) - 1
+        if left > 0:
+            self.flights[endpoint] = left
+        else:
+            self.flights.pop(endpoint, None)
+
+    def learn(
+        self, endpoint: timeline.Entry, span: float, ahead: float, burden: tongues.Burden | None
+    ) -> None:
+        """A reply came after a span (seconds), with so many ahead of it when it was sent."""
+        service = str(endpoint.fields["service"])
+        seen = self._seen.get(endpoint.key)
+        if seen is None:
+            return
+        slots = burden.slots if burden is not None else seen.slots or 1
+        work = span / (1 + max(0.0, ahead + 1 - slots) / max(1, slots))
+        seen.pace.add(work)
+        self._paces.setdefault(service, Pace()).add(work)
+        if burden is not None:
+            # Our own exchange is still counted in flight, and done there.
+            own = self.flights.get(endpoint.key, 1) - 1
+            seen.others = max(0.0, burden.running + burden.waiting - own)
+            seen.usual += (seen.others - seen.usual) / MEMORY
+            seen.at = self._line.clock.now()
+            seen.slots = max(1, burden.slots)
+
+    def full(self, endpoint: str) -> None:
+        """It turned a request away: its queue is full for about as long as a request takes."""
+        seen = self._seen.get(endpoint)
+        if seen is not None:
+            seen.others = max(seen.others, (seen.slots or 1) * 4.0)
+            seen.at = self._line.clock.now()
 
     def open_in(self, service: str, now: float) -> float:
         """Seconds until the first of a service's marks runs out."""
--- a/packages/registry/src/dykeswitch/registry/program.py
+++ b/packages/registry/src/dykeswitch/registry/program.py
@@ -32,6 +32,8 @@
 BEAT_MOST: typing.Final = 16384
 # How many proxies should hold a change before its operator is told.
 HANDED: typing.Final = 2
+# The part of a call's span in which other cores must take up that an endpoint leaves.
+TELL_PART: typing.Final = 0.7
 # How long a planned pause that is over stays listed.
 PAUSES_KEPT_S: typing.Final = 86400.0
 
@@ -98,6 +100,8 @@
             self.line, self.marks, self.spread.wall, lambda: self.layout, lambda: self.pauses
         )
         self._ops = 0
+        # Calls that nobody waits for any more, held until they end.
+        self._late: set[asyncio.Task[frames.Result]] = set()
         self._tick = self.clock.now()
         self._majority = -1e9
         self._server: ports.WebServer | None = None
@@ -283,7 +287,39 @@
     async def beat(self, raw: object) -> outcome.Good[dict[str, object]] | outcome.Bad:
         """Take a beat in the product's own form."""
         beat = endpoints.read_beat(raw)
-        return beat if isinstance(beat, outcome.Bad) else self.endpoints.beat(beat.value)
+        if isinstance(beat, outcome.Bad):
+            return beat
+        told = self.endpoints.beat(beat.value)
+        if isinstance(told, outcome.Good) and (beat.value.leaving or beat.value.draining):
+            return await self._leaving_held(beat.value.name, told)
+        return told
+
+    async def _leaving_held(
+        self, name: str, told: outcome.Good[dict[str, object]]
+    ) -> outcome.Good[dict[str, object]] | outcome.Bad:
+        """Acknowledge that an endpoint leaves once enough other cores hold it.
+
+        As many cores as may be lost at once could go dark the moment after: one that does not
+        go must know. Too few heard in time: the endpoint is sent to another registry.
+        """
+        entry = self.line.get(timeline.ENDPOINT, name)
+        need = min(self.bounds.cores_lost, len(self.proposer.members.disks()) - 1)
+        if entry is None or need <= 0:
+            return told
+        ask: frames.Body = {"items": [entry.wire(self.clock.now())], **self.spread.head()}
+        spots = list(self.spread.known_cores().values())
+        wait = self.bounds.call_s * TELL_PART
+        calls = [asyncio.create_task(self.caller.ask(spot, "tell", ask, wait)) for spot in spots]
+        held = 0
+        for call in asyncio.as_completed(calls):
+            held += isinstance(await call, outcome.Good)
+            if held >= need:
+                # The rest are told all the same: those calls end by themselves.
+                self._late.update(c for c in calls if not c.done())
+                for late in self._late:
+                    late.add_done_callback(self._late.discard)
+                return told
+        return outcome.bad("not_held", f"{held} of {need} other cores")
 
     async def newest(self) -> outcome.Good[bytes] | outcome.Bad:
         """The newest layout, as it was sent, from a majority."""
@@ -644,8 +680,9 @@
         }
         while True:
             fresh = self.line.get(timeline.CORE, self.bounds.name) is None
-            self.line.write(timeline.CORE, self.bounds.name, dict(fields), self.bounds.dead_s, fresh)
-            await self.clock.sleep(self.bounds.dead_s / 6)
+            # Whether we live is heard by calls; this says who and where we are.
+            self.line.write(timeline.CORE, self.bounds.name, dict(fields), self.bounds.recover_s, fresh)
+            await self.clock.sleep(self.bounds.recover_s / 4)
 
     async def _keep_seated(self) -> None:
         while True:
--- a/packages/registry/src/dykeswitch/registry/seating.py
+++ b/packages/registry/src/dykeswitch/registry/seating.py
@@ -163,6 +163,9 @@
         members = self._proposer.members
         now = self._clock.now()
         lost = [d for d, since in self._silent.items() if now - since >= self._bounds.swap_s]
+        # Where another disk answers by now at its own store's address, it will not come back.
+        others = {str(state["spot"]): disk for disk, state in self.states.items()}
+        lost += [d for d in self._silent if others.get(members.disks().get(d, ""), d) != d]
         lost = [d for d in lost if d in members.disks()]
         spare = sorted(
             disk
--- a/packages/settings/src/dykeswitch/settings/__init__.py
+++ b/packages/settings/src/dykeswitch/settings/__init__.py
@@ -47,6 +47,7 @@
     proof: str = "probe"
     back_s: float = 1.0
     cores_lost: int = 1
+    far_share: float = 0.3
     log_level: str = "info"
 
     # Constants as ratios to the bounds.
@@ -188,6 +189,8 @@
             faults.append(f"{name}: {kept[name]} is less than 1")
     if "extra_share" in kept and not 0 <= kept["extra_share"] <= 1:
         faults.append("extra_share: not within 0 to 1")
+    if "far_share" in kept and not 0 <= kept["far_share"] <= 100:
+        faults.append("far_share: not within 0 to 100")
     if "cores_lost" in kept and kept["cores_lost"] < 0:
         faults.append("cores_lost: less than 0")
     if "extra_floor" in kept and kept["extra_floor"] < 0:
--- a/packages/soundness/src/dykeswitch/soundness/__init__.py
+++ b/packages/soundness/src/dykeswitch/soundness/__init__.py
@@ -43,23 +43,70 @@
     return Fault(f"answered {status}", max(free, FREE_PROMISED) if promised else free)
 
 
+# How many failures in a row mark an endpoint, of those that load or a caller may cause.
+SOFT_FREE: typing.Final = 2
+SOFT: typing.Final = frozenset({TIMED_OUT, BROKE_OFF, GARBAGE, OTHERS_REPLY, UNFRAMED})
+# Failures mixed with successes mark it too, where they are many and this part of all.
+MIXED_LEAST: typing.Final = 4.0
+MIXED_SHARE: typing.Final = 0.25
+
+
+def flaw_fault(reason: str) -> Fault:
+    """A go that brought no reply: what it counts for."""
+    return Fault(reason, SOFT_FREE if reason in SOFT else 0)
+
+
+@dataclasses.dataclass(slots=True)
+class Tally:
+    """One endpoint's record: failures in a row, and failures and replies that fade."""
+
+    row: int = 0
+    failed: float = 0.0
+    total: float = 0.0
+    at: float = 0.0
+
+
 class Strikes:
-    """Counts failures by endpoint and reason within a mark's life."""
+    """Judges from one proxy's exchanges when failures of an endpoint earn it a mark.
+
+    A row of failures longer than what is free marks it; so does a share of failures that is too
+    high, since an endpoint that fails one in three never fails many in a row.
+    """
 
     def __init__(self, span: float) -> None:
         self._span = span
-        self._seen: dict[tuple[str, str], list[float]] = {}
+        self._tallies: dict[str, Tally] = {}
+
+    def _tally(self, endpoint: str, now: float) -> Tally:
+        tally = self._tallies.get(endpoint)
+        if tally is None:
+            # An endpoint that is long gone must not be kept in mind for ever.
+            if len(self._tallies) > 4096:
+                self._tallies.clear()
+            tally = self._tallies[endpoint] = Tally(at=now)
+        age = now - tally.at
+        if age > self._span:
+            tally.row = 0
+        fade = 0.5 ** (age / self._span)
+        tally.failed *= fade
+        tally.total *= fade
+        tally.at = now
+        return tally
+
+    def sound(self, endpoint: str, now: float) -> None:
+        """Note a reply that does not count against the endpoint."""
+        tally = self._tally(endpoint, now)
+        tally.row = 0
+        tally.total += 1
 
     def strike(self, endpoint: str, fault: Fault, now: float) -> bool:
         """Note a failure; true once it is past the free ones."""
-        key = (endpoint, fault.reason)
-        seen = [t for t in self._seen.get(key, []) if now - t < self._span]
-        seen.append(now)
-        self._seen[key] = seen
-        if len(seen) > fault.free:
-            del self._seen[key]
+        tally = self._tally(endpoint, now)
+        tally.row += 1
+        tally.failed += 1
+        tally.total += 1
+        mixed = tally.failed >= MIXED_LEAST and tally.failed > MIXED_SHARE * tally.total
+        if tally.row > fault.free or mixed:
+            del self._tallies[endpoint]
             return True
-        # An endpoint that is long gone must not be kept in mind for ever.
-        if len(self._seen) > 4096:
-            self._seen.clear()
         return False
--- a/packages/timeline/src/dykeswitch/timeline/__init__.py
+++ b/packages/timeline/src/dykeswitch/timeline/__init__.py
@@ -207,9 +207,10 @@
         fresh.reverse()
         return fresh
 
-    def wire_since(self, seq: int) -> list[Wire]:
+    def wire_since(self, seq: int, own: bool = False) -> list[Wire]:
+        """What was taken up after a point, for the wire; only what we wrote ourselves, if asked."""
         now = self._clock.now()
-        return [entry.wire(now) for entry in self.since(seq)]
+        return [entry.wire(now) for entry in self.since(seq) if not own or entry.stamp[1] == self.name]
 
     def tidy(self) -> None:
         """Drop entries that ended so long ago that no copy of them can be on its way."""
