--- a/tests/test_style.py
+++ b/tests/test_style.py
@@ -16,3 +16,12 @@
         if isinstance(node, ast.ImportFrom)
     ]
     assert found == []
+
+
+def test_what_the_readme_tells_to_run_can_be_run() -> None:
+    """Without a run bit in git a fresh clone answers `./check` with "Permission denied"."""
+    assert "\n./check\n" in (ROOT / "README.md").read_text()
+    # CI takes the README's own way in, so that it fails where a reader would.
+    assert (ROOT / ".ci" / "run").read_text().endswith("\nexec ./check\n")
+    for name in ("check", ".ci/run"):
+        assert (ROOT / name).stat().st_mode & 0o111 == 0o111, name
