A calm fleet counts 0 run twice: the direct base run's callers have names of their own

Cause: `dykeswitch fleet` sends a base run straight to the endpoints and then one through the fleet. Both counted their asks from nought, and the endpoints' books hold both, so a name asked in both runs was one that ran twice, and a request refused with "try again" could pass for one that ran.

Now callers take a prefix for their names. Latency was not compared: the machine had other load.

--- a/packages/standin/src/dykeswitch/standin/caller.py
+++ b/packages/standin/src/dykeswitch/standin/caller.py
@@ -76,6 +76,7 @@
         record: Record,
         dice: random.Random,
         expiry_s: float = 10.0,
+        prefix: str = "",
     ) -> None:
         self._shape = shape
         self._web = machine.web
@@ -85,6 +86,9 @@
         self._record = record
         self._dice = dice
         self._expiry_s = expiry_s
+        # Endpoints' books hold all that was sent to them: two runs of callers at the same
+        # endpoints need names of their own, or one's asks pass for the other's.
+        self._prefix = prefix
         self._count = 0
         self._halted = False
         # Free pipes that are kept, by the proxy each leads to.
@@ -138,7 +142,7 @@
     async def ask(self, service: shapes.ServiceShape, spot: str = "", more: str = "") -> Ask:
         """One request, judged by its answer."""
         self._count += 1
-        name = f"{service.name}-{self._count}"
+        name = f"{self._prefix}{service.name}-{self._count}"
         ask = Ask(name, service.name, service.writing, self._clock.now())
         self._record.asks[name] = ask
         kept = self._kept[service.name]
@@ -194,7 +198,7 @@
     async def rove(self, spot: str = "") -> Ask:
         """One request that each layout sends elsewhere."""
         self._count += 1
-        name = f"rove-{self._count}"
+        name = f"{self._prefix}rove-{self._count}"
         method, host, path = self._dice.choice(shapes.ROVES)
         ask = Ask(name, "", False, self._clock.now(), method=method, host=host, path=path)
         self._record.roves[name] = ask
@@ -224,6 +228,25 @@
         return ""
 
 
+async def direct(
+    shape: shapes.Shape,
+    machine: ports.Machine,
+    spots: typing.Mapping[str, typing.Sequence[str]],
+    dice: random.Random,
+    span: float,
+    scale: float = 1.0,
+) -> Record:
+    """A shape's traffic straight to each service's endpoints, as a base to compare with.
+
+    The spots go by service, the span is in seconds, the scale multiplies the shape's rates.
+    """
+    record = Record(machine.clock)
+    straight = Callers(shape, machine, [], record, dice, prefix="direct-")
+    straight.direct = lambda service: dice.choice(spots[service])
+    await straight.drive(span, scale)
+    return record
+
+
 def tally(record: Record, expiry_s: float) -> dict[str, typing.Any]:
     """The figures the fleet and the trials print."""
     asks = list(record.asks.values())
--- a/packages/standin/src/dykeswitch/standin/fleet.py
+++ b/packages/standin/src/dykeswitch/standin/fleet.py
@@ -372,7 +372,11 @@
     """Start a fleet, send its traffic for a span, and return the figures."""
     async with running(shapes.SHAPES[name], seed) as fleet:
         up = await fleet.start()
-        base = await _direct(fleet, span / 2, scale)
+        spots: dict[str, list[str]] = {}
+        for host in fleet.hosts:
+            spots.setdefault(str(host.spec["service"]), []).append(str(host.spec["spot"]))
+        straight = await callers.direct(fleet.shape, fleet.machine, spots, fleet.dice, span / 2, scale)
+        base = callers.tally(straight, 10.0)
         await fleet.callers.drive(span, scale)
         fleet.gather()
         figures = callers.tally(fleet.record, 10.0)
@@ -391,17 +395,3 @@
             "endpoints_called_directly": direct,
             "ratio_to_direct": ratio,
         }
-
-
-async def _direct(fleet: Fleet, span: float, scale: float) -> dict[str, typing.Any]:
-    """The same traffic at the same rate straight to the endpoints, as a base to compare with."""
-    record = callers.Record(fleet.machine.clock)
-    straight = callers.Callers(fleet.shape, fleet.machine, [], record, fleet.dice)
-
-    def pick(service: str) -> str:
-        spots = [str(h.spec["spot"]) for h in fleet.hosts if h.spec["service"] == service]
-        return fleet.dice.choice(spots)
-
-    straight.direct = pick
-    await straight.drive(span, scale)
-    return callers.tally(record, 10.0)
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -11,6 +11,7 @@
 import dykeswitch.simulator.fleet as fleets
 import dykeswitch.simulator.loop as loops
 import dykeswitch.standin.caller as callers
+import dykeswitch.standin.fleet as standins
 import dykeswitch.standin.shape as shapes
 
 PAGES: typing.Final = shapes.ServiceShape("pages", 3, 20, "/pages", "GET", 0.05)
@@ -277,3 +278,31 @@
     ]
     # Repeated fields stay repeated, in their order; encodings are nobody's business here.
     assert carriers.kept_heads(heads) == heads[4:]
+
+
+def test_two_runs_of_callers_are_told_apart_in_the_endpoints_books(tmp_path: pathlib.Path) -> None:
+    """The books hold the direct run too: its namesakes are no second run, and no run of who was refused."""
+
+    async def work(fleet: fleets.SimFleet) -> None:
+        spots = {
+            s.name: [e.spot for e in fleet.endpoints.values() if e.service == s.name] for s in SMALL.services
+        }
+        # Endpoints speak over pipes, as real ones do.
+        machine = fleet.outside._replace(web=standins.LightWeb(fleet.outside.net))
+        base = await callers.direct(SMALL, machine, spots, fleet.dice, 5.0)
+        assert all(len(fleet.record.runs[a.name]) == 1 for a in base.asks.values())
+        await fleet.callers.drive(5.0)
+        await _many(fleet, EXPORTS, 30)
+        figures = callers.tally(fleet.record, 10.0)
+        assert figures["turned_away"] >= 20
+        assert figures["replied"] == figures["asked"] - figures["turned_away"] > 100
+        assert (figures["run_twice"], figures["told_not_but_ran"]) == (0, 0)
+        # Both still count what is so: one more run of each kind shows.
+        told = [a for a in fleet.record.asks.values() if a.writing]
+        for ask in (next(a for a in told if a.status == 200), next(a for a in told if a.status == 503)):
+            again = callers.Run(ask.name, "exports-0", "exports", fleet.clock.now())
+            fleet.record.runs[ask.name].append(again)
+        figures = callers.tally(fleet.record, 10.0)
+        assert (figures["run_twice"], figures["told_not_but_ran"]) == (1, 1)
+
+    _run(tmp_path, work, exchanges_most=8)
