To be sure after a freeze, or for a slow body, a proxy waits no longer than the expiry

Cause: the wait to be sure of what is held went by `drain_s` alone, and each confirming in it by the calls it makes; the wait for a request's body by `request_s` (30 s). Neither knew the exchange's expiry. Now the wait to be sure is told until when, the confirming goes on for others, and who has run out of time is told "expired, did not run" at that moment. The rule in hand is looked up first, as its own `expiry_s` counts too; it is looked up again only if another layout came meanwhile, so no exchange without doubt pays for it.

The double of `sure` in the tests takes the new argument.

--- a/packages/proxy/src/dykeswitch/proxy/carrier.py
+++ b/packages/proxy/src/dykeswitch/proxy/carrier.py
@@ -48,8 +48,8 @@
 class Senses(typing.Protocol):
     """What the carrier asks of the proxy that it is part of."""
 
-    async def sure(self) -> bool:
-        """Whether what we hold is of today, found out first where that is in doubt."""
+    async def sure(self, by: float) -> bool:
+        """Whether what we hold is of today, found out first, by then, where that is in doubt."""
         ...
 
     def gapped(self) -> bool:
@@ -223,11 +223,14 @@
     # The passes.
 
     async def _match(self, x: exchanges.Exchange) -> Stage:
+        # Its expiry by the rule in hand bounds the wait to be sure of that very rule.
+        if self.layout is not None:
+            self._find_rule(x)
         # After a freeze the layout and list in hand may be long out of date.
-        sure = await self._senses.sure()
-        found = self._find_rule(x)
+        sure = await self._senses.sure(x.expiry)
+        found = self._find_rule(x) if x.layout is None or x.layout is not self.layout else None
         if not sure and found != "no_layout":
-            return self._give_up(x, "cut_off")
+            return self._give_up(x, "cut_off" if self._clock.now() < x.expiry else "expired")
         if found is not None:
             return self._end(x, found)
         self._budget(x.service).request()
@@ -266,7 +269,7 @@
         return budget
 
     async def _select(self, x: exchanges.Exchange) -> Stage:
-        sure = await self._senses.sure()
+        sure = await self._senses.sure(x.expiry)
         # A layout may have come since: the rule of this moment decides.
         found = self._find_rule(x)
         if found is not None:
--- a/packages/proxy/src/dykeswitch/proxy/program.py
+++ b/packages/proxy/src/dykeswitch/proxy/program.py
@@ -165,23 +165,27 @@
         """Whether our own clock shows a gap."""
         return self.clock.now() - self._tick > self.bounds.gap_s
 
-    async def sure(self) -> bool:
-        """Whether what we hold is of today: at once, unless our clock shows a gap; then confirm."""
+    async def sure(self, by: float) -> bool:
+        """Whether what we hold is of today: at once, unless our clock shows a gap; then confirm.
+
+        It takes no longer than `drain_s`, nor than until the moment `by` of our clock.
+        """
         if self.gapped():
             self._doubt_now()
-        end = self.clock.now() + self.bounds.drain_s
+        end = min(by, self.clock.now() + self.bounds.drain_s)
         while self._doubt and self.clock.now() < end:
             # Nobody is there to ask: the caller is told so at once.
             if self._cut_off and self.silent() > self.bounds.drain_s:
                 return False
             if self._confirming is None or self._confirming.done():
                 self._confirming = asyncio.create_task(self._confirm())
-            await asyncio.shield(self._confirming)
+            # The confirming goes on for others; who has no time left for it hears so at once.
+            await asyncio.wait([self._confirming], timeout=end - self.clock.now())
             # One that never was confirmed has nothing yet to go by.
             if not self._confirmed:
                 return False
             if self._doubt:
-                await self.clock.sleep(self.bounds.tick_s)
+                await self.clock.sleep(min(self.bounds.tick_s, max(0.0, end - self.clock.now())))
         return not self._doubt
 
     def _doubt_now(self) -> None:
@@ -334,8 +338,11 @@
             if not text.isdigit() or len(text) > 9:
                 return outcome.bad("bad_expiry", text[:40].decode("latin-1"))
             x.asked_s = int(text) / 1000
+        # Until a rule is found: a longer wait than the caller's helps nobody.
+        span = self.bounds.request_s if x.asked_s is None else min(self.bounds.request_s, x.asked_s)
+        x.expiry = x.born + span
         try:
-            async with asyncio.timeout(self.bounds.request_s):
+            async with asyncio.timeout(span):
                 return await self._body(x, receive)
         except TimeoutError:
             return outcome.bad("expired", "the request's body did not come in time")
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -154,7 +154,7 @@
 
 
 def _unsure(patch: pytest.MonkeyPatch) -> None:
-    async def sure(self: proxies.Proxy) -> bool:
+    async def sure(self: proxies.Proxy, by: float) -> bool:
         return True
 
     patch.setattr(proxies.Proxy, "sure", sure)
@@ -306,3 +306,54 @@
         assert (figures["run_twice"], figures["told_not_but_ran"]) == (1, 1)
 
     _run(tmp_path, work, exchanges_most=8)
+
+
+@pytest.mark.parametrize("by_rule", [False, True])
+def test_no_wait_to_be_sure_outlasts_the_expiry(by_rule: bool, tmp_path: pathlib.Path) -> None:
+    """Woken from a freeze with no core to ask: whoever has less time than that takes hears so in time."""
+
+    async def work(fleet: fleets.SimFleet) -> None:
+        if by_rule:
+            doc = SMALL.layout()
+            for rule in doc["rules"]:
+                rule["expiry_s"] = 0.3
+            await fleet.apply(doc)
+            await asyncio.sleep(2.5)
+        node = fleet.edges[0].node
+        node.freeze()
+        fleet.world.wires.cut([node.name], [n for c in fleet.cores for n in c.names()])
+        await asyncio.sleep(1.0)
+        node.thaw()
+        span = 10.0 if by_rule else 0.3
+        hurried = callers.Callers(SMALL, fleet.outside, [], fleet.record, fleet.dice, span, "hurried-")
+        asks = await asyncio.gather(*(hurried.ask(s, fleet.edges[0].web) for s in (PAGES, EXPORTS) * 3))
+        assert {(a.status, a.result, a.retry_after) for a in asks} == {(504, 112, True)}
+        assert max(a.ended - a.begun for a in asks) < 0.31
+        assert not any(fleet.record.runs.get(a.name) for a in asks)
+
+    _run(tmp_path, work)
+
+
+def test_a_body_that_does_not_come_is_given_up_on_by_the_expiry(tmp_path: pathlib.Path) -> None:
+    async def work(fleet: fleets.SimFleet) -> None:
+        said: list[tuple[float, typing.Any]] = []
+
+        async def receive() -> dict[str, typing.Any]:
+            await asyncio.Event().wait()
+            return {"type": "http.disconnect"}
+
+        async def send(message: dict[str, typing.Any]) -> None:
+            said.append((fleet.clock.now(), message.get("status")))
+
+        begun = fleet.clock.now()
+        scope = {
+            "type": "http",
+            "method": "POST",
+            "path": "/exports/x",
+            "headers": [(b"host", b"a"), (b"content-length", b"9"), (b"dykeswitch-expiry-ms", b"300")],
+        }
+        await fleet.edges[0].node.daemon._gateway(scope, receive, send)
+        assert said[0][1] == 504
+        assert said[0][0] - begun < 0.31
+
+    _run(tmp_path, work)
