A caller in a hurry marks no endpoint, and to open a pipe takes no longer than its expiry

Cause: the dial and the probe of a fresh pipe were each cut to what was left of the expiry when both began, so one after the other they could take twice that; and what was cut short so counted as the endpoint's fault. Now one bound of what is left holds both, each with its own full bound below it, and what runs into it marks nobody.

--- a/packages/proxy/src/dykeswitch/proxy/carrier.py
+++ b/packages/proxy/src/dykeswitch/proxy/carrier.py
@@ -298,7 +298,8 @@
             self._land(entry.key)
             x.misses += 1
             self._step(x, f"no pipe to {entry.key}", flaw.reason)
-            self._mark(entry.key, soundness.Fault(flaw.reason))
+            if flaw.reason != "expired":
+                self._mark(entry.key, soundness.Fault(flaw.reason))
             if x.misses >= MISSES_MOST:
                 return self._give_up(x, "no_endpoint")
             return Stage.SELECT
@@ -318,7 +319,6 @@
         now = self._clock.now()
         assert self.layout is not None
         probe = self.layout.services[x.service].probe
-        left = max(0.0, x.expiry - now)
         held = self._idle.get(entry.key, [])
         while held:
             pipe = held.pop()
@@ -329,18 +329,22 @@
                 continue
             if now - pipe.used < self._bounds.drain_s / 4:
                 return pipe
-            if await self._still_proven(pipe, probe, left):
+            if await self._still_proven(pipe, probe, max(0.0, x.expiry - self._clock.now())):
                 return pipe
-        left = max(0.0, x.expiry - self._clock.now())
-        return await pipes.open_proven(
-            self._net,
-            self._clock,
-            entry.key,
-            spot,
-            probe,
-            min(self._bounds.dial_s, left),
-            min(self._bounds.probe_wait_s, left),
-        )
+        try:
+            async with asyncio.timeout(x.expiry - self._clock.now()):
+                return await pipes.open_proven(
+                    self._net,
+                    self._clock,
+                    entry.key,
+                    spot,
+                    probe,
+                    self._bounds.dial_s,
+                    self._bounds.probe_wait_s,
+                )
+        except TimeoutError as flaw:
+            # It had less time than a dial and a probe have: that says nothing of the endpoint.
+            raise pipes.Flaw("expired", False) from flaw
 
     async def _still_proven(self, pipe: pipes.EndpointPipe, probe: str, left: float) -> bool:
         """Prove an idle pipe anew; one that fails is closed, and judged by a fresh one."""
@@ -351,7 +355,8 @@
         except TimeoutError as flaw:
             # It hangs: a fresh pipe would only hang as long again.
             pipe.close()
-            raise pipes.Flaw(soundness.PROBE_TIMED_OUT, False) from flaw
+            hurried = left < self._bounds.probe_wait_s
+            raise pipes.Flaw("expired" if hurried else soundness.PROBE_TIMED_OUT, False) from flaw
         except pipes.Flaw:
             pass
         pipe.close()
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -357,3 +357,40 @@
         assert said[0][0] - begun < 0.31
 
     _run(tmp_path, work)
+
+
+def test_a_caller_in_a_hurry_marks_no_endpoint(tmp_path: pathlib.Path) -> None:
+    """Less time than a pipe takes to open says nothing of an endpoint."""
+
+    async def work(fleet: fleets.SimFleet) -> None:
+        edge = fleet.edges[0]
+        hurried = callers.Callers(SMALL, fleet.outside, [], fleet.record, fleet.dice, 0.002, "hurried-")
+        for _ in range(5):
+            asks = await asyncio.gather(*(hurried.ask(PAGES, edge.web) for _ in range(10)))
+            assert {a.status for a in asks} == {504}
+        carrier = edge.node.daemon.carrier
+        assert [n for n in fleet.endpoints if carrier._marks.down(n) is not None] == []
+        # One that hangs for all the time a probe has is marked as ever.
+        _plan(fleet, "pages", "hang")
+        for endpoint in fleet.endpoints.values():
+            endpoint.plan.probe_too = True
+        await _many(fleet, PAGES, 1)
+        assert any(carrier._marks.down(n) is not None for n in fleet.endpoints)
+
+    _run(tmp_path, work)
+
+
+def test_to_open_a_pipe_takes_no_longer_than_the_expiry(tmp_path: pathlib.Path) -> None:
+    """A slow dial and a probe that hangs, each by itself within the time left."""
+
+    async def work(fleet: fleets.SimFleet) -> None:
+        _plan(fleet, "pages", "hang")
+        for endpoint in fleet.endpoints.values():
+            endpoint.plan.probe_too = True
+        fleet.world.wires.slow.update(dict.fromkeys(fleet.endpoints, 0.2))
+        hurried = callers.Callers(SMALL, fleet.outside, [], fleet.record, fleet.dice, 0.5, "hurried-")
+        asks = await asyncio.gather(*(hurried.ask(PAGES, fleet.edges[0].web) for _ in range(10)))
+        assert {(a.status, a.result, a.retry_after) for a in asks} == {(504, 112, True)}
+        assert max(a.ended - a.begun for a in asks) < 0.51
+
+    _run(tmp_path, work)
