--- a/packages/proxy/src/dykeswitch/proxy/carrier.py
+++ b/packages/proxy/src/dykeswitch/proxy/carrier.py
@@ -46,8 +46,8 @@
 class Senses(typing.Protocol):
     """What the carrier asks of the proxy that it is part of."""
 
-    async def sure(self) -> bool:
-        """Whether what we hold is of today, found out first where that is in doubt."""
+    async def sure(self, by: float) -> bool:
+        """Whether what we hold is of today, found out first, by then, where that is in doubt."""
         ...
 
     def gapped(self) -> bool:
@@ -225,11 +225,14 @@
     # The passes.
 
     async def _match(self, x: exchanges.Exchange) -> Stage:
+        # Its expiry by the rule in hand bounds the wait to be sure of that very rule.
+        if self.layout is not None:
+            self._find_rule(x)
         # After a freeze the layout and list in hand may be long out of date.
-        sure = await self._senses.sure()
-        found = self._find_rule(x)
+        sure = await self._senses.sure(x.expiry)
+        found = self._find_rule(x) if x.layout is None or x.layout is not self.layout else None
         if not sure and found != "no_layout":
-            return self._give_up(x, "cut_off")
+            return self._give_up(x, "cut_off" if self._clock.now() < x.expiry else "expired")
         if found is not None:
             return self._end(x, found)
         self._budget(x.service).request()
@@ -272,7 +275,7 @@
         return budget
 
     async def _select(self, x: exchanges.Exchange) -> Stage:
-        sure = await self._senses.sure()
+        sure = await self._senses.sure(x.expiry)
         # A layout may have come since: the rule of this moment decides.
         found = self._find_rule(x)
         if found is not None:
@@ -301,7 +304,8 @@
             self.selector.ended(entry.key)
             x.misses += 1
             self._step(x, f"no pipe to {entry.key}", flaw.reason)
-            self._mark(entry.key, soundness.Fault(flaw.reason))
+            if flaw.reason != "expired":
+                self._mark(entry.key, soundness.Fault(flaw.reason))
             if x.misses >= MISSES_MOST:
                 return self._give_up(x, "no_endpoint")
             return Stage.SELECT
@@ -321,7 +325,6 @@
         now = self._clock.now()
         assert self.layout is not None
         probe = self.layout.services[x.service].probe
-        left = max(0.0, x.expiry - now)
         held = self._idle.get(entry.key, [])
         while held:
             pipe = held.pop()
@@ -332,17 +335,21 @@
             # our hearing of it: only a fresh proof tells, or the id that the request bears.
             if now - pipe.used < self._bounds.drain_s / 4 or self._bounds.proof == "header":
                 return pipe
-            if await self._still_proven(pipe, probe, left):
+            if await self._still_proven(pipe, probe, max(0.0, x.expiry - self._clock.now())):
                 return pipe
-        left = max(0.0, x.expiry - self._clock.now())
-        dial_s = min(self._bounds.dial_s, left)
-        if self._bounds.proof == "header":
-            names = self._heads.exchange
-            return await pipes.open_pipe(self._net, self._clock, entry.key, spot, dial_s, names)
-        wait = min(self._bounds.probe_wait_s, left)
-        return await pipes.open_proven(
-            self._net, self._clock, entry.key, spot, probe, dial_s, wait, self._heads
-        )
+        dial_s = self._bounds.dial_s
+        try:
+            async with asyncio.timeout(x.expiry - self._clock.now()):
+                if self._bounds.proof == "header":
+                    names = self._heads.exchange
+                    return await pipes.open_pipe(self._net, self._clock, entry.key, spot, dial_s, names)
+                wait = self._bounds.probe_wait_s
+                return await pipes.open_proven(
+                    self._net, self._clock, entry.key, spot, probe, dial_s, wait, self._heads
+                )
+        except TimeoutError as flaw:
+            # It had less time than a dial and a probe have: that says nothing of the endpoint.
+            raise pipes.Flaw("expired", False) from flaw
 
     def _stale(self, pipe: pipes.EndpointPipe, now: float) -> bool:
         """Whether the endpoint is about to close an idle pipe, by its own word."""
@@ -357,7 +364,8 @@
         except TimeoutError as flaw:
             # It hangs: a fresh pipe would only hang as long again.
             pipe.close()
-            raise pipes.Flaw(soundness.PROBE_TIMED_OUT, False) from flaw
+            hurried = left < self._bounds.probe_wait_s
+            raise pipes.Flaw("expired" if hurried else soundness.PROBE_TIMED_OUT, False) from flaw
         except pipes.Flaw:
             pass
         pipe.close()
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -11,6 +11,7 @@
 import dykeswitch.simulator.fleet as fleets
 import dykeswitch.simulator.loop as loops
 import dykeswitch.standin.caller as callers
+import dykeswitch.standin.fleet as standins
 import dykeswitch.standin.shape as shapes
 
 PAGES: typing.Final = shapes.ServiceShape("pages", 3, 20, "/pages", "GET", 0.05)
@@ -153,7 +154,7 @@
 
 
 def _unsure(patch: pytest.MonkeyPatch) -> None:
-    async def sure(self: proxies.Proxy) -> bool:
+    async def sure(self: proxies.Proxy, by: float) -> bool:
         return True
 
     patch.setattr(proxies.Proxy, "sure", sure)
@@ -277,3 +278,119 @@
     ]
     # Repeated fields stay repeated, in their order; encodings are nobody's business here.
     assert carriers.kept_heads(heads) == heads[4:]
+
+
+def test_two_runs_of_callers_are_told_apart_in_the_endpoints_books(tmp_path: pathlib.Path) -> None:
+    """The books hold the direct run too: its namesakes are no second run, and no run of who was refused."""
+
+    async def work(fleet: fleets.SimFleet) -> None:
+        spots = {
+            s.name: [e.spot for e in fleet.endpoints.values() if e.service == s.name] for s in SMALL.services
+        }
+        # Endpoints speak over pipes, as real ones do.
+        machine = fleet.outside._replace(web=standins.LightWeb(fleet.outside.net))
+        base = await callers.direct(SMALL, machine, spots, fleet.dice, 5.0)
+        assert all(len(fleet.record.runs[a.name]) == 1 for a in base.asks.values())
+        await fleet.callers.drive(5.0)
+        await _many(fleet, EXPORTS, 30)
+        figures = callers.tally(fleet.record, 10.0)
+        assert figures["turned_away"] >= 20
+        assert figures["replied"] == figures["asked"] - figures["turned_away"] > 100
+        assert (figures["run_twice"], figures["told_not_but_ran"]) == (0, 0)
+        # Both still count what is so: one more run of each kind shows.
+        told = [a for a in fleet.record.asks.values() if a.writing]
+        for ask in (next(a for a in told if a.status == 200), next(a for a in told if a.status == 503)):
+            again = callers.Run(ask.name, "exports-0", "exports", fleet.clock.now())
+            fleet.record.runs[ask.name].append(again)
+        figures = callers.tally(fleet.record, 10.0)
+        assert (figures["run_twice"], figures["told_not_but_ran"]) == (1, 1)
+
+    _run(tmp_path, work, exchanges_most=8)
+
+
+@pytest.mark.parametrize("by_rule", [False, True])
+def test_no_wait_to_be_sure_outlasts_the_expiry(by_rule: bool, tmp_path: pathlib.Path) -> None:
+    """Woken from a freeze with no core to ask: whoever has less time than that takes hears so in time."""
+
+    async def work(fleet: fleets.SimFleet) -> None:
+        if by_rule:
+            doc = SMALL.layout()
+            for rule in doc["rules"]:
+                rule["expiry_s"] = 0.3
+            await fleet.apply(doc)
+            await asyncio.sleep(2.5)
+        node = fleet.edges[0].node
+        node.freeze()
+        fleet.world.wires.cut([node.name], [n for c in fleet.cores for n in c.names()])
+        await asyncio.sleep(1.0)
+        node.thaw()
+        span = 10.0 if by_rule else 0.3
+        hurried = callers.Callers(SMALL, fleet.outside, [], fleet.record, fleet.dice, span, "hurried-")
+        asks = await asyncio.gather(*(hurried.ask(s, fleet.edges[0].web) for s in (PAGES, EXPORTS) * 3))
+        assert {(a.status, a.result, a.retry_after) for a in asks} == {(504, 112, True)}
+        assert max(a.ended - a.begun for a in asks) < 0.31
+        assert not any(fleet.record.runs.get(a.name) for a in asks)
+
+    _run(tmp_path, work)
+
+
+def test_a_body_that_does_not_come_is_given_up_on_by_the_expiry(tmp_path: pathlib.Path) -> None:
+    async def work(fleet: fleets.SimFleet) -> None:
+        said: list[tuple[float, typing.Any]] = []
+
+        async def receive() -> dict[str, typing.Any]:
+            await asyncio.Event().wait()
+            return {"type": "http.disconnect"}
+
+        async def send(message: dict[str, typing.Any]) -> None:
+            said.append((fleet.clock.now(), message.get("status")))
+
+        begun = fleet.clock.now()
+        scope = {
+            "type": "http",
+            "method": "POST",
+            "path": "/exports/x",
+            "headers": [(b"host", b"a"), (b"content-length", b"9"), (b"dykeswitch-expiry-ms", b"300")],
+        }
+        await fleet.edges[0].node.daemon._gateway(scope, receive, send)
+        assert said[0][1] == 504
+        assert said[0][0] - begun < 0.31
+
+    _run(tmp_path, work)
+
+
+def test_a_caller_in_a_hurry_marks_no_endpoint(tmp_path: pathlib.Path) -> None:
+    """Less time than a pipe takes to open says nothing of an endpoint."""
+
+    async def work(fleet: fleets.SimFleet) -> None:
+        edge = fleet.edges[0]
+        hurried = callers.Callers(SMALL, fleet.outside, [], fleet.record, fleet.dice, 0.002, "hurried-")
+        for _ in range(5):
+            asks = await asyncio.gather(*(hurried.ask(PAGES, edge.web) for _ in range(10)))
+            assert {a.status for a in asks} == {504}
+        carrier = edge.node.daemon.carrier
+        assert [n for n in fleet.endpoints if carrier._marks.down(n) is not None] == []
+        # One that hangs for all the time a probe has is marked as ever.
+        _plan(fleet, "pages", "hang")
+        for endpoint in fleet.endpoints.values():
+            endpoint.plan.probe_too = True
+        await _many(fleet, PAGES, 1)
+        assert any(carrier._marks.down(n) is not None for n in fleet.endpoints)
+
+    _run(tmp_path, work)
+
+
+def test_to_open_a_pipe_takes_no_longer_than_the_expiry(tmp_path: pathlib.Path) -> None:
+    """A slow dial and a probe that hangs, each by itself within the time left."""
+
+    async def work(fleet: fleets.SimFleet) -> None:
+        _plan(fleet, "pages", "hang")
+        for endpoint in fleet.endpoints.values():
+            endpoint.plan.probe_too = True
+        fleet.world.wires.slow.update(dict.fromkeys(fleet.endpoints, 0.2))
+        hurried = callers.Callers(SMALL, fleet.outside, [], fleet.record, fleet.dice, 0.5, "hurried-")
+        asks = await asyncio.gather(*(hurried.ask(PAGES, fleet.edges[0].web) for _ in range(10)))
+        assert {(a.status, a.result, a.retry_after) for a in asks} == {(504, 112, True)}
+        assert max(a.ended - a.begun for a in asks) < 0.51
+
+    _run(tmp_path, work)
