--- a/packages/simulator/src/dykeswitch/simulator/faults/proxies.py
+++ b/packages/simulator/src/dykeswitch/simulator/faults/proxies.py
@@ -109,7 +109,10 @@
     holding = asyncio.create_task(stage.hold_on(edge, 9.0))
     await asyncio.sleep(0.5)
     await stage.change()
-    leaving = stage.dice.choice(stage.live_endpoints())
+    # One that this proxy would select: near ones go first.
+    live = stage.live_endpoints()
+    near = [n for n in live if stage.fleet.endpoints[n].zone == edge.zone]
+    leaving = stage.dice.choice(near or live)
     service = stage.shape_of(stage.fleet.endpoints[leaving].service)
     stage.new_endpoint(service, stage.fleet.world.spot())
     await stage.fleet.drain_endpoint(leaving, 4.0)
