dykeswitch hollow run: fleets of hollow proxies and endpoints beside real cores

A hollow proxy is the proxy itself less its web server and callers; a hollow endpoint beats over HTTP and answers probes. Many share a process; registries, stores and one proxy are processes of their own. Each run is a JSON line: bytes and calls by kind of message, processor time, waits for a core, memory, spans until a layout, a leaving and a mark are known.

Frames count their bytes by kind and side through a port (frames.Meter); registries, proxies and stores show the counts on their counters page.

--- a/packages/frames/src/dykeswitch/frames/__init__.py
+++ b/packages/frames/src/dykeswitch/frames/__init__.py
@@ -22,6 +22,31 @@
 Handle = typing.Callable[[Body], typing.Awaitable[Result]]
 
 
+class Meter(typing.Protocol):
+    """Told of each call, with the bytes of both its frames."""
+
+    def call(self, side: str, kind: str, sent: int, got: int) -> None: ...
+
+
+class NoMeter:
+    """Nobody counts."""
+
+    def call(self, side: str, kind: str, sent: int, got: int) -> None:
+        return None
+
+
+class Tally:
+    """Calls and bytes by side ("asked" by us, "heard" from others) and kind."""
+
+    def __init__(self) -> None:
+        self.counts: dict[str, int] = {}
+
+    def call(self, side: str, kind: str, sent: int, got: int) -> None:
+        for name, by in (("calls", 1), ("sent_bytes", sent), ("got_bytes", got)):
+            key = f"frames_{side}_{kind}_{name}"
+            self.counts[key] = self.counts.get(key, 0) + by
+
+
 class FrameFault(Exception):
     """Bytes that are no frame of ours."""
 
@@ -36,6 +61,9 @@
     def __init__(self, pipe: ports.Pipe) -> None:
         self._pipe = pipe
         self._held = bytearray()
+        # Bytes of the last frame each way, heads included.
+        self.got = 0
+        self.sent = 0
 
     async def _fill(self, size: int) -> bool:
         while len(self._held) < size:
@@ -61,6 +89,7 @@
             return None
         data = bytes(self._held[HEAD.size : HEAD.size + size])
         del self._held[: HEAD.size + size]
+        self.got = HEAD.size + size
         try:
             body = cbor2.loads(data)
         except (cbor2.CBORDecodeError, ValueError, TypeError, RecursionError) as flaw:
@@ -73,6 +102,7 @@
         data = cbor2.dumps(body)
         if len(data) > FRAME_MOST:
             raise FrameFault(outcome.bad("frame_too_big", f"{len(data)} bytes"))
+        self.sent = HEAD.size + len(data)
         await self._pipe.write(HEAD.pack(MAGIC, VERSION, len(data)) + data)
 
     def close(self) -> None:
@@ -96,9 +126,15 @@
 class Ear:
     """Serves calls: one task for each pipe, one call at a time on each."""
 
-    def __init__(self, kinds: dict[str, Handle], note: typing.Callable[[str, str], None]) -> None:
+    def __init__(
+        self,
+        kinds: dict[str, Handle],
+        note: typing.Callable[[str, str], None],
+        meter: Meter | None = None,
+    ) -> None:
         self._kinds = kinds
         self._note = note
+        self._meter = meter or NoMeter()
 
     async def serve(self, pipe: ports.Pipe) -> None:
         frames = FramePipe(pipe)
@@ -108,6 +144,9 @@
                 if body is None:
                     return
                 await frames.write(await self._reply(body))
+                # A kind that nobody knows is the sender's word: it gets no counter of its own.
+                kind = body["kind"] if body["kind"] in self._kinds else "other"
+                self._meter.call("heard", kind, frames.sent, frames.got)
         except FrameFault as flaw:
             self._note("frame refused", flaw.bad.code.tag)
             await frames.write(_bad_body(flaw.bad))
@@ -134,8 +173,9 @@
 class Caller:
     """Makes calls; idle pipes are kept for the next call to the same member."""
 
-    def __init__(self, net: ports.Network) -> None:
+    def __init__(self, net: ports.Network, meter: Meter | None = None) -> None:
         self._net = net
+        self._meter = meter or NoMeter()
         self._idle: dict[str, collections.deque[FramePipe]] = {}
 
     def close(self) -> None:
@@ -180,6 +220,7 @@
             if reply is None:
                 return None
             done = True
+            self._meter.call("asked", body["kind"], pipe.sent, pipe.got)
             return _result(reply)
         except OSError:
             return None
--- /dev/null
+++ b/packages/hollow/src/dykeswitch/hollow/herd.py
@@ -0,0 +1,241 @@
+"""A process of many hollow members: proxies without callers, or endpoints that beat.
+
+The driver speaks to it by JSON lines on its standard input; it answers on its standard
+output. It ends by itself when the driver is gone, or when its time is over.
+"""
+
+import asyncio
+import json
+import os
+import pathlib
+import random
+import sys
+import time
+import typing
+
+import dykeswitch.hollow.gauge as gauge
+import dykeswitch.logs as logs
+import dykeswitch.ports as ports
+import dykeswitch.ports.real as real
+import dykeswitch.proxy.program as proxies
+import dykeswitch.settings as settings
+import dykeswitch.standin.endpoint as endpoints
+import dykeswitch.standin.fleet as fleets
+import dykeswitch.timeline as timeline
+
+Spec = dict[str, typing.Any]
+Page = dict[str, typing.Any]
+
+# How often members that are not ready yet are looked at: the grain of start-up times.
+LOOK_S: typing.Final = 0.02
+
+
+class NoServer:
+    """Stands for a web server that nobody calls."""
+
+    async def stop(self, grace: float) -> None:
+        return None
+
+
+class NoWeb(real.RealWeb):
+    """Serves nothing: hollow proxies have no callers."""
+
+    async def serve(self, spot: str, app: ports.App) -> ports.WebServer:
+        return NoServer()
+
+
+class CountPipe:
+    """A pipe that adds its bytes to a book."""
+
+    def __init__(self, pipe: ports.Pipe, book: dict[str, int], name: str) -> None:
+        self._pipe = pipe
+        self._book = book
+        self._name = name
+
+    def _add(self, way: str, size: int) -> None:
+        key = f"{self._name}_{way}_bytes"
+        self._book[key] = self._book.get(key, 0) + size
+
+    async def read(self, most: int) -> bytes:
+        data = await self._pipe.read(most)
+        self._add("got", len(data))
+        return data
+
+    async def write(self, data: bytes) -> None:
+        self._add("sent", len(data))
+        await self._pipe.write(data)
+
+    def close(self) -> None:
+        self._pipe.close()
+
+    def ended(self) -> bool:
+        return self._pipe.ended()
+
+
+class CountNetwork:
+    """A network that counts what endpoints send as beats and get as probes."""
+
+    def __init__(self, net: ports.Network) -> None:
+        self._net = net
+        self.book: dict[str, int] = {}
+
+    async def dial(self, spot: str, wait: float) -> ports.Pipe:
+        return CountPipe(await self._net.dial(spot, wait), self.book, "beat")
+
+    async def listen(self, spot: str, serve: ports.Serve) -> ports.Listener:
+        async def counted(pipe: ports.Pipe) -> None:
+            await serve(CountPipe(pipe, self.book, "probe"))
+
+        return await self._net.listen(spot, counted)
+
+
+class Herd(typing.Protocol):
+    """What the two kinds of herd have in common."""
+
+    async def run(self) -> None: ...
+
+    async def obey(self, ask: Page) -> Page: ...
+
+
+class Proxies:
+    """Hollow proxies, and the book of what each heard when."""
+
+    def __init__(self, spec: Spec, write: typing.Callable[[list[typing.Any]], None]) -> None:
+        self._write = write
+        self._frozen = 0
+        self.members: dict[str, proxies.Proxy] = {}
+        machine = real.machine()._replace(web=NoWeb())
+        for raw in spec["members"]:
+            bounds = settings.Settings(**{**raw, "seeds": tuple(raw["seeds"])})
+            log = logs.Log("proxy", bounds.name, "info", machine.clock)
+            log.hook = self._hook(bounds.name)
+            proxy = proxies.Proxy(bounds, machine, log, random.SystemRandom())
+            proxy.line.on_change(self._watch(bounds.name))
+            self.members[bounds.name] = proxy
+
+    def _hook(self, name: str) -> typing.Callable[[dict[str, typing.Any]], None]:
+        def told(line: dict[str, typing.Any]) -> None:
+            if line["event"] == "layout taken up":
+                self._write(["layout", time.monotonic(), name, line["version"]])
+            elif line["event"] == "frozen":
+                self._frozen += 1
+
+        return told
+
+    def _watch(self, name: str) -> typing.Callable[[timeline.Entry], None]:
+        def taken(entry: timeline.Entry) -> None:
+            if entry.kind == timeline.ENDPOINT and entry.fields["state"] == timeline.LEFT:
+                self._write(["left", time.monotonic(), name, entry.key])
+            elif entry.kind == timeline.MARK:
+                self._write(["mark", time.monotonic(), name, entry.key])
+
+        return taken
+
+    async def run(self) -> None:
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._until_ready())
+            for proxy in self.members.values():
+                group.create_task(proxy.run())
+                # A start of hundreds in one process must not look like a freeze to each.
+                await asyncio.sleep(0)
+
+    async def _until_ready(self) -> None:
+        waits = dict(self.members)
+        while waits:
+            for name in [n for n, p in waits.items() if p.ready() is None]:
+                del waits[name]
+                self._write(["ready", time.monotonic(), name])
+            await asyncio.sleep(LOOK_S)
+
+    async def obey(self, ask: Page) -> Page:
+        if ask["do"] == "mark":
+            proxy = self.members[ask["name"]]
+            at = time.monotonic()
+            proxy.marks.set(ask["endpoint"], "hollow mark", ask["name"])
+            return {"at": at, "key": timeline.down_key(ask["endpoint"])}
+        counts: dict[str, int] = {}
+        for proxy in self.members.values():
+            for key, by in proxy.meter.counts.items():
+                counts[key] = counts.get(key, 0) + by
+        unready = sum(1 for p in self.members.values() if p.ready() is not None)
+        lines = [p.line for p in self.members.values()]
+        held = {kind: sum(line.held(kind) for line in lines) / len(lines) for kind in timeline.KINDS}
+        return {"counts": counts, "unready": unready, "frozen": self._frozen, "held": held}
+
+
+class Endpoints:
+    """Hollow endpoints: they beat to registries and answer probes."""
+
+    def __init__(self, spec: Spec, write: typing.Callable[[list[typing.Any]], None]) -> None:
+        self._dice = random.Random(spec["seed"])
+        self._net = CountNetwork(real.RealNetwork())
+        self._members: dict[str, endpoints.Endpoint] = {}
+        for raw in spec["members"]:
+            # Each has pipes of its own, as processes of their own would.
+            machine = real.machine()._replace(net=self._net, web=fleets.LightWeb(self._net))
+            self._members[raw["name"]] = endpoints.Endpoint(
+                raw["name"],
+                raw["service"],
+                raw["spot"],
+                raw["zone"],
+                machine,
+                lambda: spec["registries"],
+                self._dice,
+                0.0,
+                spec["interval_s"],
+            )
+        self._interval_s = float(spec["interval_s"])
+
+    async def run(self) -> None:
+        async with asyncio.TaskGroup() as group:
+            for member in self._members.values():
+                await member.open()
+                group.create_task(self._beat(member))
+
+    async def _beat(self, member: endpoints.Endpoint) -> None:
+        # Endpoints that all beat at the same moment are no fleet.
+        await asyncio.sleep(self._dice.random() * self._interval_s)
+        await member.beat_for_ever()
+
+    async def obey(self, ask: Page) -> Page:
+        if ask["do"] == "leave":
+            at = time.monotonic()
+            return {"at": at, "heard": await self._members[ask["name"]].leave()}
+        return {"counts": dict(self._net.book)}
+
+
+async def _listen(herd: Herd) -> None:
+    """Answer the driver until it says stop or its end of the pipe closes."""
+    reader = asyncio.StreamReader()
+    loop = asyncio.get_running_loop()
+    await loop.connect_read_pipe(lambda: asyncio.StreamReaderProtocol(reader), sys.stdin)
+    while line := await reader.readline():
+        ask = json.loads(line)
+        if ask["do"] == "stop":
+            return
+        print(json.dumps(await herd.obey(ask)), flush=True)
+
+
+async def serve(spec: Spec) -> None:
+    """Run a herd until told to stop, left alone, or out of time."""
+    # Opened once, before anything is served: nobody waits for it.
+    print(json.dumps({"memory_mb": gauge.read(os.getpid()).memory_mb}), flush=True)
+    with pathlib.Path(spec["book"]).open("a", buffering=1) as book:  # noqa: ASYNC230
+
+        def write(line: list[typing.Any]) -> None:
+            book.write(json.dumps(line) + "\n")
+
+        herd: Herd = Proxies(spec, write) if spec["kind"] == "proxy" else Endpoints(spec, write)
+        work = asyncio.create_task(herd.run())
+        ear = asyncio.create_task(_listen(herd))
+        # Whatever comes first: the driver's word, a fault of the herd, the end of its time.
+        await asyncio.wait([work, ear], timeout=spec["span_s"], return_when=asyncio.FIRST_COMPLETED)
+        if work.done():
+            work.result()
+        for task in (work, ear):
+            task.cancel()
+        await asyncio.wait([work, ear], timeout=2)
+
+
+if __name__ == "__main__":
+    asyncio.run(serve(json.loads(pathlib.Path(sys.argv[1]).read_text())))
--- /dev/null
+++ b/packages/hollow/src/dykeswitch/hollow/sweep.py
@@ -0,0 +1,67 @@
+"""The plan: one variable at a time round a base, and crosses where a product is to be expected."""
+
+import asyncio
+import dataclasses
+import json
+import pathlib
+import sys
+import typing
+
+import dykeswitch.hollow.ground as grounds
+import dykeswitch.hollow.measure as measure
+
+BASE: typing.Final = grounds.Size(nodes=16, endpoints=60, services=10, rules=100)
+
+# For each sweep the sizes it visits; the base belongs to every one of them.
+SWEEPS: typing.Final[dict[str, tuple[grounds.Size, ...]]] = {
+    "base": (BASE,),
+    "nodes": tuple(dataclasses.replace(BASE, nodes=n) for n in (8, 32, 64)),
+    "endpoints": tuple(dataclasses.replace(BASE, endpoints=n) for n in (30, 120, 240)),
+    "changes": tuple(dataclasses.replace(BASE, changes=n) for n in (15, 30, 60)),
+    "marks": tuple(dataclasses.replace(BASE, marks=n) for n in (60, 120, 240)),
+    "rules": tuple(dataclasses.replace(BASE, rules=n) for n in (1000, 4000, 8000)),
+    "services": tuple(dataclasses.replace(BASE, services=n) for n in (30, 60)),
+    "cores": tuple(dataclasses.replace(BASE, cores=n) for n in (1, 5)),
+    # Two at a time, where one variable is likely to multiply the other.
+    "cross": (
+        dataclasses.replace(BASE, nodes=32, endpoints=120),
+        dataclasses.replace(BASE, rules=1000, changes=30),
+        dataclasses.replace(BASE, rules=4000, changes=30),
+        dataclasses.replace(BASE, nodes=32, changes=30),
+        dataclasses.replace(BASE, nodes=32, marks=120),
+        dataclasses.replace(BASE, cores=5, endpoints=120),
+    ),
+}
+
+
+def write(book: pathlib.Path, record: dict[str, typing.Any]) -> None:
+    """One record as a line of its own."""
+    book.parent.mkdir(parents=True, exist_ok=True)
+    with book.open("a") as out:
+        out.write(json.dumps(record) + "\n")
+
+
+def read(book: pathlib.Path) -> list[dict[str, typing.Any]]:
+    """Every record of a book."""
+    return [json.loads(line) for line in book.read_text().splitlines() if line]
+
+
+def run(sweeps: typing.Sequence[str], turns: typing.Sequence[int], book: pathlib.Path) -> int:
+    """Run sweeps turn by turn, each run a line in the book; how many failed."""
+    cpus = measure.narrow()
+    sys.stderr.write(f"on cores {cpus}\n")
+    failed = 0
+    # Turn by turn, so that what the machine does meanwhile falls on all sizes alike.
+    for turn in turns:
+        for sweep in sweeps:
+            for size in SWEEPS[sweep]:
+                try:
+                    record = asyncio.run(measure.run(sweep, size, turn))
+                except (OSError, TimeoutError) as flaw:
+                    # A size that this machine can't carry is told, never left out in silence.
+                    failed += 1
+                    record = {"kind": "failed", "sweep": sweep, "turn": turn}
+                    record.update(commit=measure.commit(), size=dataclasses.asdict(size), why=str(flaw)[:200])
+                write(book, record)
+                sys.stderr.write(f"{sweep} {turn} {record['size']}: {record['kind']}\n")
+    return failed
--- a/packages/proxy/src/dykeswitch/proxy/program.py
+++ b/packages/proxy/src/dykeswitch/proxy/program.py
@@ -37,7 +37,8 @@
         self.clock = machine.clock
         self.line = timeline.Timeline(bounds.name, self.clock, bounds.forget_s)
         self.marks = timeline.Marks(self.line, bounds.mark_s)
-        self.caller = frames.Caller(machine.net)
+        self.meter = frames.Tally()
+        self.caller = frames.Caller(machine.net, self.meter)
         me = membership.Member(bounds.name, "proxy", bounds.member)
         self.spread = membership.Spread(
             me,
@@ -266,6 +267,7 @@
     def _counters(self) -> litestar.Response[bytes]:
         counts = {
             **self.carrier.counts,
+            **self.meter.counts,
             "exchanges_at_work": len(self.carrier.table),
             "no_part_of_extra_goes": int(self._shared_from is None),
         }
@@ -366,7 +368,7 @@
     async def run(self) -> None:
         """Serve until told to stop."""
         kinds = {**self.spread.kinds(), **self.papers.kinds(), "exchange": self._on_exchange}
-        ear = frames.Ear(kinds, self.log.note)
+        ear = frames.Ear(kinds, self.log.note, self.meter)
         self._ear = await self.machine.net.listen(self.bounds.ear or self.bounds.member, ear.serve)
         try:
             self._server = await self.machine.web.serve(self.bounds.web, self.app)
--- a/packages/registry/src/dykeswitch/registry/program.py
+++ b/packages/registry/src/dykeswitch/registry/program.py
@@ -58,7 +58,8 @@
         self.clock = machine.clock
         self.line = timeline.Timeline(bounds.name, self.clock, bounds.forget_s)
         self.marks = timeline.Marks(self.line, bounds.mark_s)
-        self.caller = frames.Caller(machine.net)
+        self.meter = frames.Tally()
+        self.caller = frames.Caller(machine.net, self.meter)
         me = membership.Member(bounds.name, "registry", bounds.member)
         self.spread = membership.Spread(
             me,
@@ -241,6 +242,7 @@
             "endpoints_up": len(up),
             "endpoints_down": sum(1 for e in up if self.marks.down(e.key) is not None),
             "member_set_epoch": self.proposer.members.epoch,
+            **self.meter.counts,
         }
         data = counters.page("registry", self.bounds.name, counts)
         return litestar.Response(data, media_type="text/plain; version=0.0.4")
@@ -524,7 +526,7 @@
 
     async def run(self) -> None:
         """Serve until told to stop."""
-        ear = frames.Ear(self.kinds(), self.log.note)
+        ear = frames.Ear(self.kinds(), self.log.note, self.meter)
         listener = await self.machine.net.listen(self.bounds.ear or self.bounds.member, ear.serve)
         try:
             self._server = await self.machine.web.serve(self.bounds.web, self.app)
--- a/packages/standin/src/dykeswitch/standin/fleet.py
+++ b/packages/standin/src/dykeswitch/standin/fleet.py
@@ -101,6 +101,12 @@
     def web(self) -> str:
         return self.flags.get("web", "")
 
+    @property
+    def pid(self) -> int:
+        """The id of the process that was started last."""
+        assert self._run is not None
+        return self._run.pid
+
     @property
     def log(self) -> pathlib.Path:
         return self._folder / f"{self.name}.log"
--- a/packages/store/src/dykeswitch/store/program.py
+++ b/packages/store/src/dykeswitch/store/program.py
@@ -8,6 +8,7 @@
 
 import dykeswitch.frames as frames
 import dykeswitch.logs as logs
+import dykeswitch.logs.counters as counters
 import dykeswitch.ports as ports
 import dykeswitch.register.voter as voters
 import dykeswitch.settings as settings
@@ -28,12 +29,14 @@
         self.machine = machine
         self.log = log
         self.voter = voters.Voter(disk, machine.points, dice)
+        self.meter = frames.Tally()
         self._stop = asyncio.Event()
         self.stopping = False
         self.app = litestar.Litestar(
             route_handlers=[
                 litestar.get("/healthz", sync_to_thread=False)(self._healthz),
                 litestar.get("/readyz", sync_to_thread=False)(self._readyz),
+                litestar.get("/-/counters", sync_to_thread=False)(self._counters),
             ],
             openapi_config=None,
             logging_config=None,
@@ -55,10 +58,14 @@
             page["why"] = why
         return litestar.Response(page, status_code=200 if why is None else 503)
 
+    def _counters(self) -> litestar.Response[bytes]:
+        data = counters.page("store", self.bounds.name, self.meter.counts)
+        return litestar.Response(data, media_type="text/plain; version=0.0.4")
+
     async def run(self) -> None:
         """Vote until told to stop."""
         await self.voter.open()
-        ear = frames.Ear(self.voter.kinds(), self.log.note)
+        ear = frames.Ear(self.voter.kinds(), self.log.note, self.meter)
         listener = await self.machine.net.listen(self.bounds.store, ear.serve)
         try:
             server = await self.machine.web.serve(self.bounds.web, self.app)
