--- /dev/null
+++ b/packages/hollow/src/dykeswitch/hollow/data.py
@@ -0,0 +1,207 @@
+"""What carrying a request costs: one real proxy before hollow endpoints, against calling them directly."""
+
+import asyncio
+import collections
+import contextlib
+import dataclasses
+import json
+import os
+import pathlib
+import random
+import shutil
+import signal
+import sys
+import tempfile
+import typing
+
+import dykeswitch.hollow.gauge as gauge
+import dykeswitch.hollow.ground as grounds
+import dykeswitch.hollow.measure as measure
+import dykeswitch.hollow.sweep as sweeps
+import dykeswitch.standin.fleet as fleets
+import dykeswitch.standin.shape as shapes
+
+Page = dict[str, typing.Any]
+
+SPAN_S: typing.Final = 12.0
+IDLE_S: typing.Final = 5.0
+# A proxy proves a pipe anew that lay idle for longer than this part of `drain_s`.
+KEPT_S: typing.Final = 0.5
+ARMS: typing.Final = ("direct", "relay", "proxy")
+SERVICE: typing.Final = "s0"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Load:
+    """Requests a second in all, by lot over the arms, and endpoints behind the proxy."""
+
+    endpoints: int
+    rate: float
+
+
+# Few endpoints keep their pipes warm; with many, each lies idle between two requests.
+LOADS: typing.Final = (Load(4, 60), Load(4, 150), Load(4, 300), Load(200, 60), Load(200, 150))
+
+
+class Sampled(fleets.Process):
+    """A proxy under the sampler."""
+
+    def _args(self) -> list[str]:
+        args = super()._args()
+        at = args.index("dykeswitch.cli.main")
+        book = str(self._folder / f"{self.name}.parts")
+        return [*args[:at], "dykeswitch.hollow.sampled", book, *args[at + 1 :]]
+
+    def parts(self) -> Page:
+        page: Page = json.loads((self._folder / f"{self.name}.parts").read_text())
+        return page
+
+
+class Bench:
+    """One core, one proxy, a herd of endpoints, and a bare relay to one of them."""
+
+    def __init__(self, load: Load, folder: pathlib.Path, turn: int, sampled: bool) -> None:
+        self.load = load
+        self.dice = random.Random(turn)
+        self.fleet = fleets.Fleet(shapes.Shape("data", 1, 1, ("z1",), ()), folder, turn)
+        (proxy,) = self.fleet.proxies
+        if sampled:
+            proxy = Sampled("proxy", proxy.name, proxy.flags, folder)
+            self.fleet.proxies[:] = [proxy]
+        self.proxy = proxy
+        block = f"127.{self.dice.randrange(1, 250)}.{os.getpid() % 250}"
+        members = [
+            {
+                "name": f"{SERVICE}-{n}",
+                "service": SERVICE,
+                "spot": f"{block}.1:{grounds.PORT_FROM + n}",
+                "zone": "z1",
+            }
+            for n in range(load.endpoints)
+        ]
+        web = [registry.web for registry, _ in self.fleet.cores]
+        spec = {"kind": "endpoint", "members": members, "seed": 1, "registries": web, "interval_s": 1.0}
+        self.herd = grounds.Herd("endpoints", spec, folder)
+        relay = {"spot": f"{block}.2:{grounds.PORT_FROM}", "ear": members[0]["spot"]}
+        self.relay = grounds.Herd("relay", {"kind": "relay", "members": [relay]}, folder)
+        self.spots = [str(m["spot"]) for m in members]
+        self.took: dict[str, list[float]] = collections.defaultdict(list)
+        self.failed = 0
+        self._used: dict[str, float] = {}
+
+    async def start(self, cpus: list[int]) -> None:
+        for pair in self.fleet.cores:
+            for process in pair:
+                process.start()
+        layout = grounds.Size(services=1, rules=100).layout(0)
+        layout["rules"].append({"path": "/", "service": SERVICE})
+        await self.fleet.apply(layout)
+        await asyncio.gather(self.herd.start(), self.relay.start())
+        self.proxy.start()
+        self.fleet.spawn(self.fleet.callers.watch())
+        await self.fleet.until(lambda: bool(self.fleet.callers.ready), 60, "the proxy is ready")
+        while await self.fleet.known() < self.load.endpoints:
+            await self.fleet.machine.clock.sleep(0.05)
+        # Each side on a core of its own; what is bare shares the proxy's, in its place.
+        os.sched_setaffinity(self.proxy.pid, {cpus[-1]})
+        os.sched_setaffinity(self.relay.pid, {cpus[-1]})
+        os.sched_setaffinity(self.herd.pid, {cpus[-2]})
+
+    async def stop(self) -> None:
+        await asyncio.gather(self.herd.end(), self.relay.end())
+        await self.fleet.stop()
+
+    async def drive(self) -> gauge.Reading:
+        """Send for a span; what the proxy spent on it beyond its idling."""
+        loop = asyncio.get_running_loop()
+        await asyncio.sleep(2.0)
+        idle = gauge.read(self.proxy.pid)
+        await asyncio.sleep(IDLE_S)
+        if isinstance(self.proxy, Sampled):
+            # What it took to start is no part of a request.
+            self.proxy.tell(signal.SIGUSR1)
+        before = gauge.read(self.proxy.pid)
+        end = loop.time() + SPAN_S
+        due = loop.time()
+        async with asyncio.TaskGroup() as group:
+            while (due := due + self.dice.expovariate(self.load.rate)) < end:
+                await asyncio.sleep(max(0.0, due - loop.time()))
+                group.create_task(self._one(self.dice.choice(ARMS)))
+        after = gauge.read(self.proxy.pid)
+        rest = (before.run_s - idle.run_s) / IDLE_S * SPAN_S
+        return gauge.Reading(after.run_s - before.run_s - rest, after.wait_s - before.wait_s, after.memory_mb)
+
+    async def _one(self, arm: str) -> None:
+        spot = {"proxy": self.proxy.web, "relay": str(self.relay.spec["members"][0]["spot"])}.get(arm)
+        spot = spot or self.dice.choice(self.spots)
+        begun = asyncio.get_running_loop().time()
+        try:
+            reply = await self.fleet.machine.web.ask("GET", spot, "/x?ask=a", [], b"", 5.0)
+        except (OSError, TimeoutError):
+            self.failed += 1
+            return
+        now = asyncio.get_running_loop().time()
+        if reply.status != 200:
+            self.failed += 1
+            return
+        if arm != "relay":
+            # Warm, idle or fresh: by when this endpoint was reached last in this way.
+            by = f"{arm} {reply.head('dykeswitch-served-by')}"
+            last = self._used.get(by)
+            state = "fresh" if last is None else "kept" if begun - last < KEPT_S else "idle"
+            self._used[by] = now
+            self.took[f"{arm} {state}"].append(now - begun)
+        self.took[arm].append(now - begun)
+
+
+async def _bench(load: Load, turn: int, cpus: list[int], sampled: bool) -> Page:
+    folder = pathlib.Path(tempfile.mkdtemp(prefix="dykeswitch-data-"))
+    bench = Bench(load, folder, turn, sampled)
+    page: Page = {}
+    try:
+        await bench.start(cpus)
+        spent = await bench.drive()
+        asked = len(bench.took["proxy"])
+        page = {
+            "asked": asked,
+            "failed": bench.failed,
+            "proxy_ms": round(spent.run_s / max(1, asked) * 1000, 4),
+            "proxy_wait_share": round(spent.wait_s / SPAN_S, 4),
+            "memory_mb": round(spent.memory_mb, 1),
+            "took": {name: grounds.spans(took) for name, took in sorted(bench.took.items())},
+        }
+        if isinstance(bench.proxy, Sampled):
+            bench.proxy.tell(signal.SIGTERM)
+            await bench.proxy.gone(15)
+            page["sampled"] = bench.proxy.parts()
+    finally:
+        with contextlib.suppress(OSError):
+            await bench.stop()
+        shutil.rmtree(folder, ignore_errors=True)
+    return page
+
+
+def run(turns: typing.Sequence[int], book: pathlib.Path) -> int:
+    """Every load, turn by turn, and one run of each under the sampler; how many failed."""
+    cpus = measure.narrow()
+    failed = 0
+    for turn in turns:
+        for load in LOADS:
+            for sampled in (False, True):
+                head: Page = {
+                    "kind": "data",
+                    "turn": turn,
+                    "commit": measure.commit(),
+                    "load_before": round(os.getloadavg()[0], 2),
+                    "sampled_run": sampled,
+                    **dataclasses.asdict(load),
+                }
+                try:
+                    page = asyncio.run(_bench(load, turn, cpus, sampled))
+                except (OSError, TimeoutError) as flaw:
+                    failed += 1
+                    page = {"why": str(flaw)[:200]}
+                    head["kind"] = "failed"
+                sweeps.write(book, {**head, **page})
+                sys.stderr.write(f"data {turn} {load} sampled={sampled}\n")
+    return failed
--- a/packages/hollow/src/dykeswitch/hollow/herd.py
+++ b/packages/hollow/src/dykeswitch/hollow/herd.py
@@ -204,6 +204,42 @@
         return {"counts": dict(self._net.book)}
 
 
+class Relay:
+    """Bare pipes to an endpoint: the least that anything in Python between two sockets costs."""
+
+    def __init__(self, spec: Spec) -> None:
+        self._members = spec["members"]
+        self._net = real.RealNetwork()
+
+    async def run(self) -> None:
+        for raw in self._members:
+            await self._net.listen(raw["spot"], self._bring(raw["ear"]))
+        await asyncio.Event().wait()
+
+    def _bring(self, ear: str) -> ports.Serve:
+        async def serve(pipe: ports.Pipe) -> None:
+            there = await self._net.dial(ear, 1.0)
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self._pump(pipe, there))
+                group.create_task(self._pump(there, pipe))
+
+        return serve
+
+    async def _pump(self, one: ports.Pipe, two: ports.Pipe) -> None:
+        while part := await one.read(real.READ_SIZE):
+            await two.write(part)
+        two.close()
+
+    async def obey(self, ask: Page) -> Page:
+        return {}
+
+
+def _herd(spec: Spec, write: typing.Callable[[list[typing.Any]], None]) -> Herd:
+    if spec["kind"] == "relay":
+        return Relay(spec)
+    return Proxies(spec, write) if spec["kind"] == "proxy" else Endpoints(spec, write)
+
+
 async def _listen(herd: Herd) -> None:
     """Answer the driver until it says stop or its end of the pipe closes."""
     reader = asyncio.StreamReader()
@@ -225,7 +261,7 @@
         def write(line: list[typing.Any]) -> None:
             book.write(json.dumps(line) + "\n")
 
-        herd: Herd = Proxies(spec, write) if spec["kind"] == "proxy" else Endpoints(spec, write)
+        herd = _herd(spec, write)
         work = asyncio.create_task(herd.run())
         ear = asyncio.create_task(_listen(herd))
         # Whatever comes first: the driver's word, a fault of the herd, the end of its time.
--- a/packages/hollow/src/dykeswitch/hollow/measure.py
+++ b/packages/hollow/src/dykeswitch/hollow/measure.py
@@ -119,9 +119,7 @@
         "members": parts,
         "core_share": round(sum(spent) / span / parts, 5),
         "core_share_most": round(max(spent) / span, 5),
-        "wait_share": round(
-            sum(b.wait_s - a.wait_s for a, b in zip(before, after)) / span / len(before), 4
-        ),
+        "wait_share": round(sum(b.wait_s - a.wait_s for a, b in zip(before, after)) / span / len(before), 4),
         "memory_mb": round(sum(r.memory_mb for r in after) / parts, 2),
         "rates": {k: round(v, 1) for k, v in sorted(rates.items()) if v >= 0.05},
     }
@@ -146,9 +144,7 @@
     await _every(ground.size.marks, end, one)
 
 
-async def _every(
-    rate: float, end: float, work: typing.Callable[[], typing.Awaitable[object]]
-) -> None:
+async def _every(rate: float, end: float, work: typing.Callable[[], typing.Awaitable[object]]) -> None:
     """Do something so many times a minute until an end; late ones are not made up for."""
     loop = asyncio.get_running_loop()
     if not rate:
--- a/packages/hollow/src/dykeswitch/hollow/words.py
+++ b/packages/hollow/src/dykeswitch/hollow/words.py
@@ -19,13 +19,33 @@
     sub.add_argument("--first-turn", type=int, default=1)
     sub.add_argument("--turns", type=int, default=3, help="runs of each size (default 3)")
     sub.add_argument("--book", type=pathlib.Path, default=BOOK)
+    text = "measure what one proxy adds to a request, against endpoints called directly"
+    sub = subs.add_parser("data", help=text, description=text)
+    sub.add_argument("--first-turn", type=int, default=1)
+    sub.add_argument("--turns", type=int, default=3, help="runs of each load (default 3)")
+    sub.add_argument("--book", type=pathlib.Path, default=BOOK.parent / "data.jsonl")
+    text = "make the page's tables and plots anew out of the records beside it"
+    sub = subs.add_parser("report", help=text, description=text)
+    sub.add_argument("--page", type=pathlib.Path, default=PAGE)
+    sub.add_argument("--records", type=pathlib.Path, default=BOOK.parent)
 
 
 def run(spoken: argparse.Namespace) -> int:
     """Obey; the exit code."""
     # The daemons come by here too: they must not pay for what only this tool needs.
+    if spoken.act == "report":
+        import dykeswitch.hollow.plots as plots
+        import dykeswitch.hollow.report as reports
+
+        book = reports.load(reports.read(spoken.records))
+        spoken.page.write_text(reports.fill(spoken.page.read_text(), book))
+        plots.draw(book, spoken.records)
+        return 0
+    import dykeswitch.hollow.data as data
     import dykeswitch.hollow.sweep as sweeps
 
-    names = list(sweeps.SWEEPS) if spoken.sweeps == "all" else spoken.sweeps.split(",")
     turns = range(spoken.first_turn, spoken.first_turn + spoken.turns)
+    if spoken.act == "data":
+        return 1 if data.run(turns, spoken.book) else 0
+    names = list(sweeps.SWEEPS) if spoken.sweeps == "all" else spoken.sweeps.split(",")
     return 1 if sweeps.run(names, turns, spoken.book) else 0
