--- a/packages/hollow/src/dykeswitch/hollow/ground.py
+++ b/packages/hollow/src/dykeswitch/hollow/ground.py
@@ -132,6 +132,9 @@
         whole = self.book.read_text().rpartition("\n")[0]
         return [json.loads(line) for line in whole.splitlines()]
 
+    def ended(self) -> bool:
+        return self._run is None or self._run.returncode is not None
+
     async def end(self, sign: int = signal.SIGTERM) -> None:
         """End this very process, by its id, and wait for that."""
         run = self._run
@@ -214,8 +217,21 @@
             proxy.start()
         await asyncio.gather(*(herd.start() for herd in self.proxies))
         took = await self.ready(self.proxies)
+        while not await self._real_ready():
+            await clock.sleep(0.1)
         return {"cores_s": cores - begun, "endpoints_s": known - cores, **took}
 
+    async def _real_ready(self) -> bool:
+        """Whether the proxy that is a process of its own is ready too."""
+        try:
+            for proxy in self.fleet.proxies:
+                reply = await self.fleet.machine.web.ask("GET", proxy.web, "/readyz", [], b"", 1.0)
+                if reply.status != 200:
+                    return False
+        except (OSError, TimeoutError):
+            return False
+        return True
+
     async def ready(self, herds: typing.Sequence[Herd]) -> Page:
         """Wait until every hollow proxy of some herds has been ready; seconds since its herd's start."""
         end = self.fleet.machine.clock.now() + START_S
--- a/packages/hollow/src/dykeswitch/hollow/report.py
+++ b/packages/hollow/src/dykeswitch/hollow/report.py
@@ -381,6 +381,7 @@
         "regions": str(t.regions),
         "zones": str(t.zones),
         "machines": str(t.machines),
+        "restarts_day": str(t.restarts_day),
         "budget_bytes": amount(t.bytes_s, "B/s"),
         "budget_core": f"{t.core_share * 100:.1f}%",
         "budget_memory": amount(t.memory_mb, "MB"),
--- /dev/null
+++ b/tests/test_hollow.py
@@ -0,0 +1,151 @@
+"""Hollow fleets: slopes, the page against its records, and a small fleet of real processes."""
+
+import asyncio
+import pathlib
+import re
+import typing
+
+import dykeswitch.frames as frames
+import dykeswitch.hollow.fit as fits
+import dykeswitch.hollow.ground as grounds
+import dykeswitch.hollow.report as reports
+import dykeswitch.outcome as outcome
+import dykeswitch.ports as ports
+
+ROOT: typing.Final = pathlib.Path(__file__).parent.parent
+PAGE: typing.Final = ROOT / "docs" / "CAPACITY.md"
+
+
+def _record(turn: int, value: float, **size: float) -> fits.Record:
+    return {"turn": turn, "size": size, "value": value}
+
+
+def _told(record: fits.Record) -> float:
+    return float(record["value"])
+
+
+def test_slopes_are_found_again_and_carried_to_a_size() -> None:
+    points = [(n, e) for n in (2, 4, 8) for e in (10, 20, 40)]
+    records = [_record(t, 5 + 2 * n + 3 * n * e, nodes=n, endpoints=e) for n, e in points for t in (1, 2)]
+    terms = ("1", "nodes", "endpoints", "nodes*endpoints")
+    sizes = {"nodes": 100.0, "endpoints": 1000.0}
+    found = fits.reach(records, _told, terms, sizes)
+    assert abs(found.value - (5 + 200 + 300000)) < 1
+    assert found.fit.spread < 1e-6
+    assert abs(found.least - found.most) < 1
+
+
+def test_no_slope_is_below_nothing() -> None:
+    # What falls as the fleet grows is the machine's doing: it must not pay for another term.
+    records = [_record(1, 100.0 - n, nodes=n) for n in (2.0, 4.0, 8.0)]
+    found = fits.fit(records, _told, ("1", "nodes"))
+    assert min(found.slopes) >= 0
+    assert found.at({"nodes": 1000.0}) > 0
+
+
+def test_terms_are_products_and_parts() -> None:
+    assert fits.worth("nodes*rules/cores", {"nodes": 6, "rules": 5, "cores": 3}) == 10
+    assert fits.worth("1", {}) == 1
+
+
+def test_the_page_says_what_its_records_say() -> None:
+    book = reports.load(reports.read(ROOT / "docs" / "capacity"))
+    page = PAGE.read_text()
+    assert reports.fill(page, book) == page
+
+
+def test_no_figure_on_the_page_is_typed_by_hand() -> None:
+    prose = reports.prose(PAGE.read_text())
+    # Numbers of list items and the names of quantiles are no figures.
+    prose = re.sub(r"(?m)^\d+\. ", "", prose).replace("p50", "").replace("p99", "")
+    assert re.findall(r".*\d.*", prose) == []
+
+
+class _End:
+    """One end of a pipe between two of ours."""
+
+    def __init__(self) -> None:
+        self._parts: asyncio.Queue[bytes] = asyncio.Queue()
+        self.other: _End | None = None
+
+    async def read(self, most: int) -> bytes:
+        return await self._parts.get()
+
+    async def write(self, data: bytes) -> None:
+        assert self.other is not None
+        self.other._parts.put_nowait(data)
+
+    def close(self) -> None:
+        if self.other is not None:
+            self.other._parts.put_nowait(b"")
+
+    def ended(self) -> bool:
+        return False
+
+
+class _Net:
+    """Each dial reaches one ear."""
+
+    def __init__(self, ear: frames.Ear) -> None:
+        self._ear = ear
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def dial(self, spot: str, wait: float) -> ports.Pipe:
+        one, two = _End(), _End()
+        one.other, two.other = two, one
+        self._tasks.add(asyncio.create_task(self._ear.serve(two)))
+        return one
+
+    async def listen(self, spot: str, serve: ports.Serve) -> ports.Listener:
+        raise NotImplementedError
+
+
+def test_both_sides_count_the_same_bytes_by_kind() -> None:
+    async def main() -> None:
+        async def echo(body: frames.Body) -> frames.Result:
+            return outcome.Good({"back": body["text"]})
+
+        here, there = frames.Tally(), frames.Tally()
+        net = _Net(frames.Ear({"echo": echo}, lambda event, what: None, there))
+        caller = frames.Caller(net, here)
+        for text in ("a", "b" * 1000):
+            await caller.ask("x", "echo", {"text": text}, 5.0)
+        # A kind that nobody serves is told under one name: it is the sender's word.
+        await caller.ask("x", "nonsense", {}, 5.0)
+        await asyncio.sleep(0)
+        asked = {k.removeprefix("frames_asked_"): v for k, v in here.counts.items()}
+        heard = {k.removeprefix("frames_heard_"): v for k, v in there.counts.items()}
+        assert asked["echo_calls"] == heard["echo_calls"] == 2
+        assert asked["echo_sent_bytes"] == heard["echo_got_bytes"] > 1000
+        assert asked["echo_got_bytes"] == heard["echo_sent_bytes"] > 1000
+        assert heard["other_calls"] == 1
+        assert not any("nonsense" in key for key in heard)
+
+    asyncio.run(main())
+
+
+async def _small() -> None:
+    size = grounds.Size(nodes=4, endpoints=4, services=2, rules=5)
+    async with grounds.standing(size, 1) as ground:
+        up = await ground.start()
+        assert up["count"] == 3
+        clock = ground.fleet.machine.clock
+        begun = clock.now()
+        version, _ = await ground.change()
+        _, name = await ground.leave(0)
+        _, key = await ground.mark(1)
+        wanted = {"layout": version, "left": name, "mark": key}
+        while not all(len(ground.seen(kind, begun).get(what, {})) == 3 for kind, what in wanted.items()):
+            assert clock.now() - begun < 30
+            await clock.sleep(0.05)
+        counts = await ground.counts()
+        assert counts["hollow"][0]["frames_asked_poll_sent_bytes"] > 0
+        assert counts["store"][0]["frames_heard_accept_got_bytes"] > 0
+        assert counts["registry"][0]["frames_heard_poll_calls"] > 0
+        assert all(r.memory_mb > 1 for readings in ground.readings().values() for r in readings)
+        herds = [*ground.proxies, *ground.endpoints]
+    assert all(herd.ended() for herd in herds)
+
+
+def test_a_small_hollow_fleet_starts_hears_and_ends() -> None:
+    asyncio.run(_small())
