--- a/packages/store/src/dykeswitch/store/program.py
+++ b/packages/store/src/dykeswitch/store/program.py
@@ -26,6 +26,7 @@
         self.machine = machine
         self.log = log
         self.voter = voters.Voter(disk, machine.points, dice)
+        self.meter = frames.Tally()
         self._stop = asyncio.Event()
         self.stopping = False
 
@@ -39,16 +40,20 @@
             return "not seated in a member set"
         return None
 
+    def counts(self) -> dict[str, int]:
+        """What its frames carried, for whoever counts."""
+        return dict(self.meter.counts)
+
     async def run(self) -> None:
         """Vote until told to stop."""
         await self.voter.open()
-        ear = frames.Ear(self.voter.kinds(), self.log.note)
+        ear = frames.Ear(self.voter.kinds(), self.log.note, self.meter)
         listener = await self.machine.net.listen(self.bounds.store, ear.serve)
         server: ports.WebServer | None = None
         try:
             if self.bounds.web:
                 more = {"disk": self.voter.disk_id}
-                app = pages.app("/readyz", self.ready, more)
+                app = pages.app("/readyz", self.ready, more, ("store", self.bounds.name, self.counts))
                 server = await self.machine.web.serve(self.bounds.web, app)
             self.log.info("started", store=self.bounds.store, disk=self.voter.disk_id)
             await self._stop.wait()
