--- a/packages/membership/src/dykeswitch/membership/__init__.py
+++ b/packages/membership/src/dykeswitch/membership/__init__.py
@@ -8,9 +8,9 @@
 import asyncio
 import collections
 import dataclasses
+import functools
 import math
 import random
-import statistics
 import typing
 
 import dykeswitch.frames as frames
@@ -124,15 +124,17 @@
         """The fleet's common wall time: the median, so one clock that jumps moves nothing."""
         now = self._clock.now()
         young = [gap for gap, at in self._walls.values() if now - at < self._hold_s * WALL_AGE]
-        return self._clock.wall() + statistics.median([0.0, *young])
+        return self._clock.wall() + _median([0.0, *young])
 
     async def _on_shuffle(self, body: frames.Body) -> frames.Result:
         self._heard(body)
         sample = self._sample(str(body["name"]))
         self._learn(body["view"])
         self.line.merge(body["items"])
-        items = self._fresh_for(body)
-        return outcome.Good({**self.head(), "view": sample, "items": items})
+        # Who hears no core yet, or no more, is told all the same.
+        tells = self._tells() or bool(body.get("alone", True))
+        items = self._fresh_for(body) if tells else []
+        return outcome.Good({**self.head(), "view": sample, "items": items, "told": tells})
 
     async def _on_tell(self, body: frames.Body) -> frames.Result:
         self._heard(body)
@@ -154,6 +156,10 @@
         head = self.head()
         return outcome.Good({**head, "items": self.line.wire_since(seq)})
 
+    def _tells(self) -> bool:
+        """Whether neighbours trade entries: while a core is heard, it is told and tells all."""
+        return not self.cores()
+
     def _fresh_for(self, body: frames.Body) -> list[timeline.Wire]:
         boot, seq = body["cursor"]
         return self.line.wire_since(int(seq) if boot == self.boot else 0)
@@ -255,11 +261,13 @@
     async def _trade(self, spot: str, name: str) -> bool:
         cursor = self._cursors.get(spot) or Cursor()
         seq = self.line.seq
+        tells = self._tells()
         body = {
             **self.head(),
             "view": self._sample(name),
-            "items": self.line.wire_since(cursor.ours),
+            "items": self.line.wire_since(cursor.ours) if tells else [],
             "cursor": [cursor.boot, cursor.theirs],
+            "alone": tells,
         }
         # No longer than to the next turn: one neighbour that is gone must not keep us from
         # the others for longer than it takes to seem cut off.
@@ -273,6 +281,11 @@
         if fresh is None:
             self._cursors.pop(spot, None)
             return False
+        # What was not traded stays owed, for when no core is heard.
+        if not tells:
+            fresh.ours = cursor.ours
+        if not reply.get("told", True):
+            fresh.boot, fresh.theirs = cursor.boot, cursor.theirs
         self._cursors[spot] = fresh
         if name and reply["name"] != name:
             self.view.pop(name, None)
@@ -312,6 +325,9 @@
             if key not in self._tasks or self._tasks[key].done():
                 self._tasks[key] = group.create_task(_coroutine(work(key[1])))
 
+    def _news(self, since: int) -> bool:
+        return self.line.urgent > since
+
     async def _push(self, spot: str) -> None:
         """Tell one member of urgent news as it comes."""
         sent = self.line.seq if spot in self._cursors else 0
@@ -320,11 +336,12 @@
             async with self.line.news:
                 # Cores show each other that they are there; a proxy speaks when it has news.
                 wait = self._hold_s if core else math.inf
-                await ports.wait_for(self.line.news, lambda: self.line.urgent > sent, wait)
+                await ports.wait_for(self.line.news, functools.partial(self._news, sent), wait)
             upto = self.line.seq
             # What a proxy heard from others they tell the cores themselves.
             own = not core and bool(self.cores())
-            items = self.line.wire_since(sent, own) if self.line.urgent > sent else []
+            news = core or self.line.urgent > sent
+            items = self.line.wire_since(sent, own) if news else []
             if not core and not items:
                 sent = upto
                 continue
@@ -360,6 +377,12 @@
             cursor = fresh or Cursor()
 
 
+def _median(spans: list[float]) -> float:
+    """The middle of some spans; the library's own brings in fractions and decimals at each start."""
+    ranked, half = sorted(spans), len(spans) // 2
+    return ranked[half] if len(ranked) % 2 else (ranked[half - 1] + ranked[half]) / 2
+
+
 def _member(raw: object) -> bool:
     """Whether a word about a member is one that we could act on."""
     if not isinstance(raw, (list, tuple)) or len(raw) != 4:
--- /dev/null
+++ b/packages/proxy/src/dykeswitch/proxy/pages.py
@@ -0,0 +1,41 @@
+"""The proxy's own pages, where they share callers' address."""
+
+import typing
+
+import litestar
+
+import dykeswitch.layout.papers as papers
+import dykeswitch.logs.counters as counters
+import dykeswitch.ports as ports
+
+if typing.TYPE_CHECKING:
+    import dykeswitch.proxy.program as programs
+
+
+def app(proxy: "programs.Proxy") -> ports.App:
+    """Readiness, life and counters; all other requests are callers'."""
+
+    def alive() -> dict[str, str]:
+        return {"state": "alive"}
+
+    def ready() -> litestar.Response[dict[str, typing.Any]]:
+        why = proxy.ready()
+        page: dict[str, typing.Any] = {"ready": why is None, "layout": proxy.papers.version(papers.LAYOUT)}
+        if why is not None:
+            page["why"] = why
+        return litestar.Response(page, status_code=200 if why is None else 503)
+
+    def counted() -> litestar.Response[bytes]:
+        data = counters.page("proxy", proxy.bounds.name, proxy.counts())
+        return litestar.Response(data, media_type="text/plain; version=0.0.4")
+
+    return litestar.Litestar(
+        route_handlers=[
+            litestar.get("/healthz", sync_to_thread=False)(alive),
+            litestar.get("/readyz", sync_to_thread=False)(ready),
+            litestar.get("/-/counters", sync_to_thread=False)(counted),
+            litestar.asgi("/", is_mount=True, copy_scope=False)(proxy.gateway),
+        ],
+        openapi_config=None,
+        logging_config=None,
+    )
--- a/packages/proxy/src/dykeswitch/proxy/program.py
+++ b/packages/proxy/src/dykeswitch/proxy/program.py
@@ -4,9 +4,6 @@
 import random
 import typing
 
-import litestar
-import litestar.response
-
 import dykeswitch.frames as frames
 import dykeswitch.layout as layouts
 import dykeswitch.layout.papers as papers
@@ -86,16 +83,6 @@
         self._ear: ports.Listener | None = None
         self.stopping = False
         self._stop = asyncio.Event()
-        self.app = litestar.Litestar(
-            route_handlers=[
-                litestar.get("/healthz", sync_to_thread=False)(self._healthz),
-                litestar.get("/readyz", sync_to_thread=False)(self._readyz),
-                litestar.get("/-/counters", sync_to_thread=False)(self._counters),
-                litestar.asgi("/", is_mount=True, copy_scope=False)(self._gateway),
-            ],
-            openapi_config=None,
-            logging_config=None,
-        )
 
     # Papers.
 
@@ -271,32 +258,27 @@
             return "not sure of the layout since a gap in its own clock"
         return None
 
-    def _healthz(self) -> dict[str, str]:
-        return {"state": "alive"}
-
-    def _readyz(self) -> litestar.Response[dict[str, typing.Any]]:
-        why = self.ready()
-        page: dict[str, typing.Any] = {"ready": why is None, "layout": self.papers.version(papers.LAYOUT)}
-        if why is not None:
-            page["why"] = why
-        return litestar.Response(page, status_code=200 if why is None else 503)
+    def _app(self) -> ports.App:
+        """What is served to callers, with our own pages beside it where they share an address."""
+        if self.bounds.ready:
+            return self.gateway
+        # Brought in only here: a proxy with an address for readiness starts without it.
+        import dykeswitch.proxy.pages as own
 
-    def _counters(self) -> litestar.Response[bytes]:
-        # Brought in when somebody asks: few do, and each start would pay for it.
-        import dykeswitch.logs.counters as counters
+        return own.app(self)
 
-        counts = {
+    def counts(self) -> dict[str, float]:
+        """What this proxy counts, by name."""
+        return {
             **self.carrier.counts,
             **self.meter.counts,
             "exchanges_at_work": len(self.carrier.table),
             "no_part_of_extra_goes": int(self._shared_from is None),
         }
-        data = counters.page("proxy", self.bounds.name, counts)
-        return litestar.Response(data, media_type="text/plain; version=0.0.4")
 
     # Callers.
 
-    async def _gateway(self, scope: ports.Scope, receive: ports.Receive, send: ports.Send) -> None:
+    async def gateway(self, scope: ports.Scope, receive: ports.Receive, send: ports.Send) -> None:
         if scope["type"] != "http":
             return
         x = self._exchange(scope, send)
@@ -401,10 +383,11 @@
         self._ear = await self.machine.net.listen(self.bounds.ear or self.bounds.member, ear.serve)
         try:
             # With an address of its own for readiness, all that comes on `web` is for endpoints.
-            app: ports.App = self._gateway if self.bounds.ready else self.app
-            self._server = await self.machine.web.serve(self.bounds.web, app)
+            self._server = await self.machine.web.serve(self.bounds.web, self._app())
             if self.bounds.ready:
-                asked = pages.app(self.tongue.ready_path, self.ready)
+                asked = pages.app(
+                    self.tongue.ready_path, self.ready, None, ("proxy", self.bounds.name, self.counts)
+                )
                 self._ready_server = await self.machine.web.serve(self.bounds.ready, asked)
             self.log.info("started", web=self.bounds.web, member=self.bounds.member)
             async with asyncio.TaskGroup() as group:
--- a/packages/registry/src/dykeswitch/registry/endpoints.py
+++ b/packages/registry/src/dykeswitch/registry/endpoints.py
@@ -12,6 +12,10 @@
 MISSED: typing.Final = 3.5
 INTERVAL_LEAST: typing.Final = 0.2
 NAME_MOST: typing.Final = 128
+# For how many beats an endpoint that only the register remembers is selected.
+REMEMBERED: typing.Final = 1.5
+# What the register remembers of an endpoint.
+TABLE: typing.Final = ("service", "address", "zone", "interval", "slots")
 # A told burden that moved by less is no news.
 BURDEN_STEP: typing.Final = 0.1
 
@@ -176,7 +180,8 @@
                 return outcome.Good({"late": True})
             self._counts[beat.name] = beat.count
         moved = old is None or old.fields["address"] != beat.address or old.fields["service"] != beat.service
-        born = list(self._line.stamp()) if moved or old is None else old.fields["born"]
+        fresh = moved or old is None or "remembered" in old.fields
+        born = list(self._line.stamp()) if fresh or old is None else old.fields["born"]
         fields = self._fields(beat, born)
         urgent = old is None or any(
             old.fields[k] != fields[k] for k in ("state", "service", "address", "zone")
@@ -191,12 +196,41 @@
 
     def _worn(self, old: timeline.Entry, fields: timeline.Fields) -> bool:
         """Whether an entry should be written again, though nothing urgent has changed."""
-        if old.expiry - self._clock.now() < self._bounds.forget_s / 2:
+        if old.expiry - self._clock.now() < self._bounds.forget_s / 2 or "remembered" in old.fields:
             return True
         if old.fields.get("slots") != fields.get("slots"):
             return True
         return abs(float(old.fields.get("burden", 0.0)) - float(fields["burden"])) >= BURDEN_STEP
 
+    # What the register remembers, for the day when every machine forgets at once.
+
+    def table(self) -> list[timeline.Fields]:
+        """Every endpoint that beats, by name: what a start from nothing begins with."""
+        found = []
+        for entry in sorted(self._line.all(timeline.ENDPOINT), key=lambda e: e.key):
+            if entry.fields["state"] == timeline.UP and "remembered" not in entry.fields:
+                kept: timeline.Fields = {k: entry.fields[k] for k in TABLE if k in entry.fields}
+                found.append({**kept, "id": entry.key})
+        return found
+
+    def remember(self, table: typing.Iterable[timeline.Fields]) -> int:
+        """Take up endpoints that nobody has told of yet, for no longer than a beat and a half.
+
+        Which of them left meanwhile is not known: a request names its endpoint, so that another
+        one at the address refuses it, and who does not beat is forgotten again.
+        """
+        taken = 0
+        for row in table:
+            name = str(row["id"])
+            if self._line.get(timeline.ENDPOINT, name) is not None:
+                continue
+            fields: timeline.Fields = {k: row[k] for k in TABLE if k in row}
+            fields.update(state=timeline.UP, burden=0.0, remembered=True, born=[0, self._line.name])
+            span = float(fields.get("interval", 2.0)) * REMEMBERED
+            if self._line.write(timeline.ENDPOINT, name, fields, span) is not None:
+                taken += 1
+        return taken
+
     def told(self) -> list[str]:
         """Ids heard since this was last asked."""
         fresh, self._fresh = sorted(self._fresh), set()
@@ -222,10 +256,16 @@
             **({"warm": beat.warm_s} if beat.warm_s else {}),
         }
 
-    def lapse(self) -> list[str]:
-        """Take the silent for gone; returns whom."""
+    def lapse(self, whole: bool = True) -> list[str]:
+        """Take the silent for gone; returns whom.
+
+        Unless the whole of the cores is heard, only those that were ours to hear: the rest may
+        beat to a core that can't tell us.
+        """
         now = self._clock.now()
         up = [e for e in self._line.all(timeline.ENDPOINT) if e.fields["state"] == timeline.UP]
+        if not whole:
+            up = [e for e in up if e.key in self._own and self._own[e.key] >= self._seen.get(e.key, now)]
         silent = [e for e in up if now - self._seen.get(e.key, now) > self._grace(e)]
         # When nobody at all is heard, it is rather we who are cut off: judge no one.
         if len(silent) == len(up) and len(up) > 1:
--- a/packages/registry/src/dykeswitch/registry/program.py
+++ b/packages/registry/src/dykeswitch/registry/program.py
@@ -5,6 +5,7 @@
 import random
 import typing
 
+import cbor2
 import litestar
 import litestar.exceptions
 
@@ -34,6 +35,10 @@
 HANDED: typing.Final = 2
 # The part of a call's span in which other cores must take up that an endpoint leaves.
 TELL_PART: typing.Final = 0.7
+# The register's key of the table of endpoints.
+TABLE: typing.Final = "endpoints"
+# The part of a sweep's span after which a start looks again for what it needs to begin.
+EAGER: typing.Final = 0.1
 # How long a planned pause that is over stays listed.
 PAUSES_KEPT_S: typing.Final = 86400.0
 
@@ -101,6 +106,8 @@
             self.line, self.marks, self.spread.wall, lambda: self.layout, lambda: self.pauses
         )
         self._ops = 0
+        # The table of endpoints as we last wrote it to the register.
+        self._table: list[timeline.Fields] = []
         # Calls that nobody waits for any more, held until they end.
         self._late: set[asyncio.Task[frames.Result]] = set()
         self._tick = self.clock.now()
@@ -406,7 +413,7 @@
             # Ours already, or the same body by a repeat after an unknown outcome.
             if now.made(op) is not None or now.body == data:
                 return now
-            held = self._number(now.body)
+            held = self._number(now.body) if name == papers.LAYOUT else None
             if held is not None and number is None:
                 return outcome.bad("lost_race", f"layouts are numbered; the newest is {held}")
             if held is not None and number is not None and number <= held:
@@ -639,6 +646,7 @@
                         self._keep_saying(),
                         self._keep_seated(),
                         self._keep_reading(),
+                        self._keep_table(),
                         self._keep_duties(),
                         self._keep_lapsing(),
                         self._keep_telling(),
@@ -690,13 +698,40 @@
         while True:
             stores = {str(e.fields["store"]) for e in self.line.all(timeline.CORE)}
             await self.seating.tend(stores | {self.bounds.store}, self.live())
-            await self.clock.sleep(self.bounds.sweep_s * (0.75 + 0.5 * self._dice.random()))
+            span = self.bounds.sweep_s * (0.75 + 0.5 * self._dice.random())
+            # Until a set is known nothing can be told to anybody: look again soon.
+            await self.clock.sleep(span if self.proposer.members.groups else span * EAGER)
 
     async def _keep_reading(self) -> None:
         """Learn what others committed, also when they died before they could tell."""
         while True:
-            await self._read_papers()
+            bad = await self._read_papers()
+            eager = bad is not None and self._majority < 0
+            await self.clock.sleep(self.bounds.sweep_s * (EAGER if eager else 1.0))
+
+    async def _keep_table(self) -> None:
+        """Have the register remember which endpoints there are, and begin with what it remembers."""
+        while not await self._recall():
+            await self.clock.sleep(self.bounds.sweep_s * EAGER)
+        while True:
             await self.clock.sleep(self.bounds.sweep_s)
+            # One of the living registries writes it, and only when it has changed.
+            if duties.first_of(TABLE, self.live()) != self.bounds.name:
+                continue
+            rows = self.endpoints.table()
+            if rows and rows != self._table:
+                data = cbor2.dumps(rows)
+                if isinstance(await self._change(TABLE, data, None, None), outcome.Good):
+                    self._table = rows
+
+    async def _recall(self) -> bool:
+        result = await self.proposer.read(TABLE)
+        if isinstance(result, outcome.Bad):
+            return False
+        if result.value.body:
+            taken = self.endpoints.remember(cbor2.loads(result.value.body))
+            self.log.info("endpoints recalled", endpoints=taken)
+        return True
 
     async def _keep_duties(self) -> None:
         while True:
@@ -714,7 +749,8 @@
                 self.endpoints.woke()
                 self.log.warning("frozen", span_s=round(now - self._tick, 2))
             self._tick = now
-            for name in self.endpoints.lapse():
+            whole = self.spread.cores().keys() == self.spread.known_cores().keys()
+            for name in self.endpoints.lapse(whole):
                 self.log.warning("endpoint lapsed", endpoint=name)
             await self.clock.sleep(self.bounds.tick_s)
 
--- a/packages/soundness/src/dykeswitch/soundness/__init__.py
+++ b/packages/soundness/src/dykeswitch/soundness/__init__.py
@@ -23,7 +23,8 @@
 # The source marks on any non-200. Here only these say that the endpoint itself
 # fails; the rest speak of the request. How many are free before a mark is set:
 # a 500 may be one caller's poison, a promised refusal is an endpoint's own care.
-FREE: typing.Final[dict[int, int]] = {500: 1, 502: 0, 503: 0, 504: 0}
+# A 504 may be a caller in a hurry.
+FREE: typing.Final[dict[int, int]] = {500: 1, 502: 0, 503: 0, 504: 2}
 FREE_PROMISED: typing.Final = 2
 
 
--- a/packages/timeline/src/dykeswitch/timeline/__init__.py
+++ b/packages/timeline/src/dykeswitch/timeline/__init__.py
@@ -53,8 +53,9 @@
 def _rank(entry: Entry) -> tuple[typing.Any, ...]:
     """What decides between two entries of one key."""
     if entry.kind == ENDPOINT:
-        # Having left outranks any beat, however late the beat was written.
-        return (entry.fields["state"] in STICKY, entry.stamp)
+        # Having left outranks any beat, however late the beat was written; and what is only
+        # remembered gives way to whatever was heard.
+        return (entry.fields["state"] in STICKY, "remembered" not in entry.fields, entry.stamp)
     if entry.kind == FENCE:
         return (int(entry.fields["fence"]), entry.stamp)
     if entry.kind == PAPER:
--- a/packages/timeline/src/dykeswitch/timeline/entries.py
+++ b/packages/timeline/src/dykeswitch/timeline/entries.py
@@ -64,6 +64,7 @@
         "interval": _number,
         "slots": _count,
         "warm": _number,
+        "remembered": _flag,
     },
     "mark": {"slot": _count, "fence": _count},
     "proxy": {"since": _may(_stamp), "extra": _text, "spot": _spot},
--- a/packages/tongue/src/dykeswitch/tongue/page.py
+++ b/packages/tongue/src/dykeswitch/tongue/page.py
@@ -1,10 +1,13 @@
-"""An application that only says whether a program is alive and ready, on an address of its own."""
+"""An application that only says whether a program is alive and ready, on an address of its own.
 
-import typing
+It is written to the server's own interface: a framework for two pages would take a third of a
+proxy's start, and starting is part of recovery.
+"""
 
-if typing.TYPE_CHECKING:
-    import litestar
+import json
+import typing
 
+import dykeswitch.ports as ports
 
 # A program's kind and name, and what it counts.
 Counted = tuple[str, str, typing.Callable[[], typing.Mapping[str, float]]]
@@ -15,29 +18,32 @@
     ask: typing.Callable[[], str | None],
     more: dict[str, str] | None = None,
     counted: Counted | None = None,
-) -> "litestar.Litestar":
+) -> ports.App:
     """The application; `ask` says why not ready, or nothing, and `more` goes on the page too."""
-    # Brought in where it is served: a store without a web address needs none of it.
-    import litestar
-
-    async def ready() -> litestar.Response[dict[str, typing.Any]]:
-        why = ask()
-        page: dict[str, typing.Any] = {"ready": why is None, **(more or {})}
-        if why is not None:
-            page["why"] = why
-        return litestar.Response(page, status_code=200 if why is None else 503)
-
-    async def alive() -> dict[str, str]:
-        return {"state": "alive"}
-
-    async def counters() -> litestar.Response[bytes]:
-        import dykeswitch.logs.counters as pages
-
-        kind, name, counts = counted or ("", "", dict)
-        data = pages.page(kind, name, counts())
-        return litestar.Response(data, media_type="text/plain; version=0.0.4")
-
-    handlers: list[typing.Any] = [litestar.get(path)(ready), litestar.get("/healthz")(alive)]
-    if counted is not None:
-        handlers.append(litestar.get("/-/counters")(counters))
-    return litestar.Litestar(handlers, openapi_config=None, logging_config=None)
+
+    def page(asked: str) -> tuple[int, str, bytes]:
+        if asked == path:
+            why = ask()
+            doc: dict[str, typing.Any] = {"ready": why is None, **(more or {})}
+            if why is not None:
+                doc["why"] = why
+            return 200 if why is None else 503, "application/json", json.dumps(doc).encode()
+        if asked == "/healthz":
+            return 200, "application/json", b'{"state": "alive"}'
+        if asked == "/-/counters" and counted is not None:
+            # Brought in when somebody asks.
+            import dykeswitch.logs.counters as counters
+
+            kind, name, counts = counted
+            return 200, "text/plain; version=0.0.4", counters.page(kind, name, counts())
+        return 404, "application/json", b"{}"
+
+    async def serve(scope: ports.Scope, receive: ports.Receive, send: ports.Send) -> None:
+        if scope["type"] != "http":
+            return
+        status, kind, body = page(str(scope["path"]))
+        heads = [(b"content-type", kind.encode()), (b"content-length", str(len(body)).encode())]
+        await send({"type": "http.response.start", "status": status, "headers": heads})
+        await send({"type": "http.response.body", "body": body if scope["method"] != "HEAD" else b""})
+
+    return serve
--- /dev/null
+++ b/tests/test_exchange.py
@@ -0,0 +1,270 @@
+"""What a proxy learns of endpoints, and how it tells replies apart; no fleet needed."""
+
+import asyncio
+import random
+import typing
+
+import pytest
+
+import dykeswitch.proxy.selection as selection
+import dykeswitch.settings as settings
+import dykeswitch.soundness as soundness
+import dykeswitch.soundness.pipe as pipes
+import dykeswitch.timeline as timeline
+import dykeswitch.tongue as tongues
+
+ID: typing.Final = b"dykeswitch-exchange"
+
+
+class Script:
+    """A pipe that brings what a script says, whatever is written."""
+
+    def __init__(self, *parts: bytes) -> None:
+        self.parts = list(parts)
+        self.wrote: list[bytes] = []
+        self.closed = False
+
+    async def read(self, most: int) -> bytes:
+        return self.parts.pop(0) if self.parts else b""
+
+    async def write(self, data: bytes) -> None:
+        self.wrote.append(data)
+
+    def close(self) -> None:
+        self.closed = True
+
+    def ended(self) -> bool:
+        return self.closed
+
+
+def _reply(name: str, body: str, status: int = 200, more: str = "") -> bytes:
+    head = f"HTTP/1.1 {status} OK\r\nDykeswitch-Exchange: {name}\r\nContent-Length: {len(body)}\r\n{more}\r\n"
+    return (head + body).encode()
+
+
+async def _ask(pipe: pipes.EndpointPipe, name: str) -> tuple[int, bytes]:
+    heads = [(b"host", b"a"), (ID, name.encode())]
+    head = await pipe.send("POST", b"/x", [*heads, (b"content-length", b"2")], b"hi")
+    return head.status, b"".join([part async for part in pipe.parts()])
+
+
+def _pipe(script: Script) -> pipes.EndpointPipe:
+    return pipes.EndpointPipe("e", "10.0.0.1:1", script, 0.0, ID)
+
+
+def test_a_second_reply_to_an_earlier_exchange_is_passed_over() -> None:
+    async def main() -> None:
+        script = Script(_reply("one", "1"), _reply("one", "again") + _reply("two", "2"))
+        pipe = _pipe(script)
+        assert await _ask(pipe, "one") == (200, b"1")
+        assert await _ask(pipe, "two") == (200, b"2")
+        # Each request went out once, in one piece.
+        assert [part.count(b"POST") for part in script.wrote] == [1, 1]
+        assert pipe.usable()
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize("cut", [1, 20, 60, 80])
+def test_a_second_reply_may_come_in_pieces(cut: int) -> None:
+    async def main() -> None:
+        late = _reply("one", "again") + _reply("two", "2")
+        pipe = _pipe(Script(_reply("one", "1"), late[:cut], late[cut:]))
+        assert await _ask(pipe, "one") == (200, b"1")
+        assert await _ask(pipe, "two") == (200, b"2")
+
+    asyncio.run(main())
+
+
+def test_a_reply_to_an_exchange_that_was_never_here_is_not_ours() -> None:
+    async def main() -> None:
+        pipe = _pipe(Script(_reply("strange", "1")))
+        with pytest.raises(pipes.Flaw) as flaw:
+            await _ask(pipe, "one")
+        assert flaw.value.reason == soundness.OTHERS_REPLY and flaw.value.sent
+        assert not pipe.usable()
+
+    asyncio.run(main())
+
+
+def test_bytes_behind_a_whole_reply_end_the_pipe() -> None:
+    async def main() -> None:
+        pipe = _pipe(Script(_reply("one", "1") + _reply("one", "again")))
+        assert await _ask(pipe, "one") == (200, b"1")
+        assert not pipe.usable()
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize(
+    ("data", "reason"),
+    [
+        (b"", soundness.BROKE_OFF),
+        (b"\x00\xff no reply at all\r\n\r\n", soundness.GARBAGE),
+        (_reply("one", "body")[:-2], soundness.BROKE_OFF),
+        (_reply("one", "body")[:30], soundness.BROKE_OFF),
+    ],
+)
+def test_what_is_no_whole_reply_is_never_one(data: bytes, reason: str) -> None:
+    async def main() -> None:
+        pipe = _pipe(Script(data))
+        with pytest.raises(pipes.Flaw) as flaw:
+            await _ask(pipe, "one")
+        assert (flaw.value.reason, flaw.value.sent) == (reason, True)
+        assert not pipe.usable()
+
+    asyncio.run(main())
+
+
+def test_an_endpoints_word_on_idle_pipes_is_learnt() -> None:
+    async def main() -> None:
+        pipe = _pipe(Script(_reply("one", "1", more="Keep-Alive: timeout=7, max=9\r\n")))
+        await _ask(pipe, "one")
+        assert pipe.idle_s == 7.0
+
+    asyncio.run(main())
+
+
+def test_a_parting_reply_ends_the_pipe() -> None:
+    async def main() -> None:
+        pipe = _pipe(Script(_reply("one", "1", more="Connection: close\r\n")))
+        assert await _ask(pipe, "one") == (200, b"1")
+        assert not pipe.usable()
+
+    asyncio.run(main())
+
+
+# Which failures earn a mark.
+
+
+def test_a_row_of_soft_failures_marks_and_a_reply_ends_the_row() -> None:
+    strikes = soundness.Strikes(5.0)
+    fault = soundness.flaw_fault(soundness.BROKE_OFF)
+    assert [strikes.strike("e", fault, 0.1 * n) for n in range(3)] == [False, False, True]
+    for n in range(40):
+        strikes.sound("e", 1 + 0.01 * n)
+    for n in range(6):
+        assert not strikes.strike("e", fault, 2.0 + n / 10)
+        strikes.sound("e", 2.05 + n / 10)
+
+
+def test_failures_mixed_with_replies_mark_where_they_are_many() -> None:
+    strikes = soundness.Strikes(5.0)
+    fault = soundness.flaw_fault(soundness.TIMED_OUT)
+    marked = False
+    # Four in ten fail, never two in a row.
+    for n in range(20):
+        now = n * 0.1
+        if n % 5 in (0, 2):
+            marked = marked or strikes.strike("e", fault, now)
+        else:
+            strikes.sound("e", now)
+    assert marked
+
+
+def test_one_in_forty_lost_marks_as_good_as_never() -> None:
+    strikes = soundness.Strikes(5.0)
+    fault = soundness.flaw_fault(soundness.BROKE_OFF)
+    dice = random.Random(3)
+    marks = 0
+    for n in range(20000):
+        if dice.random() < 0.025:
+            marks += strikes.strike("e", fault, n * 0.06)
+        else:
+            strikes.sound("e", n * 0.06)
+    # Three in a row come by chance once in 64,000.
+    assert marks <= 1
+
+
+def test_a_refused_pipe_marks_at_once() -> None:
+    assert soundness.Strikes(5.0).strike("e", soundness.flaw_fault(soundness.REFUSED), 0.0)
+
+
+# Selection by the finish to be expected.
+
+
+class Still:
+    """A clock that is set."""
+
+    def __init__(self) -> None:
+        self.at = 100.0
+
+    def now(self) -> float:
+        return self.at
+
+    def wall(self) -> float:
+        return self.at
+
+    async def sleep(self, span: float) -> None:
+        self.at += span
+
+
+def _selector(zones: dict[str, str]) -> tuple[selection.Selector, Still, timeline.Timeline]:
+    clock = Still()
+    line = timeline.Timeline("p", clock, 900.0)
+    bounds = settings.Settings(name="p", zone="near")
+    made = selection.Selector(line, timeline.Marks(line, 5.0), bounds, random.Random(1))
+    for n, (name, zone) in enumerate(zones.items()):
+        fields: timeline.Fields = {"service": "s", "address": f"10.0.0.{n + 1}:1", "zone": zone}
+        fields.update(state="up", born=[n, "r"], slots=2, burden=0.0)
+        line.write(timeline.ENDPOINT, name, fields, 900.0, urgent=False)
+    return made, clock, line
+
+
+def _get(line: timeline.Timeline, name: str) -> timeline.Entry:
+    found = line.get(timeline.ENDPOINT, name)
+    assert found is not None
+    return found
+
+
+def _picked(selector: selection.Selector, aim: float = 0.2, turns: int = 200) -> dict[str, int]:
+    found: dict[str, int] = {}
+    for _ in range(turns):
+        entry = selector.select("s", set(), aim)
+        assert entry is not None
+        found[entry.key] = found.get(entry.key, 0) + 1
+    return found
+
+
+def test_a_near_endpoint_goes_first_until_its_queue_costs_more_than_the_way() -> None:
+    selector, _, line = _selector({"a": "near", "b": "far"})
+    for name in ("a", "b"):
+        for _ in range(50):
+            selector.learn(_get(line, name), 0.06, 0.0, tongues.Burden(0, 0, 2))
+    assert set(_picked(selector)) == {"a"}
+    for _ in range(8):
+        selector.begun("a")
+    assert set(_picked(selector)) == {"b"}
+
+
+def test_the_faster_of_two_gets_more() -> None:
+    selector, _, line = _selector({"a": "near", "b": "near"})
+    for _ in range(60):
+        selector.learn(_get(line, "a"), 0.03, 0.0, tongues.Burden(0, 0, 2))
+        selector.learn(_get(line, "b"), 0.09, 0.0, tongues.Burden(0, 0, 2))
+    found = _picked(selector)
+    assert found.get("a", 0) > 190
+
+
+def test_a_told_queue_counts_and_fades_into_what_is_usual() -> None:
+    selector, clock, line = _selector({"a": "near", "b": "near"})
+    for name in ("a", "b"):
+        for _ in range(60):
+            selector.learn(_get(line, name), 0.06, 0.0, tongues.Burden(0, 0, 2))
+    selector.begun("a")
+    selector.learn(_get(line, "a"), 0.06, 0.0, tongues.Burden(2, 6, 2))
+    selector.ended("a")
+    assert set(_picked(selector)) == {"b"}
+    clock.at += 1.0
+    assert set(_picked(selector)) == {"a", "b"}
+
+
+def test_one_that_turned_a_request_away_rests_for_a_while() -> None:
+    selector, clock, line = _selector({"a": "near", "b": "near"})
+    for name in ("a", "b"):
+        for _ in range(60):
+            selector.learn(_get(line, name), 0.06, 0.0, tongues.Burden(0, 0, 2))
+    selector.full("a")
+    assert set(_picked(selector)) == {"b"}
+    clock.at += 1.0
+    assert set(_picked(selector)) == {"a", "b"}
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import random
 import typing
 
 import pytest
@@ -68,3 +69,46 @@
         assert held.version(papers.LAYOUT) == 4
 
     loops.run(main())
+
+
+def _split(**more: object) -> dict[str, object]:
+    parts = [{"service": "a", "weight": 90}, {"service": "b", "weight": 10}, {"service": "c", "weight": 0}]
+    rule = {"path": "/x/", "split": parts, **more}
+    return {"services": {"a": {}, "b": {}, "c": {}}, "rules": [rule]}
+
+
+def test_a_rule_split_over_services_is_drawn_by_weight() -> None:
+    result = layouts.check(_split())
+    assert isinstance(result, outcome.Good)
+    [rule] = result.value.rules
+    assert rule.services() == ("a", "b")
+    dice = random.Random(1)
+    drawn = [rule.draw(dice) for _ in range(2000)]
+    assert set(drawn) == {"a", "b"} and 130 < drawn.count("b") < 270
+
+
+@pytest.mark.parametrize(
+    ("more", "fault"),
+    [
+        ({"service": "a"}, "rules[0].split"),
+        ({"split": []}, "rules[0].split"),
+        ({"split": [{"service": "nobody", "weight": 1}]}, "rules[0].split"),
+        ({"split": [{"service": "a", "weight": -1}]}, "rules[0].split[0].weight"),
+        ({"split": [{"service": "a", "weight": True}]}, "rules[0].split[0].weight"),
+        ({"rank": -1}, "rules[0].rank"),
+        ({"aim_s": 0}, "rules[0].aim_s"),
+    ],
+)
+def test_faults_of_a_split_rule(more: dict[str, object], fault: str) -> None:
+    result = layouts.check(_split(**more))
+    assert isinstance(result, outcome.Bad)
+    assert any(text.startswith(fault) for text in result.faults), result.faults
+
+
+def test_two_rules_for_the_same_requests_are_a_fault_unless_the_first_is_to_have_them() -> None:
+    rules = [{"path": "/", "service": "a"}, {"path": "/", "service": "b"}]
+    doc = {"services": {"a": {}, "b": {}}, "rules": rules}
+    assert isinstance(layouts.check(doc), outcome.Bad)
+    result = layouts.check({**doc, "doubles": "first"})
+    assert isinstance(result, outcome.Good)
+    assert [rule.service for rule in result.value.rules] == ["a"]
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,201 @@
+"""The platform's folder: names, formats and calls, and that nobody else knows them."""
+
+import importlib
+import json
+import pathlib
+import re
+import sys
+import typing
+
+import pytest
+
+import dykeswitch.layout as layouts
+import dykeswitch.outcome as outcome
+import dykeswitch.settings as settings
+
+ROOT: typing.Final = pathlib.Path(__file__).parent.parent
+FOLDER: typing.Final = ROOT / "platform"
+# Words of the platform that are no plain English and none of ours.
+NAMES: typing.Final = re.compile(
+    r"dykeswitch-(attempt-id|time-left-ms|server-seal|expected-server|not-executed|server-load)"
+    r"|servers\.(heartbeat|deregister)|config\.(replace|read)|traffic_split|target_latency|path_prefix"
+    r"|route_type|health_path|call_count|warmup_left|heartbeat_url|public_http"
+    r"|seed_nodes|internal_ports|in_quorum|machine_losses|config_apply_s|retry_slack|retry_ratio",
+    re.IGNORECASE,
+)
+
+
+@pytest.fixture
+def folder(monkeypatch: pytest.MonkeyPatch) -> typing.Iterator[tuple[typing.Any, typing.Any]]:
+    monkeypatch.syspath_prepend(str(FOLDER))
+    yield importlib.import_module("speech"), importlib.import_module("told")
+    for name in ("speech", "told"):
+        sys.modules.pop(name, None)
+
+
+def _layout(**more: typing.Any) -> dict[str, typing.Any]:
+    heads = ["name", "host", "path_prefix", "route_type", "timeout_s", "target_latency_s", "priority"]
+    heads += ["traffic_split", "max_tries", "target"]
+    parts = [{"target": "one", "weight": 90}, {"target": "two", "weight": 10}]
+    rows = [
+        ["r1", "a.example", "/x/", "read_only", 0.8, 0.2, 2, parts, 2, None],
+        ["r2", "b.example", "/y/z/", "writing", 1, 0.25, 0, None, 1, "two"],
+    ]
+    service = ["name", "health_path", "max_connections", "protocol", "tls"]
+    return {
+        "revision": "0000001f",
+        "routes": {"headings": heads, "records": rows},
+        "services": {
+            "headings": service,
+            "records": [["one", "/h", 100, "h1", False], ["two", "/h", 50, "h1", False]],
+        },
+        "limits": {"max_header_bytes": 16384, "max_body_bytes": 1000, "idle_timeout_s": 15},
+        **more,
+    }
+
+
+def _read(speech: typing.Any, doc: object) -> layouts.Read:
+    raw = speech.Platform(1.5).layout(json.dumps(doc).encode())
+    return raw if isinstance(raw, outcome.Bad) else layouts.check(raw.value)
+
+
+def test_nobody_else_knows_a_name_of_the_platform() -> None:
+    mine = {pathlib.Path(__file__).resolve()}
+    found = []
+    for path in [*ROOT.glob("packages/*/src/**/*.py"), *ROOT.glob("tests/*.py")]:
+        if path.resolve() not in mine and NAMES.search(path.read_text()):
+            found.append(str(path.relative_to(ROOT)))
+    assert found == []
+    # And it is not empty talk: the folder itself has them.
+    assert NAMES.search((FOLDER / "speech.py").read_text())
+
+
+def test_the_folder_shadows_no_module_of_the_standard_library() -> None:
+    assert not (FOLDER / "__init__.py").exists()
+    assert not {p.stem for p in FOLDER.glob("*.py")} & set(sys.stdlib_module_names)
+
+
+def test_a_layout_of_the_platform_in_our_words(folder: tuple[typing.Any, typing.Any]) -> None:
+    result = _read(folder[0], _layout())
+    assert isinstance(result, outcome.Good)
+    layout = result.value
+    assert layout.number == 31
+    one, two = layout.rules
+    assert one.split == (("one", 90.0), ("two", 10.0)) and one.writing is False
+    assert (one.expiry_s, one.aim_s, one.rank, one.max_tries) == (0.8, 0.2, 2, 2)
+    assert (two.service, two.writing, two.rank) == ("two", True, 0)
+    assert layout.services["two"].pipes_most == 50
+    assert (layout.bounds.head_most, layout.bounds.body_most, layout.bounds.idle_s) == (16384, 1000, 15)
+    # Prefixes are whole: the longest that begins the path, and none that only looks alike.
+    assert layout.match("a.example", "/x/1", "GET") is one
+    assert layout.match("a.example", "/x", "GET") is None
+    assert layout.match("a.example", "/xy/", "GET") is None
+
+
+def _broken(kind: str) -> object:
+    doc = _layout()
+    rows, services = doc["routes"]["records"], doc["services"]["records"]
+    if kind == "unknown service":
+        rows[1][9] = "nobody"
+    elif kind == "unknown service in a split":
+        rows[0][7] = [{"target": "nobody", "weight": 1}]
+    elif kind == "below zero":
+        rows[0][7][0]["weight"] = -1
+    elif kind == "bare prefix":
+        rows[0][2] = "x/"
+    elif kind == "no host":
+        rows[0][1] = ""
+    elif kind == "host left out":
+        rows[0][1] = None
+    elif kind == "odd kind":
+        rows[0][3] = "sometimes"
+    elif kind == "short record":
+        rows[0].pop()
+    elif kind == "no services":
+        doc.pop("services")
+    elif kind == "no number":
+        doc.pop("revision")
+    elif kind == "service without a name":
+        services[0][0] = None
+    return doc
+
+
+@pytest.mark.parametrize(
+    "kind",
+    [
+        "unknown service",
+        "unknown service in a split",
+        "below zero",
+        "bare prefix",
+        "no host",
+        "host left out",
+        "odd kind",
+        "short record",
+        "no services",
+        "no number",
+        "service without a name",
+    ],
+)
+def test_what_is_invalid_there_is_refused(kind: str, folder: tuple[typing.Any, typing.Any]) -> None:
+    assert isinstance(_read(folder[0], _layout()), outcome.Good)
+    assert isinstance(_read(folder[0], _broken(kind)), outcome.Bad)
+
+
+def test_one_cut_short_is_refused(folder: tuple[typing.Any, typing.Any]) -> None:
+    data = json.dumps(_layout()).encode()
+    for size in (0, 1, len(data) // 2, len(data) - 1):
+        assert isinstance(folder[0].Platform(1.5).layout(data[:size]), outcome.Bad)
+
+
+def test_two_routes_for_the_same_requests_are_taken_and_the_first_has_them(
+    folder: tuple[typing.Any, typing.Any],
+) -> None:
+    doc = _layout()
+    doc["routes"]["records"].append([*doc["routes"]["records"][1][:-1], "one"])
+    result = _read(folder[0], doc)
+    assert isinstance(result, outcome.Good)
+    rule = result.value.match("b.example", "/y/z/1", "POST")
+    assert rule is not None and rule.service == "two"
+
+
+def _told(**more: typing.Any) -> dict[str, typing.Any]:
+    timing = {"drain_s": 2, "config_apply_s": 1.5, "recover_s": 15, "grace_s": 6}
+    return {
+        "node_name": "m1",
+        "ip": "10.1.0.34",
+        "zone": "z",
+        "bind": {"public_http": "10.1.0.34:80", "readiness": "10.1.0.34:81", "admin": "10.1.0.34:82"},
+        "internal_ports": [7540, 7555],
+        "seed_nodes": ["10.1.0.37:82", "10.2.0.37:82"],
+        "bootstrap": True,
+        "limits": {"disk_mb": 256},
+        "data_dir": "/data/x",
+        "survive": {"machine_losses": 2},
+        "timing": {**timing, "retry_ratio": 0.1, "retry_slack": 7.5},
+        "a field of tomorrow": 1,
+        **more,
+    }
+
+
+@pytest.mark.parametrize("program", settings.PROGRAMS)
+def test_settings_under_our_names(program: str, folder: tuple[typing.Any, typing.Any]) -> None:
+    checked = settings.check(program, folder[1].plain(program, _told()))
+    assert isinstance(checked, outcome.Good)
+    bounds = checked.value
+    assert (bounds.drain_s, bounds.extra_share, bounds.extra_floor, bounds.cores_lost) == (1.5, 0.1, 7, 2)
+    if program == "registry":
+        assert bounds.founders == ("10.1.0.37:7541", "10.2.0.37:7541")
+        later = settings.check(program, folder[1].plain(program, _told(bootstrap=False)))
+        assert isinstance(later, outcome.Good) and later.value.founders == ()
+    if program == "proxy":
+        assert (bounds.web, bounds.ready, bounds.member) == ("10.1.0.34:80", "10.1.0.34:81", "10.1.0.34:7540")
+    if program == "store":
+        assert (bounds.store, bounds.web) == ("10.1.0.34:7541", "")
+
+
+def test_a_refusal_that_ran_is_no_promise(folder: tuple[typing.Any, typing.Any]) -> None:
+    tongue = folder[0].Platform(1.5)
+    assert tongue.promised(503, [(b"Dykeswitch-Not-Executed", b"1")])
+    assert tongue.promised(421, [])
+    assert not tongue.promised(503, [(b"Retry-After", b"1")])
+    assert not tongue.promised(500, [])
--- /dev/null
+++ b/tests/test_recall.py
@@ -0,0 +1,206 @@
+"""What outlasts the loss of a core, or of all machines at once, in a small simulated fleet."""
+
+import asyncio
+import json
+import pathlib
+import typing
+
+import pytest
+
+import dykeswitch.registry.program as registries
+import dykeswitch.registry.seating as seatings
+import dykeswitch.simulator.fleet as fleets
+import dykeswitch.simulator.loop as loops
+import dykeswitch.standin.shape as shapes
+import dykeswitch.timeline as timeline
+
+PAGES: typing.Final = shapes.ServiceShape("pages", 3, 20, "/pages", "GET", 0.05)
+SMALL: typing.Final = shapes.Shape("small", 2, 3, ("z1", "z2"), (PAGES,))
+
+
+def _run(
+    scratch: pathlib.Path, work: typing.Callable[[fleets.SimFleet], typing.Awaitable[None]]
+) -> None:
+    async def main() -> None:
+        fleet = fleets.SimFleet(SMALL, 7, scratch)
+        await fleet.start()
+        await work(fleet)
+
+    loops.run(main())
+
+
+def _numbered(number: int, path: str) -> dict[str, typing.Any]:
+    doc = SMALL.layout()
+    doc["rules"].append({"path": path, "service": "pages"})
+    return {**doc, "number": number}
+
+
+def test_of_numbered_layouts_the_highest_wins_whatever_comes_after(tmp_path: pathlib.Path) -> None:
+    async def work(fleet: fleets.SimFleet) -> None:
+        first = await fleet.put(_numbered(7, "/seven"), fleet.cores[0])
+        assert first.status == 200
+        # An older one, and another of the same number: acknowledged, and nothing changes.
+        for doc in (_numbered(3, "/three"), _numbered(7, "/other")):
+            again = await fleet.put(doc, fleet.cores[1])
+            assert (again.status, again.version) == (200, first.version)
+        got = await fleet.get(fleet.cores[2])
+        assert json.loads(got.body) == _numbered(7, "/seven")
+        # One without a number can't be set in order with them.
+        assert (await fleet.put(SMALL.layout(), fleet.cores[0])).status == 412
+        later = await fleet.put(_numbered(40, "/forty"), fleet.cores[2])
+        assert later.status == 200 and later.version > first.version
+
+    _run(tmp_path, work)
+
+
+async def _leave(fleet: fleets.SimFleet, name: str, core: fleets.Core) -> int:
+    body = json.dumps({"id": name, "leaving": True}).encode()
+    reply = await fleet.outside.web.ask("POST", core.web, "/v1/beat", [], body, 2.0)
+    return reply.status
+
+
+@pytest.mark.parametrize("guarded", [True, False])
+def test_a_core_that_goes_dark_with_its_word_does_not_take_a_leaving_along(
+    guarded: bool, tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Acknowledged, and dark the same moment: the others know; without the guard they do not."""
+    if not guarded:
+
+        async def at_once(self: typing.Any, name: str, told: typing.Any) -> typing.Any:
+            return told
+
+        monkeypatch.setattr(registries.Registry, "_leaving_held", at_once)
+
+    async def work(fleet: fleets.SimFleet) -> None:
+        core = fleet.cores[0]
+        fleet.endpoints["pages-0"].beating = False
+        # Its words to others are lost from now on; its callers still reach it.
+        if not guarded:
+            names = [n for n in fleet.world.nodes if n != core.registry.name]
+            fleet.world.wires.cut([core.registry.name], names)
+        assert await _leave(fleet, "pages-0", core) == 200
+        core.registry.lose_power()
+        await asyncio.sleep(1.0)
+        others = [c.registry.daemon.line.get(timeline.ENDPOINT, "pages-0") for c in fleet.cores[1:]]
+        known = all(e is not None and e.fields["state"] == timeline.LEFT for e in others)
+        assert known is guarded
+
+    _run(tmp_path, work)
+
+
+def test_a_core_that_reaches_no_other_sends_a_leaving_endpoint_elsewhere(tmp_path: pathlib.Path) -> None:
+    async def work(fleet: fleets.SimFleet) -> None:
+        core = fleet.cores[0]
+        fleet.endpoints["pages-0"].beating = False
+        others = [n for c in fleet.cores[1:] for n in c.names()]
+        fleet.world.wires.cut([core.registry.name], others)
+        assert await _leave(fleet, "pages-0", core) == 503
+        assert await _leave(fleet, "pages-0", fleet.cores[1]) == 200
+
+    _run(tmp_path, work)
+
+
+async def _dark(fleet: fleets.SimFleet) -> None:
+    for core in fleet.cores:
+        core.registry.lose_power()
+        core.store.lose_power()
+    for edge in fleet.edges:
+        edge.node.lose_power()
+    await asyncio.sleep(0.5)
+    for core in fleet.cores:
+        core.store.restart()
+        core.registry.restart()
+    for edge in fleet.edges:
+        edge.node.restart()
+
+
+@pytest.mark.parametrize("guarded", [True, False])
+def test_endpoints_outlast_the_loss_of_every_machine_for_a_beat_and_a_half(
+    guarded: bool, tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    if not guarded:
+
+        async def nothing(self: registries.Registry) -> bool:
+            return True
+
+        monkeypatch.setattr(registries.Registry, "_recall", nothing)
+
+    async def work(fleet: fleets.SimFleet) -> None:
+        await asyncio.sleep(2.0)
+        for endpoint in fleet.endpoints.values():
+            endpoint.beating = False
+        # The last beats arrive before the power goes.
+        await asyncio.sleep(1.2)
+        await _dark(fleet)
+        await asyncio.sleep(1.0)
+        known = [len(edge.node.daemon.carrier.selector.up("pages")) for edge in fleet.edges]
+        assert (known == [3, 3]) is guarded
+        # Who does not beat is forgotten again.
+        await asyncio.sleep(2.0)
+        assert [len(edge.node.daemon.carrier.selector.up("pages")) for edge in fleet.edges] == [0, 0]
+
+    _run(tmp_path, work)
+
+
+def test_what_is_remembered_gives_way_to_what_is_heard_and_to_what_left() -> None:
+    async def main() -> None:
+        line = timeline.Timeline("r", _Clock(), 900.0)
+        fields: timeline.Fields = {"service": "s", "address": "10.0.0.1:1", "state": "up", "born": [0, "r"]}
+        line.write(timeline.ENDPOINT, "a", {**fields, "remembered": True}, 2.0, urgent=False)
+        # A beat that another registry heard, with a lower count than ours.
+        assert line.merge([["endpoint", "a", 1, "b", {**fields, "zone": "z"}, 50.0]]) == 1
+        held = line.get(timeline.ENDPOINT, "a")
+        assert held is not None and "remembered" not in held.fields
+        line.write(timeline.ENDPOINT, "a", {**fields, "remembered": True}, 2.0, urgent=False)
+        held = line.get(timeline.ENDPOINT, "a")
+        assert held is not None and "remembered" not in held.fields
+
+    asyncio.run(main())
+
+
+class _Clock:
+    def now(self) -> float:
+        return 10.0
+
+    def wall(self) -> float:
+        return 10.0
+
+    async def sleep(self, span: float) -> None:
+        return None
+
+
+@pytest.mark.parametrize("guarded", [True, False])
+def test_an_empty_disk_at_a_seated_ones_address_is_seated_without_a_wait(
+    guarded: bool, tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The old disk can't come back where another answers: waiting would only be longer at risk."""
+    took: list[float] = []
+    swap = seatings.Seating._swap
+    if not guarded:
+
+        async def slow(self: seatings.Seating) -> None:
+            kept, self.states = self.states, {
+                d: {**s, "spot": "10.9.9.9:1"} if s["blank"] else s for d, s in self.states.items()
+            }
+            try:
+                await swap(self)
+            finally:
+                self.states = kept
+
+        monkeypatch.setattr(seatings.Seating, "_swap", slow)
+
+    async def work(fleet: fleets.SimFleet) -> None:
+        core = fleet.cores[2]
+        core.store.lose_power()
+        core.store.wipe()
+        core.store.restart()
+
+        def seated() -> bool:
+            daemon = core.store.daemon
+            return bool(daemon is not None and daemon.voter.seated() and not daemon.voter.members.joint())
+
+        took.append(await fleet.until(seated, 15, "the empty disk is seated"))
+
+    _run(tmp_path, work)
+    bound = 15.0 / 5
+    assert (took[0] < bound * 0.9) is guarded, took
