A member set founded by three grows to bear the loss of as many cores as may go at once

Cause: a process is told three seeds, so five cores found with three disks; two of them lost at once left one of three, and the register stood (the test, two lost of three, failed first: no layout could be taken). Now, while nobody is lost, blank disks are seated until the set has twice `cores_lost` and one more. Ruled out: founding later, when all are known: nobody is told how many there are. After: five seated within seconds, two lost, a layout taken at once; with one to be lost the set stays at three.

--- a/packages/registry/src/dykeswitch/registry/seating.py
+++ b/packages/registry/src/dykeswitch/registry/seating.py
@@ -159,7 +159,7 @@
         return isinstance(result, outcome.Good)
 
     async def _swap(self) -> None:
-        """Let one lost disk give way to one blank disk."""
+        """Let one lost disk give way to one blank disk, or seat more where the set is too small."""
         members = self._proposer.members
         now = self._clock.now()
         lost = [d for d, since in self._silent.items() if now - since >= self._bounds.swap_s]
@@ -172,13 +172,20 @@
             for disk, state in self.states.items()
             if state["blank"] and disk not in members.disks() and not state["damaged"]
         )
-        if not lost or not spare:
-            return
         group = dict(members.groups[0])
-        del group[lost[0]]
-        group[spare[0]] = str(self.states[spare[0]]["spot"])
+        if lost and spare:
+            del group[lost[0]]
+            fresh = spare[:1]
+            self._note("seating", f"{spare[0]} for {lost[0]}")
+        else:
+            # Founded by the few that were known at first: it grows until it bears the loss of as
+            # many as may go at once.
+            fresh = spare[: max(0, self._bounds.cores_lost * 2 + 1 - len(group))]
+            if not fresh:
+                return
+            self._note("seating", f"{', '.join(fresh)} more")
+        group.update((disk, str(self.states[disk]["spot"])) for disk in fresh)
         joint = register.MemberSet(members.epoch + 1, (members.groups[0], tuple(sorted(group.items()))))
-        self._note("seating", f"{spare[0]} for {lost[0]}")
         if not await self._move(members, joint):
             return
         self._points.hit(POINT_JOINT_WRITTEN)
--- a/packages/simulator/src/dykeswitch/simulator/fleet.py
+++ b/packages/simulator/src/dykeswitch/simulator/fleet.py
@@ -94,7 +94,10 @@
         scale: float = 0.1,
         bounds: dict[str, typing.Any] | None = None,
         roving: bool = False,
+        known: int | None = None,
     ) -> None:
+        # How many of the cores all are told of at first; the rest have to be learnt.
+        self._known = known
         self.world = worlds.World(seed, scratch)
         self.shape = shape
         self.scale = scale
@@ -143,7 +146,11 @@
         world = self.world
         web = world.spot()
         zone = self.shape.zones[n % len(self.shape.zones)]
-        shared = {"seeds": seeds or tuple(self.member_spots), "founders": tuple(self.store_spots)}
+        told = slice(self._known)
+        shared = {
+            "seeds": seeds or tuple(self.member_spots[told]),
+            "founders": tuple(self.store_spots[told]),
+        }
         first = self.settings(name=name, zone=zone, member=member, web=web, store=store, **shared)
         second = self.settings(name=f"{name}-store", store=store, web=world.spot(), data="-")
         keeper = world.add(
@@ -167,7 +174,7 @@
             zone=self.shape.zones[n % len(self.shape.zones)],
             member=world.spot(),
             web=web or world.spot(),
-            seeds=tuple(self.member_spots),
+            seeds=tuple(self.member_spots[: self._known]),
         )
 
         def build(machine: ports.Machine, log: typing.Any, dice: random.Random) -> proxies.Proxy:
--- a/tests/test_recall.py
+++ b/tests/test_recall.py
@@ -204,3 +204,25 @@
     _run(tmp_path, work)
     bound = 15.0 / 5
     assert (took[0] < bound * 0.9) is guarded, took
+
+
+@pytest.mark.parametrize("lost", [2, 1])
+def test_a_set_founded_by_three_grows_to_bear_the_loss_of_as_many_as_may_go(
+    lost: int, tmp_path: pathlib.Path
+) -> None:
+    """Five cores of which all are told three: with two lost of the three, the rest would be none."""
+    shape = shapes.Shape("wide", 2, 5, ("z1", "z2"), (PAGES,))
+
+    async def main() -> None:
+        fleet = fleets.SimFleet(shape, 7, tmp_path, bounds={"cores_lost": lost}, known=3)
+        await fleet.start()
+        await asyncio.sleep(5.0)
+        size = {len(c.store.daemon.voter.members.disks()) for c in fleet.cores[:3]}
+        assert size == {2 * lost + 1}
+        for core in fleet.cores[:lost]:
+            core.registry.lose_power()
+            core.store.lose_power()
+        put = await fleet.put(_numbered(9, "/nine"), fleet.cores[-1])
+        assert put.status == 200
+
+    loops.run(main())
