What a proxy says of itself goes to the cores and to nobody else

Of 90 proxies each wrote an entry every 3 s, and each of five cores handed each of them to all 90. Only registries show them.

--- a/packages/membership/src/dykeswitch/membership/__init__.py
+++ b/packages/membership/src/dykeswitch/membership/__init__.py
@@ -154,7 +154,8 @@
                     self.line.news, lambda: self.line.urgent > seq, min(self._hold_s, float(body["hold"]))
                 )
         head = self.head()
-        return outcome.Good({**head, "items": self.line.wire_since(seq)})
+        # What each proxy says of itself it says to every core; no other proxy needs it.
+        return outcome.Good({**head, "items": self.line.wire_since(seq, but=timeline.PROXY)})
 
     def _tells(self) -> bool:
         """Whether neighbours trade entries: while a core is heard, it is told and tells all."""
@@ -162,7 +163,7 @@
 
     def _fresh_for(self, body: frames.Body) -> list[timeline.Wire]:
         boot, seq = body["cursor"]
-        return self.line.wire_since(int(seq) if boot == self.boot else 0)
+        return self.line.wire_since(int(seq) if boot == self.boot else 0, but=timeline.PROXY)
 
     # The view.
 
@@ -265,7 +266,7 @@
         body = {
             **self.head(),
             "view": self._sample(name),
-            "items": self.line.wire_since(cursor.ours) if tells else [],
+            "items": self.line.wire_since(cursor.ours, but=timeline.PROXY) if tells else [],
             "cursor": [cursor.boot, cursor.theirs],
             "alone": tells,
         }
@@ -341,7 +342,7 @@
             # What a proxy heard from others they tell the cores themselves.
             own = not core and bool(self.cores())
             news = core or self.line.urgent > sent
-            items = self.line.wire_since(sent, own) if news else []
+            items = self.line.wire_since(sent, own, timeline.PROXY if core else "") if news else []
             if not core and not items:
                 sent = upto
                 continue
--- a/packages/timeline/src/dykeswitch/timeline/__init__.py
+++ b/packages/timeline/src/dykeswitch/timeline/__init__.py
@@ -222,10 +222,17 @@
         fresh.reverse()
         return fresh
 
-    def wire_since(self, seq: int, own: bool = False) -> list[Wire]:
-        """What was taken up after a point, for the wire; only what we wrote ourselves, if asked."""
+    def wire_since(self, seq: int, own: bool = False, but: str = "") -> list[Wire]:
+        """What was taken up after a point, for the wire.
+
+        `own` leaves out what others wrote, `but` names a kind that is left out.
+        """
         now = self._clock.now()
-        return [entry.wire(now) for entry in self.since(seq) if not own or entry.stamp[1] == self.name]
+        return [
+            entry.wire(now)
+            for entry in self.since(seq)
+            if (not own or entry.stamp[1] == self.name) and entry.kind != but
+        ]
 
     def tidy(self) -> None:
         """Drop entries that ended so long ago that no copy of them can be on its way."""
