Extra go's are lent by the registries, under fences, to any number of proxies

Cause: each proxy took extra_floor / `proxies` of the floor. Nobody tells a process how many proxies there are, and it changes by the second; with the setting too high the floor lay idle, with it too low the youngest made no extra go at all.

Three lenders a service, a third of the floor each; a loan is coins for 7.5 s; a request pays a fifth of a coin back; what is spent counts a window longer. A new lender keeps on what proxies still hold and lends nothing anew until nothing of the old one's can be out. `show loans`, counters, an operator's page. The setting `proxies` is gone, `extra_window_s` has come.

Ruled out: cutting by a count of live proxies (two sides of a split count differently), one lender a service (20 s without floor when it goes), each loan through the register (a synced write each), a purse of saved coins beside the loan (its cap has to come out of the floor too).

--- a/packages/language/src/dykeswitch/language/__init__.py
+++ b/packages/language/src/dykeswitch/language/__init__.py
@@ -12,7 +12,8 @@
 
 who: "who"i "is"i "paused"i filter*
 show: "show"i subject filter*
-subject: PAUSED | ENDPOINTS | SERVICES | RULES | MEMBERS | PROXIES | DUTIES | PAUSES | LAYOUT | HISTORY
+subject: PAUSED | ENDPOINTS | SERVICES | RULES | MEMBERS | PROXIES
+       | DUTIES | PAUSES | LAYOUT | HISTORY | LOANS
 filter: "service"i NAME -> by_service
       | "zone"i NAME -> by_zone
       | "endpoint"i NAME -> by_endpoint
@@ -31,6 +32,7 @@
 PAUSES.2: "pauses"i
 LAYOUT.2: "layout"i
 HISTORY.2: "history"i
+LOANS.2: "loans"i
 METHOD.2: /(GET|HEAD|POST|PUT|DELETE|PATCH|OPTIONS|TRACE)\b/
 PATH: /\/[^\s]*/
 SPAN.3: /[0-9]+(\.[0-9]+)?(s|m|h|d)\b/
--- a/packages/proxy/src/dykeswitch/proxy/program.py
+++ b/packages/proxy/src/dykeswitch/proxy/program.py
@@ -16,6 +16,7 @@
 import dykeswitch.membership as membership
 import dykeswitch.outcome as outcome
 import dykeswitch.ports as ports
+import dykeswitch.proxy.borrower as borrowers
 import dykeswitch.proxy.carrier as carrier
 import dykeswitch.proxy.exchange as exchanges
 import dykeswitch.settings as settings
@@ -53,6 +54,16 @@
         )
         self.papers = papers.Papers(self.line, self.caller, bounds.call_s, self._reads)
         self.carrier = carrier.Carrier(bounds, machine, self.line, self.marks, log, dice, self)
+        # The carrier has a budget for each service it carried; the borrower fills them.
+        self.borrower = borrowers.Borrower(
+            bounds.name,
+            self.spread.boot,
+            bounds,
+            self.line,
+            self.caller,
+            self.spread.cores,
+            lambda: self.carrier._budgets,
+        )
         self._pauses: list[pauses.Pause] = []
         self.carrier.selector.paused = self.paused
         self._names = f"{dice.getrandbits(32):08x}"
@@ -66,10 +77,6 @@
         self._doubt_at = self._tick
         # The cores we last knew of.
         self._cores: dict[str, str] = {}
-        # Our rank among the proxies goes by when we first were confirmed.
-        self._since: list[typing.Any] | None = None
-        self._shared_from: float | None = None
-        self._told_over = False
         # When an orderly stop has no more time for what is at work.
         self._ends: float | None = None
         self._server: ports.WebServer | None = None
@@ -126,34 +133,13 @@
             "spot": self.bounds.member,
             "layout": self.papers.version(papers.LAYOUT),
             "ready": self.ready() is None,
-            "since": self._since,
-            "extra": "shares" if self._shared_from is not None else "none",
+            "extra": f"{self.borrower.borrowed()} lent",
         }
         self.line.write(timeline.PROXY, self.bounds.name, fields, self.bounds.dead_s * 2, urgent=False)
 
-    # Our part of the fleet's extra go's.
-
     def sharing(self) -> float | None:
-        """Since when we are among the proxies for whom the floor is cut, if we are."""
-        return self._shared_from
-
-    def _rank(self) -> None:
-        """Take or give up our part: the eldest have it, so nobody's is taken by a newcomer."""
-        if self._since is None:
-            return
-        ours = (int(self._since[0]), self.bounds.name)
-        elder = 0
-        for entry in self.line.all(timeline.PROXY):
-            since = entry.fields.get("since")
-            if entry.key != self.bounds.name and since and (int(since[0]), entry.key) < ours:
-                elder += 1
-        if elder >= self.bounds.proxies:
-            if self._shared_from is not None or not self._told_over:
-                self.log.error("more proxies than the setting", proxies=self.bounds.proxies, elder=elder)
-            self._told_over = True
-            self._shared_from = None
-        elif self._shared_from is None:
-            self._shared_from = self.clock.now()
+        """Since when registries lend us extra go's, if they do."""
+        return self.borrower.since()
 
     # Being sure after a freeze.
 
@@ -213,10 +199,6 @@
             # comes after it is newer.
             self._doubt = False
             self._confirmed = True
-            if self._since is None:
-                # By now the whole timeline was merged, so this is later than all before us.
-                self._since = list(self.line.stamp())
-                self._rank()
         elif self._confirmed and self._in_company() and not self.papers.behind():
             # No core can be reached: go on with the last list, as asked for.
             self._doubt = False
@@ -266,8 +248,9 @@
     def _counters(self) -> litestar.Response[bytes]:
         counts = {
             **self.carrier.counts,
+            **self.borrower.counts,
             "exchanges_at_work": len(self.carrier.table),
-            "no_part_of_extra_goes": int(self._shared_from is None),
+            "coins_borrowed": self.borrower.borrowed(),
         }
         data = counters.page("proxy", self.bounds.name, counts)
         return litestar.Response(data, media_type="text/plain; version=0.0.4")
@@ -377,9 +360,11 @@
                     group.create_task(self._keep_ticking()),
                     group.create_task(self._keep_papers()),
                     group.create_task(self._keep_saying()),
+                    group.create_task(self.borrower.run()),
                 ]
                 await self._stop.wait()
                 await self._leave()
+                await self.borrower.give_back()
                 for task in tasks:
                     task.cancel()
         finally:
@@ -435,6 +420,5 @@
 
     async def _keep_saying(self) -> None:
         while True:
-            self._rank()
             self._say_self()
             await self.clock.sleep(self.bounds.dead_s / 2)
--- a/packages/registry/src/dykeswitch/registry/prober.py
+++ b/packages/registry/src/dykeswitch/registry/prober.py
@@ -10,6 +10,7 @@
 import dykeswitch.settings as settings
 import dykeswitch.soundness.pipe as pipes
 import dykeswitch.timeline as timeline
+import dykeswitch.timeline.slots as slots
 
 # Numbered points at which a test may inject a fault.
 POINT_RESULT_IN_HAND: typing.Final = 21
@@ -69,7 +70,7 @@
         self._due = {name: at for name, at in self._due.items() if name in names}
         self.seen = {name: seen for name, seen in self.seen.items() if name in names}
         for entry in up:
-            slot = timeline.slot_of(entry.key, duties.SLOTS)
+            slot = slots.probe_slot(entry.key)
             if self._duty.fence(slot) is None or entry.key in self._flying:
                 continue
             due = self._due.setdefault(entry.key, now)
@@ -83,7 +84,7 @@
         return ripe
 
     async def _probe(self, entry: timeline.Entry) -> None:
-        slot = timeline.slot_of(entry.key, duties.SLOTS)
+        slot = slots.probe_slot(entry.key)
         fence = self._duty.fence(slot)
         begun = self._clock.now()
         standing = self._marks.down(entry.key)
--- a/packages/registry/src/dykeswitch/registry/program.py
+++ b/packages/registry/src/dykeswitch/registry/program.py
@@ -22,6 +22,7 @@
 import dykeswitch.register.proposer as proposers
 import dykeswitch.registry.duties as duties
 import dykeswitch.registry.endpoints as endpoints
+import dykeswitch.registry.lender as lenders
 import dykeswitch.registry.prober as probers
 import dykeswitch.registry.replies as replies
 import dykeswitch.registry.seating as seatings
@@ -79,6 +80,7 @@
         self.papers = papers.Papers(self.line, self.caller, bounds.call_s, self._reads)
         self.endpoints = endpoints.Endpoints(bounds, self.clock, self.line)
         self.duties = duties.Duties(bounds.name, self._boot, bounds, self.line, self.proposer)
+        self.lender = lenders.Lender(bounds, self.clock, self.duties)
         self.prober = probers.Prober(
             bounds.name, bounds, machine, self.line, self.marks, self.duties, self._probe_path, log.note
         )
@@ -167,6 +169,7 @@
         return {
             **self.spread.kinds(),
             **self.papers.kinds(),
+            **self.lender.kinds(),
             "confirm": self._on_confirm,
             "seen": self._on_seen,
             "spans": self._on_spans,
@@ -198,6 +201,14 @@
         books = [self.replies.spans.of(names), *(page["rows"] for page in pages)]
         return replies.one_history(books, 1 + len(pages))
 
+    async def _loans(self, ask: language.Show) -> replies.Table:
+        """Every lender's book: what of each service's floor is lent, and what may still be spent."""
+        pages = await self._others("loans", {})
+        books = [self.lender.rows(), *(page["rows"] for page in pages)]
+        found = [row for book in books for row in book if ask.wants("service", str(row[0]))]
+        heads = ("service", "part", "lender", "fence", "borrowers", "lent", "out", "of", "waits s")
+        return replies.Table(heads, sorted(found))
+
     async def _on_confirm(self, body: frames.Body) -> frames.Result:
         """What a majority holds at this moment, not what we read a while ago."""
         bad = await self._read_papers()
@@ -235,7 +246,13 @@
 
     def _counters(self) -> litestar.Response[bytes]:
         up = [e for e in self.line.all(timeline.ENDPOINT) if e.fields["state"] == timeline.UP]
+        lent, out = self.lender.sums()
         counts = {
+            "coins_lent": lent,
+            "coins_out": out,
+            "loans_lent": self.lender.lent,
+            "loans_refused": self.lender.refused,
+            "loans_passed_over": self.lender.passed_over,
             "probes": self.prober.probes,
             "copies_mended": self.proposer.mended,
             "endpoints_up": len(up),
@@ -369,6 +386,8 @@
                 return bad
         if ask.subject == "history":
             return await self._history(ask)
+        if ask.subject == "loans":
+            return await self._loans(ask)
         return self.replies.show(ask) or self._show_fleet(ask)
 
     async def _trail(self, name: str) -> replies.Table | outcome.Bad:
@@ -593,10 +612,8 @@
         while True:
             # A first look around, lest each start takes every duty to itself.
             await self.clock.sleep(self.bounds.dead_s / 2)
-            result = await self.proposer.read(duties.KEY)
-            if isinstance(result, outcome.Good):
-                self.duties.publish(result.value)
-                await self.duties.tend(self.live())
+            await self.duties.tend(self.live())
+            self.lender.tidy()
 
     async def _keep_lapsing(self) -> None:
         while True:
--- a/packages/settings/src/dykeswitch/settings/__init__.py
+++ b/packages/settings/src/dykeswitch/settings/__init__.py
@@ -37,7 +37,7 @@
     max_tries: int = 3
     extra_share: float = 0.2
     extra_floor: int = 60
-    proxies: int = 12
+    extra_window_s: float = 10.0
     exchanges_most: int = 512
     body_most: int = 8 * 1024 * 1024
     reply_buffer: int = 1024 * 1024
@@ -106,6 +106,31 @@
         """Silence after which a seated disk gives way to a blank one that waits."""
         return self.recover_s / 5
 
+    @property
+    def loan_s(self) -> float:
+        """How long a loan of extra go's runs: longer than it takes to replace a lost lender."""
+        return self.extra_window_s * 0.75
+
+    @property
+    def spent_s(self) -> float:
+        """How long an extra go counts: a window, and within `gap_s` of being paid for it is sent."""
+        return self.extra_window_s + self.gap_s
+
+    @property
+    def lapse_s(self) -> float:
+        """How long after a loan's end its coins still count as out, with some slack for clocks."""
+        return self.spent_s + self.gap_s
+
+    @property
+    def fence_s(self) -> float:
+        """The age up to which a majority's word on a fence is gone by."""
+        return self.dead_s
+
+    @property
+    def inherit_s(self) -> float:
+        """How long a new lender waits: nothing that the old one lent can be out any more."""
+        return self.fence_s + self.loan_s + self.lapse_s
+
     @property
     def alone_s(self) -> float:
         """Silence of all others after which a proxy is not ready, and bids its callers go.
@@ -126,10 +151,9 @@
 }
 SPOTS: typing.Final = ("member", "ear", "web", "store")
 SPOT_LISTS: typing.Final = ("seeds", "founders")
-SPANS: typing.Final = ("recover_s", "drain_s", "grace_s", "lead_s", "request_s")
+SPANS: typing.Final = ("recover_s", "drain_s", "grace_s", "lead_s", "request_s", "extra_window_s")
 COUNTS: typing.Final = (
     "max_tries",
-    "proxies",
     "exchanges_most",
     "body_most",
     "reply_buffer",
--- a/packages/simulator/src/dykeswitch/simulator/faults/cores.py
+++ b/packages/simulator/src/dykeswitch/simulator/faults/cores.py
@@ -3,6 +3,7 @@
 import asyncio
 import typing
 
+import dykeswitch.simulator.history as histories
 import dykeswitch.simulator.stage as stages
 
 
@@ -318,6 +319,47 @@
     await asyncio.sleep(2.0)
 
 
+async def lose_lenders(stage: stages.Stage) -> None:
+    """A service fails all the while, and who lends extra go's is killed, frozen, cut off; borrowers too."""
+    fleet = stage.fleet
+    # The busiest, but of no more than half the requests: most of the day would else be excused.
+    service = max((s for s in fleet.shape.services if s.rate * 2 <= fleet.shape.rate), key=lambda s: s.rate)
+    begun = stage.now
+    names = stage.live_endpoints(service.name)
+    for name in names:
+        plan = fleet.endpoints[name].plan
+        plan.fault, plan.share = "promise", 1.0
+    await asyncio.sleep(4.0)
+    # Everyone who lent is gone for a second, and half of those who had something.
+    for core in fleet.cores:
+        core.registry.kill()
+    herd = stage.dice.sample(stage.up_edges(), len(stage.up_edges()) // 2)
+    for edge in herd:
+        edge.node.kill()
+    await asyncio.sleep(1.0)
+    for node in [c.registry for c in fleet.cores] + [e.node for e in herd]:
+        node.restart()
+    stage.gone(herd, begun + 4.0)
+    await asyncio.sleep(10.0)
+    # One lender is frozen until others have its part, and wakes with its book.
+    frozen = stage.core().registry
+    frozen.freeze()
+    await asyncio.sleep(6.0)
+    frozen.thaw()
+    # One has no majority, and borrowers that reach it alone.
+    core = stage.core()
+    others = [n for c in fleet.cores if c is not core for n in c.names()]
+    near = [e.node.name for e in stage.up_edges()[:3]]
+    stage.wires.cut(core.names(), others)
+    stage.wires.cut(near, others)
+    await asyncio.sleep(6.0)
+    stage.wires.heal()
+    await asyncio.sleep(2.0)
+    for name in names:
+        fleet.endpoints[name].plan.fault = "none"
+    stage.story.failing.append(histories.Span(service.name, begun, stage.now))
+
+
 FAULTS: typing.Final[dict[str, stages.Fault]] = {
     "lose_store_power": lose_store_power,
     "lose_store_disk": lose_store_disk,
@@ -339,4 +381,5 @@
     "freeze_registry": freeze_registry,
     "freeze_store": freeze_store,
     "hand_over_duty": hand_over_duty,
+    "lose_lenders": lose_lenders,
 }
--- a/packages/simulator/src/dykeswitch/simulator/realtrial.py
+++ b/packages/simulator/src/dykeswitch/simulator/realtrial.py
@@ -433,7 +433,7 @@
         first = fleets.Put(begun, body, None, stage.now, 200, fleet.first_version)
         stage.story.puts.append(first)
         fleet.spawn(stage.sample())
-        # Until the proxies are old enough to have their part of the extra goes.
+        # Until every duty has its owner.
         await asyncio.sleep(scenarios.SETTLED_S)
         traffic = asyncio.create_task(fleet.callers.drive(100000.0, scale))
         roving = asyncio.create_task(fleet.callers.rove_for_ever(scenarios.ROVES))
@@ -468,6 +468,7 @@
             "layout_spread_worst_s": round(max(_spread(story), default=0.0), 2),
             "changes": sum(1 for p in story.puts if p.status == 200),
             "roves": len(story.roves),
+            "floor_used": round(histories.floor_used(story), 1),
             "excused": histories.excuses(story),
             "back_s": histories.back_by_fault(story, spans),
             "notes": stage.notes,
--- a/packages/simulator/src/dykeswitch/simulator/scenario.py
+++ b/packages/simulator/src/dykeswitch/simulator/scenario.py
@@ -15,8 +15,7 @@
 import dykeswitch.standin.shape as shapes
 
 FAULTS: typing.Final = faulty.FAULTS
-# Before this the fleet is young: its proxies may not yet spend what one before them could
-# have spent in the same ten seconds.
+# Before this the fleet is young: not every duty has its owner yet.
 SETTLED_S: typing.Final = 11.0
 # Requests a second that each layout sends elsewhere.
 ROVES: typing.Final = 12.0
@@ -83,6 +82,7 @@
             story.crashes.append(f"{node.name}: {node.flaw}")
     figures = callers.tally(fleet.record, story.expiry_s)
     figures["up_s"] = round(up, 2)
+    figures["floor_used"] = round(histories.floor_used(story), 1)
     figures["hits"] = len(fleet.hits)
     figures["roves"] = len(story.roves)
     return Verdict(
--- a/packages/timeline/src/dykeswitch/timeline/entries.py
+++ b/packages/timeline/src/dykeswitch/timeline/entries.py
@@ -44,10 +44,6 @@
     return isinstance(raw, (list, tuple)) and len(raw) == 2 and _count(raw[0]) and _text(raw[1])
 
 
-def _may(test: Test) -> Test:
-    return lambda raw: raw is None or test(raw)
-
-
 # For each kind, the fields it must have, and what may stand beside them.
 MUST: typing.Final[dict[str, dict[str, Test]]] = {
     "endpoint": {"service": _text, "address": _address, "state": _state, "born": _stamp},
@@ -60,7 +56,7 @@
 MAY: typing.Final[dict[str, dict[str, Test]]] = {
     "endpoint": {"zone": _text, "burden": _number, "interval": _number},
     "mark": {"slot": _count, "fence": _count},
-    "proxy": {"since": _may(_stamp), "extra": _text, "spot": _spot},
+    "proxy": {"extra": _text, "spot": _spot},
     "fence": {},
     "core": {},
     "paper": {},
--- a/tests/test_language.py
+++ b/tests/test_language.py
@@ -12,6 +12,7 @@
     "show endpoints endpoint pages-0",
     "show history service exports",
     "SHOW duties",
+    "show loans service pages",
     "explain GET /pages/x",
     "explain POST shop.example /exports",
     "explain exchange proxy0-1a2b3c4d-7",
