--- a/packages/hollow/src/dykeswitch/hollow/worked.py
+++ b/packages/hollow/src/dykeswitch/hollow/worked.py
@@ -107,5 +107,4 @@
         "service_endpoints": (T.endpoints / T.services, "endpoints"),
         "region_table_bytes": (region * entry, "B"),
         "zone_table_bytes": (zone * entry, "B"),
-        "proxies_share": (float(BOUNDS.proxies), "proxies"),
     }
--- a/packages/simulator/src/dykeswitch/simulator/scenario.py
+++ b/packages/simulator/src/dykeswitch/simulator/scenario.py
@@ -18,8 +18,7 @@
 # Days that the gateway does not hold yet, run only by who names them.
 COMING: typing.Final = faulty.COMING
 ALL: typing.Final = {**FAULTS, **COMING}
-# Before this the fleet is young: its proxies may not yet spend what one before them could
-# have spent in the same ten seconds.
+# Before this the fleet is young: not every duty has its owner yet.
 SETTLED_S: typing.Final = 11.0
 # Requests a second that each layout sends elsewhere.
 ROVES: typing.Final = 12.0
@@ -87,6 +86,7 @@
             story.crashes.append(f"{node.name}: {node.flaw}")
     figures = callers.tally(fleet.record, story.expiry_s)
     figures["up_s"] = round(up, 2)
+    figures["floor_used"] = round(histories.floor_used(story), 1)
     figures["hits"] = len(fleet.hits)
     figures["roves"] = len(story.roves)
     return Verdict(
