A hollow fleet ends by itself: a warden ends its programs should the driver be gone

The three programs run until told to stop; a driver that was killed left six of them running. The warden is told their ids, and ends those when its input closes or the time is over. A driver that is told to end takes its fleet down in order; a run has a bound of its own.

--- a/packages/hollow/src/dykeswitch/hollow/data.py
+++ b/packages/hollow/src/dykeswitch/hollow/data.py
@@ -10,6 +10,7 @@
 import random
 import shutil
 import signal
+import subprocess
 import sys
 import tempfile
 import typing
@@ -88,16 +89,16 @@
         self.took: dict[str, list[float]] = collections.defaultdict(list)
         self.failed = 0
         self._used: dict[str, float] = {}
+        self._warden: subprocess.Popen[bytes] | None = None
 
     async def start(self, cpus: list[int]) -> None:
-        for pair in self.fleet.cores:
-            for process in pair:
-                process.start()
+        self._warden = grounds.watched(self.fleet)
         layout = grounds.Size(services=1, rules=100).layout(0)
         layout["rules"].append({"path": "/", "service": SERVICE})
         await self.fleet.apply(layout)
         await asyncio.gather(self.herd.start(), self.relay.start())
         self.proxy.start()
+        grounds.tell_warden(self._warden, self.proxy)
         self.fleet.spawn(self.fleet.callers.watch())
         await self.fleet.until(lambda: bool(self.fleet.callers.ready), 60, "the proxy is ready")
         while await self.fleet.known() < self.load.endpoints:
@@ -110,6 +111,7 @@
     async def stop(self) -> None:
         await asyncio.gather(self.herd.end(), self.relay.end())
         await self.fleet.stop()
+        grounds.end_warden(self._warden)
 
     async def drive(self) -> gauge.Reading:
         """Send for a span; what the proxy spent on it beyond its idling."""
@@ -197,7 +199,7 @@
                     **dataclasses.asdict(load),
                 }
                 try:
-                    page = asyncio.run(_bench(load, turn, cpus, sampled))
+                    page = asyncio.run(sweeps.bounded(_bench(load, turn, cpus, sampled)))
                 except (OSError, TimeoutError) as flaw:
                     failed += 1
                     page = {"why": str(flaw)[:200]}
--- a/packages/hollow/src/dykeswitch/hollow/ground.py
+++ b/packages/hollow/src/dykeswitch/hollow/ground.py
@@ -28,9 +28,9 @@
 # Loopback numbers below the range that the kernel gives to outgoing pipes.
 PORT_FROM: typing.Final = 10000
 ZONES: typing.Final = tuple(f"z{n}" for n in range(1, 14))
-START_S: typing.Final = 90.0
+START_S: typing.Final = 150.0
 # However a run goes, its processes are gone after this.
-SPAN_MOST_S: typing.Final = 300.0
+SPAN_MOST_S: typing.Final = 400.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -110,7 +110,7 @@
 
     async def _read(self) -> Page:
         assert self._run is not None and self._run.stdout is not None
-        line = await asyncio.wait_for(self._run.stdout.readline(), 60)
+        line = await asyncio.wait_for(self._run.stdout.readline(), START_S)
         if not line:
             raise OSError(f"{self.name} ended; see its log")
         page: Page = json.loads(line)
@@ -166,6 +166,7 @@
         self.proxies = self._herds("proxy", size.nodes - 1, self._proxy)
         self.endpoints = self._herds("endpoint", size.endpoints, self._endpoint)
         self._turn = 0
+        self._warden: subprocess.Popen[bytes] | None = None
         self.changes: dict[int, float] = {}
 
     def _spot(self) -> str:
@@ -202,9 +203,7 @@
         """Start cores, then endpoints, then all proxies at once: how long each took."""
         clock = self.fleet.machine.clock
         begun = clock.now()
-        for pair in self.fleet.cores:
-            for process in pair:
-                process.start()
+        self._warden = watched(self.fleet)
         await self.change()
         cores = clock.now()
         await asyncio.gather(*(herd.start() for herd in self.endpoints))
@@ -215,6 +214,7 @@
         known = clock.now()
         for proxy in self.fleet.proxies:
             proxy.start()
+            tell_warden(self._warden, proxy)
         await asyncio.gather(*(herd.start() for herd in self.proxies))
         took = await self.ready(self.proxies)
         while not await self._real_ready():
@@ -247,6 +247,7 @@
     async def stop(self) -> None:
         await asyncio.gather(*(herd.end() for herd in (*self.proxies, *self.endpoints)))
         await self.fleet.stop()
+        end_warden(self._warden)
 
     # What is done to it.
 
@@ -335,6 +336,29 @@
     }
 
 
+def watched(fleet: fleets.Fleet) -> "subprocess.Popen[bytes]":
+    """Start a fleet's cores, and a warden that ends them should this process be gone."""
+    args = [sys.executable, "-m", "dykeswitch.hollow.warden", str(SPAN_MOST_S)]
+    warden = subprocess.Popen(args, stdin=subprocess.PIPE)
+    for pair in fleet.cores:
+        for process in pair:
+            process.start()
+            tell_warden(warden, process)
+    return warden
+
+
+def tell_warden(warden: "subprocess.Popen[bytes] | None", process: fleets.Process) -> None:
+    assert warden is not None and warden.stdin is not None
+    warden.stdin.write(b"%d\n" % process.pid)
+    warden.stdin.flush()
+
+
+def end_warden(warden: "subprocess.Popen[bytes] | None") -> None:
+    if warden is not None and warden.stdin is not None:
+        warden.stdin.close()
+        warden.wait(10)
+
+
 @contextlib.asynccontextmanager
 async def standing(size: Size, seed: int) -> typing.AsyncIterator[Ground]:
     """A hollow fleet that is taken down at the end whatever happens."""
--- a/packages/hollow/src/dykeswitch/hollow/sweep.py
+++ b/packages/hollow/src/dykeswitch/hollow/sweep.py
@@ -4,12 +4,16 @@
 import dataclasses
 import json
 import pathlib
+import signal
 import sys
 import typing
 
 import dykeswitch.hollow.ground as grounds
 import dykeswitch.hollow.measure as measure
 
+Page = dict[str, typing.Any]
+
+RUN_MOST_S: typing.Final = grounds.SPAN_MOST_S * 0.9
 BASE: typing.Final = grounds.Size(nodes=16, endpoints=60, services=10, rules=100)
 
 # For each sweep the sizes it visits; the base belongs to every one of them.
@@ -46,6 +50,14 @@
     return [json.loads(line) for line in book.read_text().splitlines() if line]
 
 
+async def bounded(work: typing.Coroutine[typing.Any, typing.Any, Page]) -> Page:
+    """A run that ends in time, and in order when this process is told to end."""
+    task = asyncio.create_task(work)
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    async with asyncio.timeout(RUN_MOST_S):
+        return await task
+
+
 def run(sweeps: typing.Sequence[str], turns: typing.Sequence[int], book: pathlib.Path) -> int:
     """Run sweeps turn by turn, each run a line in the book; how many failed."""
     cpus = measure.narrow()
@@ -56,12 +68,16 @@
         for sweep in sweeps:
             for size in SWEEPS[sweep]:
                 try:
-                    record = asyncio.run(measure.run(sweep, size, turn))
+                    record = asyncio.run(bounded(measure.run(sweep, size, turn)))
                 except (OSError, TimeoutError) as flaw:
                     # A size that this machine can't carry is told, never left out in silence.
                     failed += 1
                     record = {"kind": "failed", "sweep": sweep, "turn": turn}
-                    record.update(commit=measure.commit(), size=dataclasses.asdict(size), why=str(flaw)[:200])
+                    record.update(
+                        commit=measure.commit(),
+                        size=dataclasses.asdict(size),
+                        why=f"{type(flaw).__name__} {flaw}"[:200],
+                    )
                 write(book, record)
                 sys.stderr.write(f"{sweep} {turn} {record['size']}: {record['kind']}\n")
     return failed
