--- a/packages/hollow/src/dykeswitch/hollow/sweep.py
+++ b/packages/hollow/src/dykeswitch/hollow/sweep.py
@@ -19,8 +19,8 @@
 # For each sweep the sizes it visits; the base belongs to every one of them.
 SWEEPS: typing.Final[dict[str, tuple[grounds.Size, ...]]] = {
     "base": (BASE,),
-    "nodes": tuple(dataclasses.replace(BASE, nodes=n) for n in (8, 24, 32)),
-    "endpoints": tuple(dataclasses.replace(BASE, endpoints=n) for n in (30, 90, 120)),
+    "nodes": tuple(dataclasses.replace(BASE, nodes=n) for n in (8, 24, 40)),
+    "endpoints": tuple(dataclasses.replace(BASE, endpoints=n) for n in (30, 120, 240)),
     "changes": tuple(dataclasses.replace(BASE, changes=n) for n in (15, 30, 60)),
     "marks": tuple(dataclasses.replace(BASE, marks=n) for n in (60, 120, 240)),
     "rules": tuple(dataclasses.replace(BASE, rules=n) for n in (1000, 4000, 8000)),
@@ -28,12 +28,12 @@
     "cores": tuple(dataclasses.replace(BASE, cores=n) for n in (1, 5)),
     # Two at a time, where one variable is likely to multiply the other.
     "cross": (
-        dataclasses.replace(BASE, nodes=24, endpoints=90),
+        dataclasses.replace(BASE, nodes=24, endpoints=120),
         dataclasses.replace(BASE, rules=1000, changes=30),
         dataclasses.replace(BASE, rules=4000, changes=30),
         dataclasses.replace(BASE, nodes=24, changes=30),
         dataclasses.replace(BASE, nodes=24, marks=120),
-        dataclasses.replace(BASE, cores=5, endpoints=90),
+        dataclasses.replace(BASE, cores=5, endpoints=120),
     ),
 }
 
