Hollow fleets are not pinned to cores: on a busy machine all of them stood on one

Pinned to three of eight cores, every process of a run sat on one of them while the machine was full: registries ran 5 s and stood waiting 93 s in two minutes. A record tells now how many cores a run used.

--- a/packages/hollow/src/dykeswitch/hollow/data.py
+++ b/packages/hollow/src/dykeswitch/hollow/data.py
@@ -91,7 +91,7 @@
         self._used: dict[str, float] = {}
         self._warden: subprocess.Popen[bytes] | None = None
 
-    async def start(self, cpus: list[int]) -> None:
+    async def start(self) -> None:
         self._warden = grounds.watched(self.fleet)
         layout = grounds.Size(services=1, rules=100).layout(0)
         layout["rules"].append({"path": "/", "service": SERVICE})
@@ -103,10 +103,6 @@
         await self.fleet.until(lambda: bool(self.fleet.callers.ready), 60, "the proxy is ready")
         while await self.fleet.known() < self.load.endpoints:
             await self.fleet.machine.clock.sleep(0.05)
-        # Each side on a core of its own; what is bare shares the proxy's, in its place.
-        os.sched_setaffinity(self.proxy.pid, {cpus[-1]})
-        os.sched_setaffinity(self.relay.pid, {cpus[-1]})
-        os.sched_setaffinity(self.herd.pid, {cpus[-2]})
 
     async def stop(self) -> None:
         await asyncio.gather(self.herd.end(), self.relay.end())
@@ -156,12 +152,12 @@
         self.took[arm].append(now - begun)
 
 
-async def _bench(load: Load, turn: int, cpus: list[int], sampled: bool) -> Page:
+async def _bench(load: Load, turn: int, sampled: bool) -> Page:
     folder = pathlib.Path(tempfile.mkdtemp(prefix="dykeswitch-data-"))
     bench = Bench(load, folder, turn, sampled)
     page: Page = {}
     try:
-        await bench.start(cpus)
+        await bench.start()
         spent = await bench.drive()
         asked = len(bench.took["proxy"])
         page = {
@@ -185,7 +181,6 @@
 
 def run(turns: typing.Sequence[int], book: pathlib.Path) -> int:
     """Every load, turn by turn, and one run of each under the sampler; how many failed."""
-    cpus = measure.narrow()
     failed = 0
     for turn in turns:
         for load in LOADS:
@@ -199,7 +194,7 @@
                     **dataclasses.asdict(load),
                 }
                 try:
-                    page = asyncio.run(sweeps.bounded(_bench(load, turn, cpus, sampled)))
+                    page = asyncio.run(sweeps.bounded(_bench(load, turn, sampled)))
                 except (OSError, TimeoutError) as flaw:
                     failed += 1
                     page = {"why": str(flaw)[:200]}
--- a/packages/hollow/src/dykeswitch/hollow/ground.py
+++ b/packages/hollow/src/dykeswitch/hollow/ground.py
@@ -23,8 +23,6 @@
 # Members of a herd share a process; so many of them at most. Fifteen proxies in one process
 # stood in each other's way at 120 endpoints, and what was measured was their waiting.
 HERD_MOST: typing.Final = {"proxy": 8, "endpoint": 100}
-# The cores of the machine that a hollow fleet may use: it is shared.
-CPUS: typing.Final = 3
 # Loopback numbers below the range that the kernel gives to outgoing pipes.
 PORT_FROM: typing.Final = 10000
 ZONES: typing.Final = tuple(f"z{n}" for n in range(1, 14))
--- a/packages/hollow/src/dykeswitch/hollow/measure.py
+++ b/packages/hollow/src/dykeswitch/hollow/measure.py
@@ -31,13 +31,6 @@
     return git("rev-parse", "--short", "HEAD") + ("+" if dirty else "")
 
 
-def narrow() -> list[int]:
-    """Keep this process and all it starts to a few cores of the machine; which."""
-    cores = sorted(os.sched_getaffinity(0))[-grounds.CPUS :]
-    os.sched_setaffinity(0, cores)
-    return cores
-
-
 async def run(sweep: str, size: grounds.Size, turn: int) -> Page:
     """Start a fleet, measure a steady window, changes, leavings and a recovery; the record."""
     load = os.getloadavg()[0]
@@ -55,7 +48,7 @@
         "sweep": sweep,
         "turn": turn,
         "commit": commit(),
-        "cpus": grounds.CPUS,
+        "cores_used": round(sum(r["core_share"] * r["members"] for r in roles.values()), 2),
         "load_before": round(load, 2),
         "size": dataclasses.asdict(size),
         "window_s": WINDOW_S,
--- a/packages/hollow/src/dykeswitch/hollow/report.py
+++ b/packages/hollow/src/dykeswitch/hollow/report.py
@@ -18,6 +18,7 @@
 Record = fits.Record
 Rows = list[list[str]]
 
+BEFORE: typing.Final = "before"
 BLOCK: typing.Final = re.compile(r"(<!-- made: ([a-z_]+) -->\n).*?(<!-- end -->)", re.S)
 INLINE: typing.Final = re.compile(r"(<!--= ([a-z0-9_]+) -->).*?(<!--/-->)", re.S)
 VARIABLES: typing.Final = ("nodes", "endpoints", "services", "rules", "changes", "marks", "cores")
@@ -59,6 +60,8 @@
     # Those whose herds never stood still; slopes are of these.
     runs: list[Record]
     every: list[Record]
+    # Of earlier commits, to compare with at the same sizes.
+    before: list[Record]
     others: list[Record]
     reaches: dict[tuple[str, str], fits.Reach]
 
@@ -70,11 +73,12 @@
 
 
 def load(records: typing.Sequence[Record]) -> Book:
-    every = [r for r in records if r["kind"] == "run"]
+    every = [r for r in records if r["kind"] == "run" and r["book"] != BEFORE]
+    before = [r for r in records if r["kind"] == "run" and r["book"] == BEFORE]
     runs = [r for r in every if not looks.strained(r)]
     sizes = targets.sizes()
     reaches = {(f.role, f.name): fits.reach(runs, f.look, f.terms, sizes) for f in looks.FIGURES}
-    return Book(runs, every, [r for r in records if r["kind"] != "run"], reaches)
+    return Book(runs, every, before, [r for r in records if r["kind"] != "run"], reaches)
 
 
 # Blocks.
@@ -256,11 +260,36 @@
 
 def _commits(book: Book) -> str:
     found: dict[str, int] = {}
-    for record in [*book.every, *book.others]:
+    for record in [*book.before, *book.every, *book.others]:
         found[record["commit"]] = found.get(record["commit"], 0) + 1
     return table(("commit", "records"), [[c, str(n)] for c, n in found.items()])
 
 
+def _before(book: Book) -> str:
+    rows = []
+    old = _by_size([r for r in book.before if not looks.strained(r)])
+    new = _by_size(book.runs)
+    for key in sorted(set(old) & set(new)):
+        row = [" ".join(f"{v:g}" for v in key), f"{len(old[key])}, {len(new[key])}"]
+        for look in (
+            lambda r: sum(looks.by_group(r["roles"]["hollow"]).values()) / 1000,
+            lambda r: r["roles"]["proxy"]["core_share"] * 100,
+            lambda r: sum(looks.by_group(r["roles"]["registry"]).values()) / 1000,
+            lambda r: r["roles"]["registry"]["core_share"] * 100,
+        ):
+            row.append(f"{_span([look(r) for r in old[key]])} to {_span([look(r) for r in new[key]])}")
+        rows.append(row)
+    head = (
+        "nodes endpoints services rules changes marks registries",
+        "runs",
+        "proxy KB/s",
+        "proxy % of a core",
+        "registry KB/s",
+        "registry %",
+    )
+    return table(head, rows)
+
+
 def _median(found: typing.Iterable[float]) -> float:
     return statistics.median(list(found) or [0.0])
 
@@ -341,6 +370,7 @@
     "slopes": _slopes,
     "points": _points,
     "spans": _spans,
+    "before": _before,
     "data": _data,
     "profile": _profile,
     "commits": _commits,
@@ -416,4 +446,5 @@
     """Every record in a folder, books in the order of their names."""
     import dykeswitch.hollow.sweep as sweeps
 
-    return [r for book in sorted(folder.glob("*.jsonl")) for r in sweeps.read(book)]
+    books = sorted(folder.glob("*.jsonl"))
+    return [{**record, "book": book.stem} for book in books for record in sweeps.read(book)]
--- a/packages/hollow/src/dykeswitch/hollow/sweep.py
+++ b/packages/hollow/src/dykeswitch/hollow/sweep.py
@@ -60,8 +60,6 @@
 
 def run(sweeps: typing.Sequence[str], turns: typing.Sequence[int], book: pathlib.Path) -> int:
     """Run sweeps turn by turn, each run a line in the book; how many failed."""
-    cpus = measure.narrow()
-    sys.stderr.write(f"on cores {cpus}\n")
     failed = 0
     # Turn by turn, so that what the machine does meanwhile falls on all sizes alike.
     for turn in turns:
