--- a/packages/hollow/src/dykeswitch/hollow/sweep.py
+++ b/packages/hollow/src/dykeswitch/hollow/sweep.py
@@ -10,6 +10,7 @@
 
 import dykeswitch.hollow.ground as grounds
 import dykeswitch.hollow.measure as measure
+import dykeswitch.hollow.virtual as virtual
 
 Page = dict[str, typing.Any]
 
@@ -58,7 +59,9 @@
         return await task
 
 
-def run(sweeps: typing.Sequence[str], turns: typing.Sequence[int], book: pathlib.Path) -> int:
+def run(
+    sweeps: typing.Sequence[str], turns: typing.Sequence[int], book: pathlib.Path, simulated: bool = False
+) -> int:
     """Run sweeps turn by turn, each run a line in the book; how many failed."""
     failed = 0
     # Turn by turn, so that what the machine does meanwhile falls on all sizes alike.
@@ -66,7 +69,10 @@
         for sweep in sweeps:
             for size in SWEEPS[sweep]:
                 try:
-                    record = asyncio.run(bounded(measure.run(sweep, size, turn)))
+                    if simulated:
+                        record = virtual.run(sweep, size, turn)
+                    else:
+                        record = asyncio.run(bounded(measure.run(sweep, size, turn)))
                 except (OSError, TimeoutError) as flaw:
                     # A size that this machine can't carry is told, never left out in silence.
                     failed += 1
--- a/packages/hollow/src/dykeswitch/hollow/words.py
+++ b/packages/hollow/src/dykeswitch/hollow/words.py
@@ -19,6 +19,8 @@
     sub.add_argument("--first-turn", type=int, default=1)
     sub.add_argument("--turns", type=int, default=3, help="runs of each size (default 3)")
     sub.add_argument("--book", type=pathlib.Path, default=BOOK)
+    text = "on virtual time instead: bytes and spans alone, with no machine in them"
+    sub.add_argument("--simulated", action="store_true", help=text)
     text = "measure what one proxy adds to a request, against endpoints called directly"
     sub = subs.add_parser("data", help=text, description=text)
     sub.add_argument("--first-turn", type=int, default=1)
@@ -48,4 +50,4 @@
     if spoken.act == "data":
         return 1 if data.run(turns, spoken.book) else 0
     names = list(sweeps.SWEEPS) if spoken.sweeps == "all" else spoken.sweeps.split(",")
-    return 1 if sweeps.run(names, turns, spoken.book) else 0
+    return 1 if sweeps.run(names, turns, spoken.book, spoken.simulated) else 0
