--- a/packages/membership/src/dykeswitch/membership/__init__.py
+++ b/packages/membership/src/dykeswitch/membership/__init__.py
@@ -2,7 +2,7 @@
 
 Over the same neighbours the timeline spreads: at once when news is urgent, and with
 every shuffle for the rest. Cores are known to all by entries of their own, since
-every member polls every core.
+every proxy polls every core.
 """
 
 import asyncio
@@ -26,8 +26,6 @@
 # How many addresses are kept in mind, and how often one of them is knocked at.
 BOOK_MOST: typing.Final = 256
 KNOCK_TURNS: typing.Final = 2
-# A neighbour that is new to us is pushed what came within so many turns.
-TURNS: typing.Final = 4
 
 
 @dataclasses.dataclass(slots=True)
@@ -50,8 +48,6 @@
     boot: str = ""
     theirs: int = 0
     ours: int = 0
-    # What we have from them since: no news to them.
-    had: timeline.Stretch = timeline.NOWHERE
 
 
 class Spread:
@@ -90,8 +86,6 @@
         self._book: collections.OrderedDict[str, float] = collections.OrderedDict()
         self._knock: asyncio.Task[bool] | None = None
         self._seeking: asyncio.Task[bool] | None = None
-        # Where the timeline stood at the last few turns of the shuffle.
-        self._turns: collections.deque[int] = collections.deque([0], TURNS)
 
     def kinds(self) -> dict[str, frames.Handle]:
         return {"shuffle": self._on_shuffle, "tell": self._on_tell, "poll": self._on_poll}
@@ -122,9 +116,8 @@
         self._heard(body)
         sample = self._sample(str(body["name"]))
         self._learn(body["view"])
-        had = self.line.merge_from(body["items"])
-        boot, seq = body["cursor"]
-        items = self._items(int(seq) if boot == self.boot else 0, had, bool(body.get("beats")))
+        self.line.merge(body["items"])
+        items = self._fresh_for(body)
         return outcome.Good({**self._head(), "view": sample, "items": items})
 
     async def _on_tell(self, body: frames.Body) -> frames.Result:
@@ -134,7 +127,7 @@
 
     async def _on_poll(self, body: frames.Body) -> frames.Result:
         self._heard(body)
-        had = self.line.merge_from(body["items"])
+        self.line.merge(body["items"])
         boot, seq = body["cursor"]
         seq = int(seq) if boot == self.boot else 0
         if boot == self.boot and self.line.urgent <= seq:
@@ -145,19 +138,11 @@
                     self.line.news, lambda: self.line.urgent > seq, min(self._hold_s, float(body["hold"]))
                 )
         head = self._head()
-        # A proxy polls every core: each tells it of the beats that it took itself, else each
-        # beat would reach each proxy as often as there are cores.
-        beats = bool(body.get("beats"))
-        items = self.line.wire_since(seq, had) if beats else self.line.news_since(seq, had, own=True)
-        return outcome.Good({**head, "items": items})
-
-    def _items(self, seq: int, had: timeline.Stretch, beats: bool) -> list[timeline.Wire]:
-        """What another is told, beats too if it is a registry and we are."""
-        # Only registries judge by beats, and proxies have them by their polls: traded between
-        # neighbours too they were most of all that is sent.
-        if beats and self.me.kind == "registry":
-            return self.line.wire_since(seq, had)
-        return self.line.news_since(seq, had)
+        return outcome.Good({**head, "items": self.line.wire_since(seq)})
+
+    def _fresh_for(self, body: frames.Body) -> list[timeline.Wire]:
+        boot, seq = body["cursor"]
+        return self.line.wire_since(int(seq) if boot == self.boot else 0)
 
     # The view.
 
@@ -221,7 +206,6 @@
                     if spot is not None:
                         self._knock = group.create_task(self._trade(spot, ""))
                 self.line.tidy()
-                self._turns.append(self.line.seq)
                 turn += 1
                 # A short first while: a new member should be known soon.
                 span = self._shuffle_s * (0.2 if turn < 5 else 1.0)
@@ -252,9 +236,8 @@
         body = {
             **self._head(),
             "view": self._sample(name),
-            "items": self._items(cursor.ours, cursor.had, self._registry_at(spot)),
+            "items": self.line.wire_since(cursor.ours),
             "cursor": [cursor.boot, cursor.theirs],
-            "beats": self.me.kind == "registry",
         }
         # No longer than to the next turn: one neighbour that is gone must not keep us from
         # the others for longer than it takes to seem cut off.
@@ -278,28 +261,24 @@
         try:
             self._heard(reply)
             self._learn(reply.get("view", ()))
-            had = self.line.merge_from(reply["items"])
+            self.line.merge(reply["items"])
             same = reply["boot"] == cursor.boot
             # A member that started anew has forgotten what it was told.
-            return Cursor(str(reply["boot"]), int(reply["seq"]), seq if same else 0, had)
+            return Cursor(str(reply["boot"]), int(reply["seq"]), seq if same else 0)
         except (KeyError, TypeError, ValueError, AttributeError) as flaw:
             self._note("reply refused", f"{spot}: {type(flaw).__name__}: {flaw}")
             return None
 
-    def _registry_at(self, spot: str) -> bool:
-        """Whether a registry stands at an address, as far as we know; seeds are."""
-        return spot in self._seeds or spot in self.cores().values()
-
     def _tend(self, group: asyncio.TaskGroup) -> None:
         cores = self.cores()
         wanted: dict[tuple[str, str], typing.Callable[[str], typing.Awaitable[None]]] = {}
         for spot in [*cores.values(), *(m.spot for m in self.view.values())]:
             if spot != self.me.spot:
                 wanted[("push", spot)] = self._push
-        # Registries poll each other too: by way of proxies a beat would come late, and not at all
-        # where there are none.
-        for spot in cores.values():
-            wanted[("pull", spot)] = self._pull
+        if self.me.kind == "proxy":
+            # Seeds are polled too until cores are known by their own entries.
+            for spot in cores.values():
+                wanted[("pull", spot)] = self._pull
         for key, task in list(self._tasks.items()):
             if key not in wanted:
                 task.cancel()
@@ -310,14 +289,13 @@
 
     async def _push(self, spot: str) -> None:
         """Tell one member of urgent news as it comes."""
-        # What is older has come by shuffles and polls, or does when the two first meet.
-        sent = self.line.seq if spot in self._cursors else self._turns[0]
+        sent = self.line.seq if spot in self._cursors else 0
         while True:
             async with self.line.news:
                 while self.line.urgent <= sent:
                     await self.line.news.wait()
             upto = self.line.seq
-            body = {**self._head(), "items": self.line.news_since(sent)}
+            body = {**self._head(), "items": self.line.wire_since(sent)}
             result = await self._caller.ask(spot, "tell", body, self._call_s)
             if isinstance(result, outcome.Bad):
                 # Shuffles and polls carry the rest once it is back.
@@ -333,10 +311,9 @@
             seq = self.line.seq
             body = {
                 **self._head(),
-                "items": self._items(cursor.ours, cursor.had, True),
+                "items": self.line.wire_since(cursor.ours),
                 "cursor": [cursor.boot, cursor.theirs],
                 "hold": self._hold_s,
-                "beats": self.me.kind == "registry",
             }
             result = await self._caller.ask(spot, "poll", body, self._hold_s + self._call_s)
             if isinstance(result, outcome.Bad):
--- a/packages/timeline/src/dykeswitch/timeline/__init__.py
+++ b/packages/timeline/src/dykeswitch/timeline/__init__.py
@@ -16,9 +16,6 @@
 Stamp = tuple[int, str]
 Fields = dict[str, typing.Any]
 Wire = list[typing.Any]
-# From after one sequence to another.
-Stretch = tuple[int, int]
-NOWHERE: typing.Final[Stretch] = (0, 0)
 
 ENDPOINT: typing.Final = "endpoint"
 MARK: typing.Final = "mark"
@@ -33,9 +30,6 @@
 LAPSED: typing.Final = "lapsed"
 LEFT: typing.Final = "left"
 DISPLACED: typing.Final = "displaced"
-# A beat that says nothing new is news again once this part of its life is over: who hears only
-# of news must not lose the endpoint.
-RENEWED: typing.Final = 1 / 4
 # For which part of the longest life an entry that ended is kept in mind.
 LINGER: typing.Final = 1 / 30
 STICKY: typing.Final = (LEFT, DISPLACED)
@@ -51,9 +45,6 @@
     fields: Fields
     expiry: float
     seq: int = 0
-    # When it last said something new: the sequence of that, and the expiry it had then.
-    news: int = 0
-    until: float = 0.0
 
     def wire(self, now: float) -> Wire:
         return [self.kind, self.key, self.stamp[0], self.stamp[1], self.fields, max(0.0, self.expiry - now)]
@@ -164,11 +155,7 @@
         if urgent is None:
             urgent = _is_urgent(old, entry)
         self.seq += 1
-        news, until = self.seq, entry.expiry
-        if entry.kind == ENDPOINT and old is not None and not urgent and not self._stale(old, entry):
-            # A beat: it says that what was said still holds.
-            news, until = old.news, old.until
-        entry = dataclasses.replace(entry, seq=self.seq, news=news, until=until)
+        entry = dataclasses.replace(entry, seq=self.seq)
         self._by_kind[entry.kind][entry.key] = entry
         if entry.kind == ENDPOINT:
             if old is not None and old.fields["address"] != entry.fields["address"]:
@@ -185,10 +172,6 @@
             self._displace(entry)
         return entry
 
-    def _stale(self, old: Entry, entry: Entry) -> bool:
-        """Whether who heard only of the last news would soon take the entry for ended."""
-        return entry.expiry - old.until > (entry.expiry - self._clock.now()) * RENEWED
-
     def _displace(self, fresh: Entry) -> None:
         """Two ids on one address: the one born later has it, the other is gone."""
         for key in sorted(self._at[fresh.fields["address"]]):
@@ -238,26 +221,9 @@
         fresh.reverse()
         return fresh
 
-    def wire_since(self, seq: int, but: Stretch = NOWHERE) -> list[Wire]:
-        """All that was taken up after a point, less a stretch that the reader sent itself."""
-        now = self._clock.now()
-        return [entry.wire(now) for entry in self.since(seq) if not but[0] < entry.seq <= but[1]]
-
-    def news_since(self, seq: int, but: Stretch = NOWHERE, own: bool = False) -> list[Wire]:
-        """The same without beats that say nothing new, or with those alone that we took ourselves."""
+    def wire_since(self, seq: int) -> list[Wire]:
         now = self._clock.now()
-        return [
-            entry.wire(now)
-            for entry in self.since(seq)
-            if (entry.news > seq or own and entry.stamp[1] == self.name) and not but[0] < entry.seq <= but[1]
-        ]
-
-    def merge_from(self, raw: typing.Iterable[Wire]) -> Stretch:
-        """Merge what a member sent, and tell the stretch that it need not be sent back."""
-        before = self.seq
-        taken = self.merge(raw)
-        # What we had to write ourselves meanwhile is news to the sender too.
-        return (before, self.seq) if self.seq - before == taken else NOWHERE
+        return [entry.wire(now) for entry in self.since(seq)]
 
     def tidy(self) -> None:
         """Drop entries that ended so long ago that no copy of them can be on its way."""
