--- a/packages/membership/src/dykeswitch/membership/__init__.py
+++ b/packages/membership/src/dykeswitch/membership/__init__.py
@@ -8,9 +8,9 @@
 import asyncio
 import collections
 import dataclasses
+import functools
 import math
 import random
-import statistics
 import typing
 
 import dykeswitch.frames as frames
@@ -26,6 +26,10 @@
 # How many addresses are kept in mind, and how often one of them is knocked at.
 BOOK_MOST: typing.Final = 256
 KNOCK_TURNS: typing.Final = 2
+# How many holds a core may be silent before it is taken for dead.
+ALIVE_HOLDS: typing.Final = 3
+# While cores answer, polls carry the news: neighbours trade so many times more slowly.
+CALM: typing.Final = 4
 
 
 @dataclasses.dataclass(slots=True)
@@ -81,18 +85,25 @@
         self._cursors: dict[str, Cursor] = {}
         self._walls: dict[str, tuple[float, float]] = {}
         self.heard = -1e9
+        # When each member was heard last, by its name.
+        self._last: dict[str, float] = {}
         self._tasks: dict[tuple[str, str], asyncio.Task[None]] = {}
         # Where members were heard to be, and when last: also those that fell silent.
         self._book: collections.OrderedDict[str, float] = collections.OrderedDict()
         self._knock: asyncio.Task[bool] | None = None
         self._seeking: asyncio.Task[bool] | None = None
 
+    def reseed(self, seeds: typing.Sequence[str]) -> None:
+        """Other members to begin with, from now on."""
+        self._seeds = [seed for seed in seeds if seed != self.me.spot]
+
     def kinds(self) -> dict[str, frames.Handle]:
         return {"shuffle": self._on_shuffle, "tell": self._on_tell, "poll": self._on_poll}
 
     # The calls we answer.
 
-    def _head(self) -> frames.Body:
+    def head(self) -> frames.Body:
+        """What each call between members begins with: who speaks, how far, and the wall time."""
         wall = self._clock.wall()
         return {"name": self.me.name, "boot": self.boot, "seq": self.line.seq, "wall": wall}
 
@@ -103,27 +114,32 @@
         wall, name = body.get("wall"), body.get("name")
         if isinstance(wall, float) and math.isfinite(wall) and isinstance(name, str) and len(name) <= 128:
             self._walls[name] = (wall - self._clock.wall(), now)
+            self._last[name] = now
             if len(self._walls) > BOOK_MOST:
                 del self._walls[next(iter(self._walls))]
+            if len(self._last) > BOOK_MOST:
+                del self._last[min(self._last, key=lambda n: self._last[n])]
 
     def wall(self) -> float:
         """The fleet's common wall time: the median, so one clock that jumps moves nothing."""
         now = self._clock.now()
         young = [gap for gap, at in self._walls.values() if now - at < self._hold_s * WALL_AGE]
-        return self._clock.wall() + statistics.median([0.0, *young])
+        return self._clock.wall() + _median([0.0, *young])
 
     async def _on_shuffle(self, body: frames.Body) -> frames.Result:
         self._heard(body)
         sample = self._sample(str(body["name"]))
         self._learn(body["view"])
         self.line.merge(body["items"])
-        items = self._fresh_for(body)
-        return outcome.Good({**self._head(), "view": sample, "items": items})
+        # Who hears no core yet, or no more, is told all the same.
+        tells = self._tells() or bool(body.get("alone", True))
+        items = self._fresh_for(body) if tells else []
+        return outcome.Good({**self.head(), "view": sample, "items": items, "told": tells})
 
     async def _on_tell(self, body: frames.Body) -> frames.Result:
         self._heard(body)
         self.line.merge(body["items"])
-        return outcome.Good(self._head())
+        return outcome.Good(self.head())
 
     async def _on_poll(self, body: frames.Body) -> frames.Result:
         self._heard(body)
@@ -137,9 +153,13 @@
                     # In this order, so that what is no number holds it no longer either.
                     self.line.news, lambda: self.line.urgent > seq, min(self._hold_s, float(body["hold"]))
                 )
-        head = self._head()
+        head = self.head()
         return outcome.Good({**head, "items": self.line.wire_since(seq)})
 
+    def _tells(self) -> bool:
+        """Whether neighbours trade entries: while a core is heard, it is told and tells all."""
+        return not self.cores()
+
     def _fresh_for(self, body: frames.Body) -> list[timeline.Wire]:
         boot, seq = body["cursor"]
         return self.line.wire_since(int(seq) if boot == self.boot else 0)
@@ -184,12 +204,20 @@
         spots = [spot for spot, at in self._book.items() if at > young and spot not in near]
         return self._dice.choice(spots) if spots else None
 
-    def cores(self) -> dict[str, str]:
-        """Every registry known, by name, with its address."""
+    def known_cores(self) -> dict[str, str]:
+        """Every registry there was of late, by name, with its address."""
         return {
             e.key: str(e.fields["spot"]) for e in self.line.all(timeline.CORE) if e.key != self.me.name
         }
 
+    def cores(self) -> dict[str, str]:
+        """Every registry heard of late: by us, or by whoever told us of it for the first time."""
+        edge = self._clock.now() - self._hold_s * ALIVE_HOLDS
+        known = self.known_cores()
+        for name in known:
+            self._last.setdefault(name, self._clock.now())
+        return {name: spot for name, spot in known.items() if self._last[name] > edge}
+
     # The tasks.
 
     async def run(self) -> None:
@@ -208,7 +236,7 @@
                 self.line.tidy()
                 turn += 1
                 # A short first while: a new member should be known soon.
-                span = self._shuffle_s * (0.2 if turn < 5 else 1.0)
+                span = self._shuffle_s * (0.2 if turn < 5 else CALM if self.cores() else 1.0)
                 await self._clock.sleep(span * (0.75 + self._dice.random() / 2))
 
     async def _shuffle(self, turn: int, group: asyncio.TaskGroup) -> None:
@@ -233,11 +261,13 @@
     async def _trade(self, spot: str, name: str) -> bool:
         cursor = self._cursors.get(spot) or Cursor()
         seq = self.line.seq
+        tells = self._tells()
         body = {
-            **self._head(),
+            **self.head(),
             "view": self._sample(name),
-            "items": self.line.wire_since(cursor.ours),
+            "items": self.line.wire_since(cursor.ours) if tells else [],
             "cursor": [cursor.boot, cursor.theirs],
+            "alone": tells,
         }
         # No longer than to the next turn: one neighbour that is gone must not keep us from
         # the others for longer than it takes to seem cut off.
@@ -251,6 +281,11 @@
         if fresh is None:
             self._cursors.pop(spot, None)
             return False
+        # What was not traded stays owed, for when no core is heard.
+        if not tells:
+            fresh.ours = cursor.ours
+        if not reply.get("told", True):
+            fresh.boot, fresh.theirs = cursor.boot, cursor.theirs
         self._cursors[spot] = fresh
         if name and reply["name"] != name:
             self.view.pop(name, None)
@@ -270,14 +305,17 @@
             return None
 
     def _tend(self, group: asyncio.TaskGroup) -> None:
-        cores = self.cores()
+        known = self.known_cores()
+        near = [m.spot for m in self.view.values()]
+        # Every proxy polls every core, so news told to the cores is told to all. Only while no
+        # core is heard do neighbours tell each other.
+        told = list(known.values()) if self.cores() else [*known.values(), *near]
         wanted: dict[tuple[str, str], typing.Callable[[str], typing.Awaitable[None]]] = {}
-        for spot in [*cores.values(), *(m.spot for m in self.view.values())]:
+        for spot in told:
             if spot != self.me.spot:
                 wanted[("push", spot)] = self._push
         if self.me.kind == "proxy":
-            # Seeds are polled too until cores are known by their own entries.
-            for spot in cores.values():
+            for spot in known.values():
                 wanted[("pull", spot)] = self._pull
         for key, task in list(self._tasks.items()):
             if key not in wanted:
@@ -287,22 +325,34 @@
             if key not in self._tasks or self._tasks[key].done():
                 self._tasks[key] = group.create_task(_coroutine(work(key[1])))
 
+    def _news(self, since: int) -> bool:
+        return self.line.urgent > since
+
     async def _push(self, spot: str) -> None:
         """Tell one member of urgent news as it comes."""
         sent = self.line.seq if spot in self._cursors else 0
+        core = self.me.kind == "registry"
         while True:
             async with self.line.news:
-                while self.line.urgent <= sent:
-                    await self.line.news.wait()
+                # Cores show each other that they are there; a proxy speaks when it has news.
+                wait = self._hold_s if core else math.inf
+                await ports.wait_for(self.line.news, functools.partial(self._news, sent), wait)
             upto = self.line.seq
-            body = {**self._head(), "items": self.line.wire_since(sent)}
-            result = await self._caller.ask(spot, "tell", body, self._call_s)
+            # What a proxy heard from others they tell the cores themselves.
+            own = not core and bool(self.cores())
+            news = core or self.line.urgent > sent
+            items = self.line.wire_since(sent, own) if news else []
+            if not core and not items:
+                sent = upto
+                continue
+            result = await self._caller.ask(spot, "tell", {**self.head(), "items": items}, self._call_s)
             if isinstance(result, outcome.Bad):
                 # Shuffles and polls carry the rest once it is back.
                 await self._clock.sleep(self._shuffle_s)
                 continue
-            self.heard = self._clock.now()
-            sent = upto
+            self._heard(result.value)
+            if items:
+                sent = upto
 
     async def _pull(self, spot: str) -> None:
         """Ask one core with what we have; it answers when there is news."""
@@ -310,8 +360,9 @@
         while True:
             seq = self.line.seq
             body = {
-                **self._head(),
-                "items": self.line.wire_since(cursor.ours),
+                **self.head(),
+                # A core that started anew is told all; else each tells of its own.
+                "items": self.line.wire_since(cursor.ours, own=cursor.ours > 0),
                 "cursor": [cursor.boot, cursor.theirs],
                 "hold": self._hold_s,
             }
@@ -326,6 +377,12 @@
             cursor = fresh or Cursor()
 
 
+def _median(spans: list[float]) -> float:
+    """The middle of some spans; the library's own brings in fractions and decimals at each start."""
+    ranked, half = sorted(spans), len(spans) // 2
+    return ranked[half] if len(ranked) % 2 else (ranked[half - 1] + ranked[half]) / 2
+
+
 def _member(raw: object) -> bool:
     """Whether a word about a member is one that we could act on."""
     if not isinstance(raw, (list, tuple)) or len(raw) != 4:
--- a/packages/proxy/src/dykeswitch/proxy/carrier.py
+++ b/packages/proxy/src/dykeswitch/proxy/carrier.py
@@ -3,7 +3,6 @@
 import asyncio
 import collections
 import json
-import math
 import random
 import typing
 
@@ -18,6 +17,7 @@
 import dykeswitch.soundness as soundness
 import dykeswitch.soundness.pipe as pipes
 import dykeswitch.timeline as timeline
+import dykeswitch.tongue as tongues
 
 # Fields of one hop, which the HTTP standard forbids to pass on.
 HOP: typing.Final = frozenset(
@@ -33,8 +33,6 @@
         b"upgrade",
     }
 )
-EXPIRY: typing.Final = b"dykeswitch-expiry-ms"
-EXCHANGE: typing.Final = b"dykeswitch-exchange"
 # Pipes that failed before anything was sent cost the endpoint nothing; still one
 # exchange does not try the whole fleet.
 MISSES_MOST: typing.Final = 6
@@ -48,8 +46,8 @@
 class Senses(typing.Protocol):
     """What the carrier asks of the proxy that it is part of."""
 
-    async def sure(self) -> bool:
-        """Whether what we hold is of today, found out first where that is in doubt."""
+    async def sure(self, by: float) -> bool:
+        """Whether what we hold is of today, found out first, by then, where that is in doubt."""
         ...
 
     def gapped(self) -> bool:
@@ -92,7 +90,11 @@
         log: logs.Log,
         dice: random.Random,
         senses: Senses,
+        tongue: tongues.Tongue | None = None,
     ) -> None:
+        self._tongue: tongues.Tongue = tongue or tongues.Own()
+        self._heads = self._tongue.heads
+        self._dice = dice
         self._bounds = bounds
         self._net = machine.net
         self._clock = machine.clock
@@ -101,7 +103,7 @@
         self._log = log
         self._senses = senses
         self.layout: layouts.Layout | None = None
-        self.selector = selection.Selector(line, marks, bounds.zone, dice)
+        self.selector = selection.Selector(line, marks, bounds, dice)
         self.table: dict[str, exchanges.Exchange] = {}
         self._idle: dict[str, list[pipes.EndpointPipe]] = {}
         self._budgets: dict[str, budgets.Budget] = {}
@@ -223,11 +225,14 @@
     # The passes.
 
     async def _match(self, x: exchanges.Exchange) -> Stage:
+        # Its expiry by the rule in hand bounds the wait to be sure of that very rule.
+        if self.layout is not None:
+            self._find_rule(x)
         # After a freeze the layout and list in hand may be long out of date.
-        sure = await self._senses.sure()
-        found = self._find_rule(x)
+        sure = await self._senses.sure(x.expiry)
+        found = self._find_rule(x) if x.layout is None or x.layout is not self.layout else None
         if not sure and found != "no_layout":
-            return self._give_up(x, "cut_off")
+            return self._give_up(x, "cut_off" if self._clock.now() < x.expiry else "expired")
         if found is not None:
             return self._end(x, found)
         self._budget(x.service).request()
@@ -240,10 +245,14 @@
         rule = self.layout.match(x.host, x.path, x.method)
         if rule is None:
             return "no_rule"
-        limits = layouts.limits(self.layout, rule)
+        # Drawn once where the rule is split, and again only if the rule has moved on.
+        if x.service not in rule.services():
+            x.service = rule.draw(self._dice)
+        if not x.service:
+            return "no_rule"
+        limits = layouts.limits(self.layout, rule, x.service)
         x.layout = self.layout
         x.rule = rule
-        x.service = rule.service
         x.writing = rule.writes(x.method)
         x.request_s = limits.get("request_s", self._bounds.request_s)
         x.max_tries = limits.get("max_tries", self._bounds.max_tries)
@@ -257,7 +266,7 @@
         if self.layout is x.layout or self.layout is None:
             return self.layout is not None
         rule = self.layout.match(x.host, x.path, x.method)
-        return rule is not None and rule.service == x.service
+        return rule is not None and x.service in rule.services()
 
     def _budget(self, service: str) -> budgets.Budget:
         budget = self._budgets.get(service)
@@ -266,7 +275,7 @@
         return budget
 
     async def _select(self, x: exchanges.Exchange) -> Stage:
-        sure = await self._senses.sure()
+        sure = await self._senses.sure(x.expiry)
         # A layout may have come since: the rule of this moment decides.
         found = self._find_rule(x)
         if found is not None:
@@ -278,7 +287,7 @@
         # at once, for the last list in hand may be out of date by now.
         if not sure or self._deaf():
             return self._give_up(x, "cut_off")
-        entry = self.selector.select(x.service, x.tried)
+        entry = self.selector.select(x.service, x.tried, x.rule.aim_s if x.rule else None)
         if entry is None:
             return self._give_up(x, "no_endpoint")
         x.endpoint = entry
@@ -286,21 +295,22 @@
         mark = self._marks.down(entry.key)
         why = f"all are marked; its mark ends first ({mark.fields['reason']})" if mark else "open"
         self._step(x, f"selected {entry.key}", why)
-        flights = self.selector.flights
-        flights[entry.key] = flights.get(entry.key, 0) + 1
+        x.ahead = self.selector.ahead(entry)
+        self.selector.begun(entry.key)
         try:
             x.pipe = await self._pipe_to(x, entry)
         except pipes.Flaw as flaw:
             # Nothing was sent: this is no go, and another endpoint may be selected.
-            self._land(entry.key)
+            self.selector.ended(entry.key)
             x.misses += 1
             self._step(x, f"no pipe to {entry.key}", flaw.reason)
-            self._mark(entry.key, soundness.Fault(flaw.reason))
+            if flaw.reason != "expired":
+                self._mark(entry.key, soundness.Fault(flaw.reason))
             if x.misses >= MISSES_MOST:
                 return self._give_up(x, "no_endpoint")
             return Stage.SELECT
         except BaseException:
-            self._land(entry.key)
+            self.selector.ended(entry.key)
             raise
         # Extra go's are paid for from the shared budget, right before they are made.
         if x.goes and not self._budget(x.service).take(self._clock.now()):
@@ -315,59 +325,58 @@
         now = self._clock.now()
         assert self.layout is not None
         probe = self.layout.services[x.service].probe
-        left = max(0.0, x.expiry - now)
         held = self._idle.get(entry.key, [])
         while held:
             pipe = held.pop()
-            # A pipe that lay idle may by now lead to whoever took the address over
-            # without our hearing of it: only a fresh proof tells.
-            if not pipe.usable() or pipe.spot != spot:
+            if not pipe.usable() or pipe.spot != spot or self._stale(pipe, now):
                 pipe.close()
                 continue
-            if now - pipe.used < self._bounds.drain_s / 4:
+            # A pipe that lay idle may by now lead to whoever took the address over without
+            # our hearing of it: only a fresh proof tells, or the id that the request bears.
+            if now - pipe.used < self._bounds.drain_s / 4 or self._bounds.proof == "header":
                 return pipe
-            if await self._still_proven(pipe, probe, left):
+            if await self._still_proven(pipe, probe, max(0.0, x.expiry - self._clock.now())):
                 return pipe
-        left = max(0.0, x.expiry - self._clock.now())
-        return await pipes.open_proven(
-            self._net,
-            self._clock,
-            entry.key,
-            spot,
-            probe,
-            min(self._bounds.dial_s, left),
-            min(self._bounds.probe_wait_s, left),
-        )
+        dial_s = self._bounds.dial_s
+        try:
+            async with asyncio.timeout(x.expiry - self._clock.now()):
+                if self._bounds.proof == "header":
+                    names = self._heads.exchange
+                    return await pipes.open_pipe(self._net, self._clock, entry.key, spot, dial_s, names)
+                wait = self._bounds.probe_wait_s
+                return await pipes.open_proven(
+                    self._net, self._clock, entry.key, spot, probe, dial_s, wait, self._heads
+                )
+        except TimeoutError as flaw:
+            # It had less time than a dial and a probe have: that says nothing of the endpoint.
+            raise pipes.Flaw("expired", False) from flaw
+
+    def _stale(self, pipe: pipes.EndpointPipe, now: float) -> bool:
+        """Whether the endpoint is about to close an idle pipe, by its own word."""
+        return pipe.idle_s is not None and now - pipe.used > pipe.idle_s / 2
 
     async def _still_proven(self, pipe: pipes.EndpointPipe, probe: str, left: float) -> bool:
         """Prove an idle pipe anew; one that fails is closed, and judged by a fresh one."""
         try:
             async with asyncio.timeout(min(self._bounds.probe_wait_s, left)):
-                if await pipes.prove(pipe, probe) is None and pipe.usable():
+                if await pipes.prove(pipe, probe, self._heads.served_by) is None and pipe.usable():
                     return True
         except TimeoutError as flaw:
             # It hangs: a fresh pipe would only hang as long again.
             pipe.close()
-            raise pipes.Flaw(soundness.PROBE_TIMED_OUT, False) from flaw
+            hurried = left < self._bounds.probe_wait_s
+            raise pipes.Flaw("expired" if hurried else soundness.PROBE_TIMED_OUT, False) from flaw
         except pipes.Flaw:
             pass
         pipe.close()
         return False
 
-    def _land(self, endpoint: str) -> None:
-        flights = self.selector.flights
-        left = flights.get(endpoint, 0) - 1
-        if left > 0:
-            flights[endpoint] = left
-        else:
-            flights.pop(endpoint, None)
-
     def _put_away(self, x: exchanges.Exchange, sound: bool) -> None:
         """Give a pipe back for the next exchange, or close it."""
         pipe, x.pipe = x.pipe, None
         if pipe is None:
             return
-        self._land(pipe.endpoint)
+        self.selector.ended(pipe.endpoint)
         entry = self._line.get(timeline.ENDPOINT, pipe.endpoint)
         held = self._idle.setdefault(pipe.endpoint, [])
         stays = entry is not None and entry.fields["state"] == timeline.UP
@@ -418,6 +427,7 @@
             x.flaw = flaw.reason
         finally:
             # Also when we are cut short: whether it may have run must be known.
+            x.took = self._clock.now() - begun
             x.sent = pipe.wrote_since(mark)
             if x.sent:
                 x.goes += 1
@@ -425,12 +435,20 @@
 
     def _heads_for(self, x: exchanges.Exchange) -> pipes.Heads:
         left = max(1, int((x.expiry - self._clock.now()) * 1000))
-        heads = [(k, v) for k, v in kept_heads(x.heads) if k not in (EXPIRY, EXCHANGE, b"content-length")]
-        if x.body or any(k == b"content-length" for k, _ in x.heads):
+        names = self._heads
+        ours = {names.expiry, names.expected, b"content-length"}
+        if not self._tongue.named_by_caller:
+            ours.add(names.exchange)
+        heads = [(k, v) for k, v in kept_heads(x.heads) if k not in ours]
+        # One that came in chunks goes on with a length: it is whole by now.
+        if x.body or any(k in (b"content-length", b"transfer-encoding") for k, _ in x.heads):
             heads.append((b"content-length", str(len(x.body)).encode()))
-        heads.append((b"via", b"1.1 dykeswitch"))
-        heads.append((EXPIRY, str(left).encode()))
-        heads.append((EXCHANGE, x.name.encode()))
+        heads.append((names.expiry, str(left).encode()))
+        if x.endpoint is not None:
+            heads.append((names.expected, x.endpoint.key.encode()))
+        if not self._tongue.named_by_caller:
+            heads.append((b"via", b"1.1 dykeswitch"))
+            heads.append((names.exchange, x.name.encode()))
         return heads
 
     async def _gather(self, x: exchanges.Exchange) -> None:
@@ -455,26 +473,37 @@
             self._put_away(x, sound=False)
             self._step(x, f"go to {name} failed, {'sent' if x.sent else 'nothing sent'}", x.flaw)
             if x.flaw not in ("expired", "no longer to be used"):
-                self._mark(name, soundness.Fault(x.flaw))
+                self._mark(name, soundness.flaw_fault(x.flaw))
             if x.sent:
                 x.unknown = x.flaw
             return Stage.RETRY
         assert x.head is not None
-        served = x.head.get(soundness.SERVED_BY)
-        if served is not None and served.decode("latin-1") != name:
+        served = x.head.get(self._heads.served_by)
+        promised = self._tongue.promised(x.head.status, x.head.heads)
+        other = served is not None and served.decode("latin-1") != name
+        bare = x.head.status < 300 and self._heads.seal and x.head.get(self._heads.seal) is None
+        if (other and not promised) or bare:
             # Someone else's reply, or an address that changed hands under our pipe.
-            x.flaw = soundness.WRONG_ID_REPLY
+            x.flaw = soundness.WRONG_ID_REPLY if other else soundness.GARBAGE
             x.unknown = x.flaw
             x.head, x.buffer, x.rest = None, b"", None
             self._put_away(x, sound=False)
             self._mark(name, soundness.Fault(x.flaw))
             return Stage.RETRY
-        promised = x.head.get(soundness.PROMISE) == soundness.NOT_RUN
+        burden = tongues.burden(x.head.get(self._heads.burden))
+        if not promised:
+            self.selector.learn(x.endpoint, x.took, x.ahead, burden)
+        elif x.head.status != soundness.MISDIRECTED:
+            self.selector.full(name)
         fault = soundness.status_fault(x.head.status, promised)
-        if fault is None:
+        if promised and x.head.status == soundness.MISDIRECTED:
+            fault = soundness.Fault(soundness.WRONG_ID_REPLY)
+        if fault is None and not promised:
+            self._strikes.sound(name, self._clock.now())
             return Stage.REPLY
         self._step(x, f"{name} answered {x.head.status}", "promised not to have run" if promised else "")
-        self._mark(name, fault)
+        if fault is not None:
+            self._mark(name, fault)
         if promised or not x.writing:
             if x.rest is not None:
                 self._put_away(x, sound=False)
@@ -516,10 +545,10 @@
         x.retry_after = self._come_back(x)
         return self._end(x, tag, x.flaw)
 
-    def _come_back(self, x: exchanges.Exchange) -> int:
+    def _come_back(self, x: exchanges.Exchange) -> float:
         """In how many seconds the first of the service's marks runs out."""
         wait = self.selector.open_in(x.service, self._clock.now())
-        return max(1, min(math.ceil(wait), math.ceil(self._bounds.mark_s)))
+        return max(self._bounds.back_s, min(wait, self._bounds.mark_s))
 
     async def _reply(self, x: exchanges.Exchange) -> Stage:
         if x.bad is not None or x.head is None:
@@ -535,13 +564,15 @@
             heads = [(k, v) for k, v in heads if k != b"retry-after"]
         elif x.status in soundness.FREE and not any(k == b"retry-after" for k, _ in heads):
             # Given up on, and nothing of it runs any more: say when to come back.
-            heads.append((b"retry-after", str(self._come_back(x)).encode()))
+            heads.append((b"retry-after", self._tongue.hint(self._come_back(x))))
         bodiless = x.method == "HEAD" or x.status in (204, 304) or x.status < 200
         if x.rest is None and not bodiless:
             heads = [(k, v) for k, v in heads if k != b"content-length"]
             heads.append((b"content-length", str(len(x.buffer)).encode()))
-        heads.append((b"via", b"1.1 dykeswitch"))
-        heads.append((EXCHANGE, x.name.encode()))
+        if not self._tongue.named_by_caller:
+            heads = [(k, v) for k, v in heads if k != self._heads.exchange]
+            heads.append((b"via", b"1.1 dykeswitch"))
+            heads.append((self._heads.exchange, x.name.encode()))
         if self._parting():
             heads.append((b"connection", b"close"))
         if x.rest is None:
@@ -583,10 +614,10 @@
             (b"content-type", b"application/json"),
             (b"content-length", str(len(body)).encode()),
             (b"dykeswitch-result", str(bad.code.number).encode()),
-            (EXCHANGE, x.name.encode()),
+            (self._heads.exchange, x.name.encode()),
         ]
         if x.retry_after is not None:
-            heads.append((b"retry-after", str(x.retry_after).encode()))
+            heads.append((b"retry-after", self._tongue.hint(x.retry_after)))
         if self._parting():
             heads.append((b"connection", b"close"))
         x.replied = True
--- a/packages/proxy/src/dykeswitch/proxy/program.py
+++ b/packages/proxy/src/dykeswitch/proxy/program.py
@@ -4,15 +4,11 @@
 import random
 import typing
 
-import litestar
-import litestar.response
-
 import dykeswitch.frames as frames
 import dykeswitch.layout as layouts
 import dykeswitch.layout.papers as papers
 import dykeswitch.layout.pauses as pauses
 import dykeswitch.logs as logs
-import dykeswitch.logs.counters as counters
 import dykeswitch.membership as membership
 import dykeswitch.outcome as outcome
 import dykeswitch.ports as ports
@@ -20,18 +16,27 @@
 import dykeswitch.proxy.exchange as exchanges
 import dykeswitch.settings as settings
 import dykeswitch.timeline as timeline
+import dykeswitch.tongue as tongues
+import dykeswitch.tongue.page as pages
 
 # The part of the grace after which work still in hand is answered.
 LAST_CALL: typing.Final = 0.88
+NO_BOUNDS: typing.Final = layouts.Bounds()
 
 
 class Proxy:
     """One proxy."""
 
     def __init__(
-        self, bounds: settings.Settings, machine: ports.Machine, log: logs.Log, dice: random.Random
+        self,
+        bounds: settings.Settings,
+        machine: ports.Machine,
+        log: logs.Log,
+        dice: random.Random,
+        tongue: tongues.Tongue | None = None,
     ) -> None:
         self.bounds = bounds
+        self.tongue: tongues.Tongue = tongue or tongues.Own()
         self.machine = machine
         self.log = log
         self.clock = machine.clock
@@ -53,7 +58,7 @@
             log.note,
         )
         self.papers = papers.Papers(self.line, self.caller, bounds.call_s, self._reads)
-        self.carrier = carrier.Carrier(bounds, machine, self.line, self.marks, log, dice, self)
+        self.carrier = carrier.Carrier(bounds, machine, self.line, self.marks, log, dice, self, self.tongue)
         self._pauses: list[pauses.Pause] = []
         self.carrier.selector.paused = self.paused
         self._names = f"{dice.getrandbits(32):08x}"
@@ -74,19 +79,10 @@
         # When an orderly stop has no more time for what is at work.
         self._ends: float | None = None
         self._server: ports.WebServer | None = None
+        self._ready_server: ports.WebServer | None = None
         self._ear: ports.Listener | None = None
         self.stopping = False
         self._stop = asyncio.Event()
-        self.app = litestar.Litestar(
-            route_handlers=[
-                litestar.get("/healthz", sync_to_thread=False)(self._healthz),
-                litestar.get("/readyz", sync_to_thread=False)(self._readyz),
-                litestar.get("/-/counters", sync_to_thread=False)(self._counters),
-                litestar.asgi("/", is_mount=True, copy_scope=False)(self._gateway),
-            ],
-            openapi_config=None,
-            logging_config=None,
-        )
 
     # Papers.
 
@@ -100,7 +96,11 @@
                 self.log.info("pauses taken up", version=version, pauses=len(planned))
 
             return plan
-        result = await layouts.read_gently(data)
+        raw = self.tongue.layout(data)
+        if isinstance(raw, outcome.Bad):
+            self.log.error("layout refused", version=version, why=raw.why)
+            return None
+        result = await layouts.check_gently(raw.value)
         if isinstance(result, outcome.Bad):
             # It was checked before it was accepted: keep the one we have.
             self.log.error("layout refused", version=version, faults=result.faults[:5])
@@ -130,7 +130,7 @@
             "since": self._since,
             "extra": "shares" if self._shared_from is not None else "none",
         }
-        self.line.write(timeline.PROXY, self.bounds.name, fields, self.bounds.dead_s * 2, urgent=False)
+        self.line.write(timeline.PROXY, self.bounds.name, fields, self.bounds.dead_s * 4, urgent=False)
 
     # Our part of the fleet's extra go's.
 
@@ -166,23 +166,27 @@
         """Whether our own clock shows a gap."""
         return self.clock.now() - self._tick > self.bounds.gap_s
 
-    async def sure(self) -> bool:
-        """Whether what we hold is of today: at once, unless our clock shows a gap; then confirm."""
+    async def sure(self, by: float) -> bool:
+        """Whether what we hold is of today: at once, unless our clock shows a gap; then confirm.
+
+        It takes no longer than `drain_s`, nor than until the moment `by` of our clock.
+        """
         if self.gapped():
             self._doubt_now()
-        end = self.clock.now() + self.bounds.drain_s
+        end = min(by, self.clock.now() + self.bounds.drain_s)
         while self._doubt and self.clock.now() < end:
             # Nobody is there to ask: the caller is told so at once.
             if self._cut_off and self.silent() > self.bounds.drain_s:
                 return False
             if self._confirming is None or self._confirming.done():
                 self._confirming = asyncio.create_task(self._confirm())
-            await asyncio.shield(self._confirming)
+            # The confirming goes on for others; who has no time left for it hears so at once.
+            await asyncio.wait([self._confirming], timeout=end - self.clock.now())
             # One that never was confirmed has nothing yet to go by.
             if not self._confirmed:
                 return False
             if self._doubt:
-                await self.clock.sleep(self.bounds.tick_s)
+                await self.clock.sleep(min(self.bounds.tick_s, max(0.0, end - self.clock.now())))
         return not self._doubt
 
     def _doubt_now(self) -> None:
@@ -194,7 +198,7 @@
         """Ask every core for what a majority holds now, and catch up with it."""
         begun = self._tick = self.clock.now()
         # A freeze may outlast what is known of the cores: who was one may be one still.
-        known = self.spread.cores()
+        known = self.spread.known_cores()
         self._cores = known or self._cores
         spots = list(self._cores.values())
         good = False
@@ -254,29 +258,27 @@
             return "not sure of the layout since a gap in its own clock"
         return None
 
-    def _healthz(self) -> dict[str, str]:
-        return {"state": "alive"}
+    def _app(self) -> ports.App:
+        """What is served to callers, with our own pages beside it where they share an address."""
+        if self.bounds.ready:
+            return self.gateway
+        # Brought in only here: a proxy with an address for readiness starts without it.
+        import dykeswitch.proxy.pages as own
 
-    def _readyz(self) -> litestar.Response[dict[str, typing.Any]]:
-        why = self.ready()
-        page: dict[str, typing.Any] = {"ready": why is None, "layout": self.papers.version(papers.LAYOUT)}
-        if why is not None:
-            page["why"] = why
-        return litestar.Response(page, status_code=200 if why is None else 503)
+        return own.app(self)
 
-    def _counters(self) -> litestar.Response[bytes]:
-        counts = {
+    def counts(self) -> dict[str, float]:
+        """What this proxy counts, by name."""
+        return {
             **self.carrier.counts,
             **self.meter.counts,
             "exchanges_at_work": len(self.carrier.table),
             "no_part_of_extra_goes": int(self._shared_from is None),
         }
-        data = counters.page("proxy", self.bounds.name, counts)
-        return litestar.Response(data, media_type="text/plain; version=0.0.4")
 
     # Callers.
 
-    async def _gateway(self, scope: ports.Scope, receive: ports.Receive, send: ports.Send) -> None:
+    async def gateway(self, scope: ports.Scope, receive: ports.Receive, send: ports.Send) -> None:
         if scope["type"] != "http":
             return
         x = self._exchange(scope, send)
@@ -329,28 +331,37 @@
         )
 
     async def _intake(self, x: exchanges.Exchange, receive: ports.Receive) -> outcome.Bad | None:
-        if sum(len(k) + len(v) for k, v in x.heads) > self.bounds.head_most:
+        if sum(len(k) + len(v) for k, v in x.heads) > (self._taken().head_most or self.bounds.head_most):
             return outcome.bad("head_too_big")
-        text = next((v for k, v in x.heads if k == carrier.EXPIRY), None)
+        text = tongues.find(x.heads, self.tongue.heads.expiry)
         if text is not None:
             if not text.isdigit() or len(text) > 9:
                 return outcome.bad("bad_expiry", text[:40].decode("latin-1"))
             x.asked_s = int(text) / 1000
+        # Until a rule is found: a longer wait than the caller's helps nobody.
+        span = self.bounds.request_s if x.asked_s is None else min(self.bounds.request_s, x.asked_s)
+        x.expiry = x.born + span
         try:
-            async with asyncio.timeout(self.bounds.request_s):
+            async with asyncio.timeout(span):
                 return await self._body(x, receive)
         except TimeoutError:
             return outcome.bad("expired", "the request's body did not come in time")
 
+    def _taken(self) -> layouts.Bounds:
+        """What the operator lets callers send; the settings hold where the layout says nothing."""
+        layout = self.carrier.layout
+        return layout.bounds if layout is not None else NO_BOUNDS
+
     async def _body(self, x: exchanges.Exchange, receive: ports.Receive) -> outcome.Bad | None:
         body = bytearray()
+        most = min(self._taken().body_most or self.bounds.body_most, self.bounds.body_most)
         while True:
             message = await receive()
             if message["type"] == "http.disconnect":
                 return outcome.bad("caller_left")
             body += message.get("body", b"")
-            if len(body) > self.bounds.body_most:
-                return outcome.bad("body_too_big", f"over {self.bounds.body_most} bytes")
+            if len(body) > most:
+                return outcome.bad("body_too_big", f"over {most} bytes")
             if not message.get("more_body"):
                 break
         x.body = bytes(body)
@@ -371,7 +382,13 @@
         ear = frames.Ear(kinds, self.log.note, self.meter)
         self._ear = await self.machine.net.listen(self.bounds.ear or self.bounds.member, ear.serve)
         try:
-            self._server = await self.machine.web.serve(self.bounds.web, self.app)
+            # With an address of its own for readiness, all that comes on `web` is for endpoints.
+            self._server = await self.machine.web.serve(self.bounds.web, self._app())
+            if self.bounds.ready:
+                asked = pages.app(
+                    self.tongue.ready_path, self.ready, None, ("proxy", self.bounds.name, self.counts)
+                )
+                self._ready_server = await self.machine.web.serve(self.bounds.ready, asked)
             self.log.info("started", web=self.bounds.web, member=self.bounds.member)
             async with asyncio.TaskGroup() as group:
                 tasks = [
@@ -385,6 +402,8 @@
                 for task in tasks:
                     task.cancel()
         finally:
+            if self._ready_server is not None:
+                await self._ready_server.stop(0.0)
             self._ear.close()
             self.caller.close()
             self.carrier.close()
@@ -394,6 +413,11 @@
         """Ask for an orderly stop."""
         self._stop.set()
 
+    def retold(self, bounds: settings.Settings) -> None:
+        """Take up changed settings, as far as a running program can: seeds; the rest at a start."""
+        self.spread.reseed(bounds.seeds)
+        self.log.info("settings taken up", seeds=len(bounds.seeds))
+
     async def _leave(self) -> None:
         self.stopping = True
         # Callers on kept pipes are told with each reply to go elsewhere.
@@ -439,4 +463,4 @@
         while True:
             self._rank()
             self._say_self()
-            await self.clock.sleep(self.bounds.dead_s / 2)
+            await self.clock.sleep(self.bounds.dead_s)
--- a/packages/registry/src/dykeswitch/registry/program.py
+++ b/packages/registry/src/dykeswitch/registry/program.py
@@ -5,6 +5,7 @@
 import random
 import typing
 
+import cbor2
 import litestar
 import litestar.exceptions
 
@@ -14,7 +15,6 @@
 import dykeswitch.layout.papers as papers
 import dykeswitch.layout.pauses as pauses
 import dykeswitch.logs as logs
-import dykeswitch.logs.counters as counters
 import dykeswitch.membership as membership
 import dykeswitch.outcome as outcome
 import dykeswitch.ports as ports
@@ -27,11 +27,18 @@
 import dykeswitch.registry.seating as seatings
 import dykeswitch.settings as settings
 import dykeswitch.timeline as timeline
+import dykeswitch.tongue as tongues
 
 Page = litestar.Response[dict[str, typing.Any]]
 BEAT_MOST: typing.Final = 16384
 # How many proxies should hold a change before its operator is told.
 HANDED: typing.Final = 2
+# The part of a call's span in which other cores must take up that an endpoint leaves.
+TELL_PART: typing.Final = 0.7
+# The register's key of the table of endpoints.
+TABLE: typing.Final = "endpoints"
+# The part of a sweep's span after which a start looks again for what it needs to begin.
+EAGER: typing.Final = 0.1
 # How long a planned pause that is over stays listed.
 PAUSES_KEPT_S: typing.Final = 86400.0
 
@@ -50,9 +57,15 @@
     """One registry."""
 
     def __init__(
-        self, bounds: settings.Settings, machine: ports.Machine, log: logs.Log, dice: random.Random
+        self,
+        bounds: settings.Settings,
+        machine: ports.Machine,
+        log: logs.Log,
+        dice: random.Random,
+        tongue: tongues.Tongue | None = None,
     ) -> None:
         self.bounds = bounds
+        self.tongue: tongues.Tongue = tongue or tongues.Own()
         self.machine = machine
         self.log = log
         self.clock = machine.clock
@@ -93,6 +106,10 @@
             self.line, self.marks, self.spread.wall, lambda: self.layout, lambda: self.pauses
         )
         self._ops = 0
+        # The table of endpoints as we last wrote it to the register.
+        self._table: list[timeline.Fields] = []
+        # Calls that nobody waits for any more, held until they end.
+        self._late: set[asyncio.Task[frames.Result]] = set()
         self._tick = self.clock.now()
         self._majority = -1e9
         self._server: ports.WebServer | None = None
@@ -110,6 +127,7 @@
                 litestar.get("/v1/members", sync_to_thread=False)(self._get_members),
                 litestar.post("/v1/query")(self._post_query),
                 litestar.get("/v1/health")(self._get_health),
+                *self.tongue.calls(self),
             ],
             openapi_config=None,
             logging_config=None,
@@ -124,7 +142,8 @@
         if name == papers.PAUSES:
             planned = pauses.read(data)
             return lambda: setattr(self, "pauses", planned)
-        result = await layouts.read_gently(data)
+        raw = self.tongue.layout(data)
+        result = raw if isinstance(raw, outcome.Bad) else await layouts.check_gently(raw.value)
         if isinstance(result, outcome.Bad):
             self.log.error("layout refused", version=version, faults=result.faults[:5])
             return None
@@ -171,6 +190,7 @@
             "confirm": self._on_confirm,
             "seen": self._on_seen,
             "spans": self._on_spans,
+            "heard": self._on_heard,
         }
 
     async def _on_seen(self, body: frames.Body) -> frames.Result:
@@ -179,6 +199,19 @@
         seen = {name: [now - s.at, s.reason] for name, s in self.prober.seen.items()}
         return outcome.Good({"seen": seen})
 
+    async def _on_heard(self, body: frames.Body) -> frames.Result:
+        """Another registry heard beats of these."""
+        self.endpoints.heard([str(name) for name in body["names"]])
+        return outcome.Good({})
+
+    async def _keep_telling(self) -> None:
+        """Tell the other registries whose beats we heard: who is silent for one is not for all."""
+        while True:
+            names = self.endpoints.told()
+            if names:
+                await self._others("heard", {"names": names})
+            await self.clock.sleep(self.bounds.dead_s / 3)
+
     async def _on_spans(self, body: frames.Body) -> frames.Result:
         """What our own history holds of some endpoints."""
         names = [str(name) for name in body["names"]]
@@ -235,6 +268,9 @@
         return litestar.Response(page, status_code=200 if why is None else 503)
 
     def _counters(self) -> litestar.Response[bytes]:
+        # Brought in when somebody asks: few do, and each start would pay for it.
+        import dykeswitch.logs.counters as counters
+
         up = [e for e in self.line.all(timeline.ENDPOINT) if e.fields["state"] == timeline.UP]
         counts = {
             "probes": self.prober.probes,
@@ -255,10 +291,81 @@
             raw = json.loads(data)
         except (ValueError, RecursionError) as flaw:
             return _page(outcome.bad("bad_json", str(flaw)[:200]))
+        return _page(await self.beat(raw))
+
+    async def beat(self, raw: object) -> outcome.Good[dict[str, object]] | outcome.Bad:
+        """Take a beat in the product's own form."""
         beat = endpoints.read_beat(raw)
         if isinstance(beat, outcome.Bad):
-            return _page(beat)
-        return _page(self.endpoints.beat(beat.value))
+            return beat
+        told = self.endpoints.beat(beat.value)
+        if isinstance(told, outcome.Good) and (beat.value.leaving or beat.value.draining):
+            return await self._leaving_held(beat.value.name, told)
+        return told
+
+    async def _leaving_held(
+        self, name: str, told: outcome.Good[dict[str, object]]
+    ) -> outcome.Good[dict[str, object]] | outcome.Bad:
+        """Acknowledge that an endpoint leaves once enough other cores hold it.
+
+        As many cores as may be lost at once could go dark the moment after: one that does not
+        go must know. Too few heard in time: the endpoint is sent to another registry.
+        """
+        entry = self.line.get(timeline.ENDPOINT, name)
+        need = min(self.bounds.cores_lost, len(self.proposer.members.disks()) - 1)
+        if entry is None or need <= 0:
+            return told
+        ask: frames.Body = {"items": [entry.wire(self.clock.now())], **self.spread.head()}
+        spots = list(self.spread.known_cores().values())
+        wait = self.bounds.call_s * TELL_PART
+        calls = [asyncio.create_task(self.caller.ask(spot, "tell", ask, wait)) for spot in spots]
+        held = 0
+        for call in asyncio.as_completed(calls):
+            held += isinstance(await call, outcome.Good)
+            if held >= need:
+                # The rest are told all the same: those calls end by themselves.
+                self._late.update(c for c in calls if not c.done())
+                for late in self._late:
+                    late.add_done_callback(self._late.discard)
+                return told
+        return outcome.bad("not_held", f"{held} of {need} other cores")
+
+    async def newest(self) -> outcome.Good[bytes] | outcome.Bad:
+        """The newest layout, as it was sent, from a majority."""
+        result = await self.proposer.read(papers.LAYOUT)
+        if isinstance(result, outcome.Bad):
+            return result
+        await self._publish(papers.LAYOUT, result.value)
+        if not result.value.version:
+            return outcome.bad("no_such", "no layout yet")
+        return outcome.Good(result.value.body)
+
+    async def put(self, data: bytes, want: int | None = None) -> outcome.Good[int] | outcome.Bad:
+        """Take a layout as it was sent; its version in the register, once it is in force.
+
+        A numbered layout moves the register only if its number is higher than the one that
+        stands; an older or equal one is acknowledged and changes nothing.
+        """
+        raw = self.tongue.layout(data)
+        checked = raw if isinstance(raw, outcome.Bad) else await layouts.check_gently(raw.value)
+        if isinstance(checked, outcome.Bad):
+            return checked
+        kept = layouts.pack(checked.value) if isinstance(self.tongue, tongues.Own) else data
+        result = await self._change(papers.LAYOUT, kept, want, checked.value.number)
+        if isinstance(result, outcome.Bad):
+            return result
+        await self._publish(papers.LAYOUT, result.value)
+        await self._handed(papers.LAYOUT, result.value.version)
+        self.log.info("layout accepted", version=result.value.version, number=checked.value.number)
+        return outcome.Good(result.value.version)
+
+    def _number(self, body: bytes) -> int | None:
+        """The operator's number of a layout that the register holds."""
+        raw = self.tongue.layout(body) if body else outcome.bad("no_such")
+        if isinstance(raw, outcome.Bad) or not isinstance(raw.value, dict):
+            return None
+        number = raw.value.get("number")
+        return number if isinstance(number, int) else None
 
     async def _get_layout(self) -> litestar.Response[typing.Any]:
         result = await self.proposer.read(papers.LAYOUT)
@@ -281,17 +388,10 @@
             if not text.isdigit():
                 return _page(outcome.bad("bad_match", match[:80]))
             want = int(text)
-        checked = await layouts.read_gently(await request.body())
-        if isinstance(checked, outcome.Bad):
-            return _page(checked)
-        data = layouts.pack(checked.value)
-        result = await self._change(papers.LAYOUT, data, want)
+        result = await self.put(await request.body(), want)
         if isinstance(result, outcome.Bad):
             return _page(result)
-        await self._publish(papers.LAYOUT, result.value)
-        await self._handed(papers.LAYOUT, result.value.version)
-        self.log.info("layout accepted", version=result.value.version)
-        return _page(outcome.Good({"version": result.value.version}), result.value.version)
+        return _page(outcome.Good({"version": result.value}), result.value)
 
     async def _handed(self, name: str, version: int) -> None:
         """Wait a moment until two proxies hold it, so that it spreads even if all cores go dark."""
@@ -303,7 +403,9 @@
                 return
             await self.clock.sleep(self.bounds.gap_s / 100)
 
-    async def _change(self, name: str, data: bytes, want: int | None) -> proposers.Read:
+    async def _change(
+        self, name: str, data: bytes, want: int | None, number: int | None
+    ) -> proposers.Read:
         self._ops += 1
         op = f"{self.bounds.name}/{self._boot}/{name}/{self._ops}"
 
@@ -311,6 +413,11 @@
             # Ours already, or the same body by a repeat after an unknown outcome.
             if now.made(op) is not None or now.body == data:
                 return now
+            held = self._number(now.body) if name == papers.LAYOUT else None
+            if held is not None and number is None:
+                return outcome.bad("lost_race", f"layouts are numbered; the newest is {held}")
+            if held is not None and number is not None and number <= held:
+                return now
             if want is not None and now.version != want:
                 return outcome.bad("lost_race", f"newest is {now.version}")
             return now.next(data, op)
@@ -539,8 +646,10 @@
                         self._keep_saying(),
                         self._keep_seated(),
                         self._keep_reading(),
+                        self._keep_table(),
                         self._keep_duties(),
                         self._keep_lapsing(),
+                        self._keep_telling(),
                         self._keep_swept(),
                         self.prober.run(),
                     )
@@ -561,6 +670,11 @@
         """Ask for an orderly stop."""
         self._stop.set()
 
+    def retold(self, bounds: settings.Settings) -> None:
+        """Take up changed settings, as far as a running program can: seeds; the rest at a start."""
+        self.spread.reseed(bounds.seeds)
+        self.log.info("settings taken up", seeds=len(bounds.seeds))
+
     def live(self) -> list[str]:
         """Registries known to be alive, ourselves among them."""
         return sorted({self.bounds.name, *self.spread.cores()})
@@ -576,20 +690,48 @@
         }
         while True:
             fresh = self.line.get(timeline.CORE, self.bounds.name) is None
-            self.line.write(timeline.CORE, self.bounds.name, dict(fields), self.bounds.dead_s, fresh)
-            await self.clock.sleep(self.bounds.dead_s / 6)
+            # Whether we live is heard by calls; this says who and where we are.
+            self.line.write(timeline.CORE, self.bounds.name, dict(fields), self.bounds.recover_s, fresh)
+            await self.clock.sleep(self.bounds.recover_s / 4)
 
     async def _keep_seated(self) -> None:
         while True:
             stores = {str(e.fields["store"]) for e in self.line.all(timeline.CORE)}
             await self.seating.tend(stores | {self.bounds.store}, self.live())
-            await self.clock.sleep(self.bounds.sweep_s * (0.75 + 0.5 * self._dice.random()))
+            span = self.bounds.sweep_s * (0.75 + 0.5 * self._dice.random())
+            # Until a set is known nothing can be told to anybody: look again soon.
+            await self.clock.sleep(span if self.proposer.members.groups else span * EAGER)
 
     async def _keep_reading(self) -> None:
         """Learn what others committed, also when they died before they could tell."""
         while True:
-            await self._read_papers()
+            bad = await self._read_papers()
+            eager = bad is not None and self._majority < 0
+            await self.clock.sleep(self.bounds.sweep_s * (EAGER if eager else 1.0))
+
+    async def _keep_table(self) -> None:
+        """Have the register remember which endpoints there are, and begin with what it remembers."""
+        while not await self._recall():
+            await self.clock.sleep(self.bounds.sweep_s * EAGER)
+        while True:
             await self.clock.sleep(self.bounds.sweep_s)
+            # One of the living registries writes it, and only when it has changed.
+            if duties.first_of(TABLE, self.live()) != self.bounds.name:
+                continue
+            rows = self.endpoints.table()
+            if rows and rows != self._table:
+                data = cbor2.dumps(rows)
+                if isinstance(await self._change(TABLE, data, None, None), outcome.Good):
+                    self._table = rows
+
+    async def _recall(self) -> bool:
+        result = await self.proposer.read(TABLE)
+        if isinstance(result, outcome.Bad):
+            return False
+        if result.value.body:
+            taken = self.endpoints.remember(cbor2.loads(result.value.body))
+            self.log.info("endpoints recalled", endpoints=taken)
+        return True
 
     async def _keep_duties(self) -> None:
         while True:
@@ -607,7 +749,8 @@
                 self.endpoints.woke()
                 self.log.warning("frozen", span_s=round(now - self._tick, 2))
             self._tick = now
-            for name in self.endpoints.lapse():
+            whole = self.spread.cores().keys() == self.spread.known_cores().keys()
+            for name in self.endpoints.lapse(whole):
                 self.log.warning("endpoint lapsed", endpoint=name)
             await self.clock.sleep(self.bounds.tick_s)
 
--- a/packages/timeline/src/dykeswitch/timeline/__init__.py
+++ b/packages/timeline/src/dykeswitch/timeline/__init__.py
@@ -53,8 +53,9 @@
 def _rank(entry: Entry) -> tuple[typing.Any, ...]:
     """What decides between two entries of one key."""
     if entry.kind == ENDPOINT:
-        # Having left outranks any beat, however late the beat was written.
-        return (entry.fields["state"] in STICKY, entry.stamp)
+        # Having left outranks any beat, however late the beat was written; and what is only
+        # remembered gives way to whatever was heard.
+        return (entry.fields["state"] in STICKY, "remembered" not in entry.fields, entry.stamp)
     if entry.kind == FENCE:
         return (int(entry.fields["fence"]), entry.stamp)
     if entry.kind == PAPER:
@@ -221,9 +222,10 @@
         fresh.reverse()
         return fresh
 
-    def wire_since(self, seq: int) -> list[Wire]:
+    def wire_since(self, seq: int, own: bool = False) -> list[Wire]:
+        """What was taken up after a point, for the wire; only what we wrote ourselves, if asked."""
         now = self._clock.now()
-        return [entry.wire(now) for entry in self.since(seq)]
+        return [entry.wire(now) for entry in self.since(seq) if not own or entry.stamp[1] == self.name]
 
     def tidy(self) -> None:
         """Drop entries that ended so long ago that no copy of them can be on its way."""
