An epoch or count without end is refused, where it ended the pipe's task

int of infinity raises an error of its own kind, which the ear let through: the caller got no answer and the log a traceback. Found by the test of odd calls between members. The new test failed before.

--- a/packages/frames/src/dykeswitch/frames/__init__.py
+++ b/packages/frames/src/dykeswitch/frames/__init__.py
@@ -161,7 +161,7 @@
             return _bad_body(outcome.bad("no_kind", str(body["kind"])[:80]))
         try:
             result = await handle(body)
-        except (KeyError, TypeError, ValueError, IndexError, AttributeError) as flaw:
+        except (KeyError, TypeError, ValueError, IndexError, AttributeError, OverflowError) as flaw:
             # A malformed body is the sender's fault, never a reason to fall over.
             self._note("call refused", f"{body['kind']}: {type(flaw).__name__}: {flaw}")
             return _bad_body(outcome.bad("bad_frame", f"{type(flaw).__name__}"))
--- a/tests/test_garbage.py
+++ b/tests/test_garbage.py
@@ -233,6 +233,22 @@
     return calls
 
 
+def test_a_count_without_end_is_refused_as_any_other_oddness() -> None:
+    """No whole number is made of it; the pipe's task ended by that, and its caller got no answer."""
+
+    async def main() -> None:
+        async def handle(body: frames.Body) -> frames.Result:
+            return outcome.Good({"epoch": int(body["epoch"])})
+
+        told: list[str] = []
+        ear = frames.Ear({"keys": handle}, lambda event, what: told.append(what))
+        reply = await ear._reply({"kind": "keys", "epoch": math.inf})
+        assert (reply["kind"], reply["tag"]) == ("bad", "bad_frame")
+        assert len(told) == 1
+
+    asyncio.run(main())
+
+
 def test_calls_between_members(tmp_path: pathlib.Path) -> None:
     """Bodies that are odd in a field or two, to every kind of program, for a whole minute."""
 
