--- a/packages/hollow/src/dykeswitch/hollow/sweep.py
+++ b/packages/hollow/src/dykeswitch/hollow/sweep.py
@@ -4,19 +4,24 @@
 import dataclasses
 import json
 import pathlib
+import signal
 import sys
 import typing
 
 import dykeswitch.hollow.ground as grounds
 import dykeswitch.hollow.measure as measure
+import dykeswitch.hollow.virtual as virtual
 
+Page = dict[str, typing.Any]
+
+RUN_MOST_S: typing.Final = grounds.SPAN_MOST_S * 0.9
 BASE: typing.Final = grounds.Size(nodes=16, endpoints=60, services=10, rules=100)
 
 # For each sweep the sizes it visits; the base belongs to every one of them.
 SWEEPS: typing.Final[dict[str, tuple[grounds.Size, ...]]] = {
     "base": (BASE,),
-    "nodes": tuple(dataclasses.replace(BASE, nodes=n) for n in (8, 24, 32)),
-    "endpoints": tuple(dataclasses.replace(BASE, endpoints=n) for n in (30, 90, 120)),
+    "nodes": tuple(dataclasses.replace(BASE, nodes=n) for n in (8, 24, 40)),
+    "endpoints": tuple(dataclasses.replace(BASE, endpoints=n) for n in (30, 120, 240)),
     "changes": tuple(dataclasses.replace(BASE, changes=n) for n in (15, 30, 60)),
     "marks": tuple(dataclasses.replace(BASE, marks=n) for n in (60, 120, 240)),
     "rules": tuple(dataclasses.replace(BASE, rules=n) for n in (1000, 4000, 8000)),
@@ -24,12 +29,12 @@
     "cores": tuple(dataclasses.replace(BASE, cores=n) for n in (1, 5)),
     # Two at a time, where one variable is likely to multiply the other.
     "cross": (
-        dataclasses.replace(BASE, nodes=24, endpoints=90),
+        dataclasses.replace(BASE, nodes=24, endpoints=120),
         dataclasses.replace(BASE, rules=1000, changes=30),
         dataclasses.replace(BASE, rules=4000, changes=30),
         dataclasses.replace(BASE, nodes=24, changes=30),
         dataclasses.replace(BASE, nodes=24, marks=120),
-        dataclasses.replace(BASE, cores=5, endpoints=90),
+        dataclasses.replace(BASE, cores=5, endpoints=120),
     ),
 }
 
@@ -46,22 +51,37 @@
     return [json.loads(line) for line in book.read_text().splitlines() if line]
 
 
-def run(sweeps: typing.Sequence[str], turns: typing.Sequence[int], book: pathlib.Path) -> int:
+async def bounded(work: typing.Coroutine[typing.Any, typing.Any, Page]) -> Page:
+    """A run that ends in time, and in order when this process is told to end."""
+    task = asyncio.create_task(work)
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    async with asyncio.timeout(RUN_MOST_S):
+        return await task
+
+
+def run(
+    sweeps: typing.Sequence[str], turns: typing.Sequence[int], book: pathlib.Path, simulated: bool = False
+) -> int:
     """Run sweeps turn by turn, each run a line in the book; how many failed."""
-    cpus = measure.narrow()
-    sys.stderr.write(f"on cores {cpus}\n")
     failed = 0
     # Turn by turn, so that what the machine does meanwhile falls on all sizes alike.
     for turn in turns:
         for sweep in sweeps:
             for size in SWEEPS[sweep]:
                 try:
-                    record = asyncio.run(measure.run(sweep, size, turn))
+                    if simulated:
+                        record = virtual.run(sweep, size, turn)
+                    else:
+                        record = asyncio.run(bounded(measure.run(sweep, size, turn)))
                 except (OSError, TimeoutError) as flaw:
                     # A size that this machine can't carry is told, never left out in silence.
                     failed += 1
                     record = {"kind": "failed", "sweep": sweep, "turn": turn}
-                    record.update(commit=measure.commit(), size=dataclasses.asdict(size), why=str(flaw)[:200])
+                    record.update(
+                        commit=measure.commit(),
+                        size=dataclasses.asdict(size),
+                        why=f"{type(flaw).__name__} {flaw}"[:200],
+                    )
                 write(book, record)
                 sys.stderr.write(f"{sweep} {turn} {record['size']}: {record['kind']}\n")
     return failed
