--- a/packages/proxy/src/dykeswitch/proxy/borrower.py
+++ b/packages/proxy/src/dykeswitch/proxy/borrower.py
@@ -128,13 +128,19 @@
                 await self._clock.sleep(self._bounds.tick_s / 20)
 
     async def give_back(self) -> None:
-        """Spend no more, and say so: what was not spent can be lent to others at once."""
+        """Spend no more, and say so: what was not spent can be lent to others at once.
+
+        Only for a moment: a lender that does not answer must not hold up an orderly stop.
+        """
         self._over = True
         self._since = None
         self._flying.clear()
         for need in self._needs.values():
             need.due = 0.0
-        await asyncio.gather(*(self._ask(name, wishes) for name, wishes in self._wishes().items()))
+        calls = [self._ask(name, wishes) for name, wishes in self._wishes().items()]
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(self._bounds.tick_s):
+                await asyncio.gather(*calls)
 
     # What to ask for.
 
