The proof of a pipe taken away shows only with the other guard of an address taken away too

Cause: stand-in endpoints now refuse a request that names another, and the proxy names the one it means, so without the probe nothing goes wrong any more (the guard's test broke nothing).

--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -24,6 +24,7 @@
 import dykeswitch.simulator.trial as trials
 import dykeswitch.soundness.pipe as pipes
 import dykeswitch.timeline as timeline
+import dykeswitch.tongue as tongues
 
 Wreck = typing.Callable[[pytest.MonkeyPatch], None]
 
@@ -33,6 +34,9 @@
         return None
 
     patch.setattr(pipes, "prove", proven)
+    # A request names the endpoint that it is for, and any other refuses it: with that guard
+    # alone the address holds too, so both are taken away.
+    patch.setattr(tongues.Own, "heads", tongues.Heads(expected=b"x-nobody"))
 
 
 def _always_retry(patch: pytest.MonkeyPatch) -> None:
