A simulated caller states what it has left when its way opens, and sends nothing after it

The zone was dark for 12 s (a change had asked a dark core for 5 of them). Callers whose way to a dark proxy opened with its restart then sent a request that still said "10 s from now", 10.50 to 10.90 s after they had begun. The proxies, started 5 to 46 ms before, held each for 14 to 69 ms. No proxy can know of the time before; a caller that has given up does not send, and the field says milliseconds from now.

The check stays as it is.

A web call's fields may now be made out when its way is open. The stand-in callers so state what is left, and give up where nothing is. Both tests failed first: after a cut of 10.5 s five writes were answered 200, late, and ran; after one of 4 s, at endpoints that hang, no reply came within 11 s, where now it comes by 10 s.

Found beside it and written down as not held: a proxy that was frozen counts the expiry of what lay in its buffers from when it wakes.

--- a/packages/ports/src/dykeswitch/ports/__init__.py
+++ b/packages/ports/src/dykeswitch/ports/__init__.py
@@ -119,6 +119,16 @@
         return None
 
 
+# Header fields of a call, or what makes them out at the moment when its way is open: who
+# states what is left of its time can't know it any earlier.
+Fields = list[tuple[str, str]] | typing.Callable[[], list[tuple[str, str]]]
+
+
+def made(fields: Fields) -> list[tuple[str, str]]:
+    """The fields as they are at this moment; raises what their maker raises."""
+    return fields() if callable(fields) else fields
+
+
 class Web(typing.Protocol):
     """Web calls out, and an application served to the outside."""
 
@@ -129,7 +139,7 @@
         method: str,
         spot: str,
         path: str,
-        heads: list[tuple[str, str]],
+        heads: Fields,
         body: bytes,
         wait: float,
     ) -> Reply: ...
--- a/packages/ports/src/dykeswitch/ports/real.py
+++ b/packages/ports/src/dykeswitch/ports/real.py
@@ -215,16 +215,18 @@
         method: str,
         spot: str,
         path: str,
-        heads: list[tuple[str, str]],
+        heads: ports.Fields,
         body: bytes,
         wait: float,
     ) -> ports.Reply:
         if self._client is None:
             self._client = httpx.AsyncClient(trust_env=False, limits=httpx.Limits(max_connections=1000))
+        # The library makes the request out before it opens a pipe: there is no later moment.
+        fields = ports.made(heads)
         try:
             async with asyncio.timeout(wait):
                 reply = await self._client.request(
-                    method, f"http://{spot}{path}", headers=heads, content=body, timeout=wait
+                    method, f"http://{spot}{path}", headers=fields, content=body, timeout=wait
                 )
         except httpx.HTTPError as flaw:
             raise OSError(f"{type(flaw).__name__}: {flaw}") from flaw
--- a/packages/simulator/src/dykeswitch/simulator/net.py
+++ b/packages/simulator/src/dykeswitch/simulator/net.py
@@ -251,7 +251,7 @@
         method: str,
         spot: str,
         path: str,
-        heads: list[tuple[str, str]],
+        heads: ports.Fields,
         body: bytes,
         wait: float,
     ) -> ports.Reply:
@@ -264,7 +264,7 @@
             await asyncio.sleep(0.05)
 
     async def _ask(
-        self, method: str, spot: str, path: str, heads: list[tuple[str, str]], body: bytes
+        self, method: str, spot: str, path: str, heads: ports.Fields, body: bytes
     ) -> ports.Reply:
         wires, me = self._wires, self._host.name
         home = wires.homes.get(spot)
@@ -275,7 +275,7 @@
         if found is None or found[0].dead:
             raise ConnectionRefusedError(spot)
         host, app, server = found
-        talk = _Talk(method, path, heads, body)
+        talk = _Talk(method, path, ports.made(heads), body)
         context = contextvars.Context()
         context.run(loops.HOST.set, host)
         task = wires.loop.create_task(talk.run(app), context=context)
--- a/packages/standin/src/dykeswitch/standin/caller.py
+++ b/packages/standin/src/dykeswitch/standin/caller.py
@@ -155,7 +155,15 @@
         spot = spot or self._pick(ask)
         if not spot:
             return ask
-        heads = [("x-ask", name), ("dykeswitch-expiry-ms", str(int(self._expiry_s * 1000)))]
+
+        def heads() -> list[tuple[str, str]]:
+            # The field says milliseconds from now, and the way here may have taken a while. With
+            # none left nobody waits for it any more, and a run would be one for nobody.
+            left = ask.begun + self._expiry_s - self._clock.now()
+            if left <= 0:
+                raise TimeoutError("its expiry passed before its way was open")
+            return [("x-ask", name), ("dykeswitch-expiry-ms", str(max(1, int(left * 1000))))]
+
         body = json.dumps({"ask": name}).encode() if service.writing else b""
         path = f"{service.path}/x?ask={name}{more}"
         reply = await self._send(ask, service.method, spot, path, heads, body)
@@ -180,7 +188,7 @@
         return ""
 
     async def _send(
-        self, ask: Ask, method: str, spot: str, path: str, heads: list[tuple[str, str]], body: bytes
+        self, ask: Ask, method: str, spot: str, path: str, heads: ports.Fields, body: bytes
     ) -> ports.Reply | None:
         ask.spot = spot
         try:
--- a/packages/standin/src/dykeswitch/standin/fleet.py
+++ b/packages/standin/src/dykeswitch/standin/fleet.py
@@ -51,23 +51,18 @@
         method: str,
         spot: str,
         path: str,
-        heads: list[tuple[str, str]],
+        heads: ports.Fields,
         body: bytes,
         wait: float,
     ) -> ports.Reply:
-        raw = [(k.encode(), v.encode()) for k, v in heads]
-        if not any(k == b"host" for k, _ in raw):
-            raw.insert(0, (b"host", spot.encode()))
-        if body:
-            raw.append((b"content-length", str(len(body)).encode()))
         try:
             async with asyncio.timeout(wait):
-                return await self._ask(method, spot, path, raw, body, wait)
+                return await self._ask(method, spot, path, heads, body, wait)
         except pipes.Flaw as flaw:
             raise OSError(flaw.reason) from flaw
 
     async def _ask(
-        self, method: str, spot: str, path: str, heads: pipes.Heads, body: bytes, wait: float
+        self, method: str, spot: str, path: str, heads: ports.Fields, body: bytes, wait: float
     ) -> ports.Reply:
         idle = self._idle.setdefault(spot, [])
         pipe: pipes.EndpointPipe | None = None
@@ -79,7 +74,16 @@
                 held.close()
         if pipe is None:
             pipe = pipes.EndpointPipe("", spot, await self._net.dial(spot, wait), 0.0)
-        head = await pipe.send(method, path.encode(), heads, body)
+        try:
+            raw = [(k.encode(), v.encode()) for k, v in ports.made(heads)]
+        except TimeoutError:
+            pipe.close()
+            raise
+        if not any(k == b"host" for k, _ in raw):
+            raw.insert(0, (b"host", spot.encode()))
+        if body:
+            raw.append((b"content-length", str(len(body)).encode()))
+        head = await pipe.send(method, path.encode(), raw, body)
         data = b"".join([part async for part in pipe.parts()])
         if pipe.usable():
             idle.append(pipe)
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -394,3 +394,36 @@
         assert max(a.ended - a.begun for a in asks) < 0.51
 
     _run(tmp_path, work)
+
+
+async def _ask_over_a_cut(fleet: fleets.SimFleet, span: float) -> list[callers.Ask]:
+    """Five who ask while their way to the proxy is closed for a span."""
+    wires = fleet.world.wires
+    wires.cut(["outside"], [fleet.edges[0].node.name])
+    asking = asyncio.create_task(_many(fleet, EXPORTS, 5))
+    await asyncio.sleep(span)
+    wires.heal()
+    return await asking
+
+
+def test_a_caller_whose_way_opens_after_its_expiry_sends_nothing(tmp_path: pathlib.Path) -> None:
+    """Who sent all the same would get a late reply, and a late run, that no proxy can prevent."""
+
+    async def work(fleet: fleets.SimFleet) -> None:
+        asks = await _ask_over_a_cut(fleet, 10.5)
+        assert [(a.status, a.flaw[:12]) for a in asks] == [(0, "TimeoutError")] * 5
+        assert not any(fleet.record.runs.get(a.name) for a in asks)
+
+    _run(tmp_path, work)
+
+
+def test_a_caller_states_what_it_has_left_when_its_way_opens(tmp_path: pathlib.Path) -> None:
+    """The field says milliseconds from now: to state the whole once part of it is over is untrue."""
+
+    async def work(fleet: fleets.SimFleet) -> None:
+        _plan(fleet, "exports", "hang")
+        asks = await _ask_over_a_cut(fleet, 4.0)
+        assert {(a.status, a.result) for a in asks} == {(504, 109)}
+        assert max(a.ended - a.begun for a in asks) < 10.1
+
+    _run(tmp_path, work)
