--- a/packages/standin/src/dykeswitch/standin/caller.py
+++ b/packages/standin/src/dykeswitch/standin/caller.py
@@ -277,10 +277,16 @@
         spot = spot or self._pick(ask, but)
         if not spot:
             return ask
-        left_ms = max(1, int(ask.expiry_s * 1000))
-        heads = [("x-ask", name), ("dykeswitch-expiry-ms", str(left_ms))]
-        if not self.manners.kept_share:
-            heads.append(("connection", "close"))
+
+        def heads() -> list[tuple[str, str]]:
+            # The field says milliseconds from now, and the way here may have taken a while. With
+            # none left nobody waits for it any more, and a run would be one for nobody.
+            left = ask.begun + ask.expiry_s - self._clock.now()
+            if left <= 0:
+                raise TimeoutError("its expiry passed before its way was open")
+            said = [("x-ask", name), ("dykeswitch-expiry-ms", str(max(1, int(left * 1000))))]
+            return said if self.manners.kept_share else [*said, ("connection", "close")]
+
         body = json.dumps({"ask": name}).encode() if service.writing else b""
         path = f"{service.path}/x?ask={name}{more}"
         reply = await self._send(ask, service.method, spot, path, heads, body)
@@ -314,7 +320,7 @@
         return self._weights[spot]
 
     async def _send(
-        self, ask: Ask, method: str, spot: str, path: str, heads: list[tuple[str, str]], body: bytes
+        self, ask: Ask, method: str, spot: str, path: str, heads: ports.Fields, body: bytes
     ) -> ports.Reply | None:
         ask.spot = spot
         ask.said = words(method, path, body)
--- a/tests/test_standin.py
+++ b/tests/test_standin.py
@@ -481,7 +481,7 @@
         raise NotImplementedError
 
     async def ask(
-        self, method: str, spot: str, path: str, heads: list[tuple[str, str]], body: bytes, wait: float
+        self, method: str, spot: str, path: str, heads: ports.Fields, body: bytes, wait: float
     ) -> ports.Reply:
         await self._clock.sleep(0.01)
         if path == "/v1/beat":
@@ -489,7 +489,7 @@
             return ports.Reply(200, [], b"{}")
         if path == "/readyz":
             return ports.Reply(200, [], b"{}")
-        self.asks.append((self._clock.now(), spot, dict(heads)["x-ask"]))
+        self.asks.append((self._clock.now(), spot, dict(ports.made(heads))["x-ask"]))
         reply = self.replies.pop(0)
         if isinstance(reply, OSError):
             raise reply
