--- a/packages/tongue/src/dykeswitch/tongue/__init__.py
+++ b/packages/adapter/src/dykeswitch/adapter/__init__.py
@@ -25,12 +25,12 @@
     # By which an endpoint names itself, on probes and replies.
     served_by: bytes = b"dykeswitch-served-by"
     # An endpoint's burden: running, waiting, slots.
-    burden: bytes = b"dykeswitch-burden"
+    load: bytes = b"dykeswitch-burden"
     # A field that every success bears; one without it is no endpoint's reply.
     seal: bytes = b""
 
 
-class Burden(typing.NamedTuple):
+class Load(typing.NamedTuple):
     """What an endpoint says of its work: requests running and waiting, and its slots."""
 
     running: int
@@ -54,7 +54,7 @@
         ...
 
 
-class Tongue(typing.Protocol):
+class Adapter(typing.Protocol):
     """How one kind of outside speaks."""
 
     @property
@@ -95,13 +95,13 @@
     return None
 
 
-def burden(text: bytes | None) -> Burden | None:
+def load(text: bytes | None) -> Load | None:
     """A told burden, where it is three whole numbers."""
     parts = (text or b"").split(b",")
     if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
         return None
     running, waiting, slots = (int(part) for part in parts)
-    return Burden(running, waiting, slots)
+    return Load(running, waiting, slots)
 
 
 class Own:
@@ -129,4 +129,3 @@
 
     def calls(self, registry: Calls) -> list[typing.Any]:
         return []
-
--- a/packages/cli/src/dykeswitch/cli/daemons.py
+++ b/packages/cli/src/dykeswitch/cli/daemons.py
@@ -10,12 +10,12 @@
 import sys
 import typing
 
+import dykeswitch.adapter as adapters
 import dykeswitch.logs as logs
 import dykeswitch.outcome as outcome
 import dykeswitch.ports.real as real
-import dykeswitch.register.shelf as shelf
+import dykeswitch.register.storage as storage
 import dykeswitch.settings as settings
-import dykeswitch.tongue as tongues
 
 EXIT_SETTINGS: typing.Final = 2
 
@@ -35,24 +35,24 @@
 Read = typing.Callable[[], outcome.Good[settings.Settings] | outcome.Bad]
 
 
-def _build(program: str, bounds: settings.Settings, tongue: tongues.Tongue) -> Daemon:
+def _build(program: str, bounds: settings.Settings, adapter: adapters.Adapter) -> Daemon:
     machine = real.machine(bounds.head_most)
     log = logs.Log(program, bounds.name, bounds.log_level, machine.clock)
     log.bridge()
     # Ids drawn here must never be drawn twice in a fleet.
-    dice = random.SystemRandom()
+    rng = random.SystemRandom()
     # Each brought in only where it runs: starting is part of recovery.
     if program == "proxy":
         import dykeswitch.proxy.program as proxies
 
-        return proxies.Proxy(bounds, machine, log, dice, tongue)
+        return proxies.Proxy(bounds, machine, log, rng, adapter)
     if program == "registry":
         import dykeswitch.registry.program as registries
 
-        return registries.Registry(bounds, machine, log, dice, tongue)
+        return registries.Registry(bounds, machine, log, rng, adapter)
     import dykeswitch.store.program as stores
 
-    return stores.Store(bounds, machine, real.RealDisk(pathlib.Path(bounds.data)), log, dice)
+    return stores.Store(bounds, machine, real.RealDisk(pathlib.Path(bounds.data)), log, rng)
 
 
 class Told:
@@ -84,10 +84,10 @@
             daemon.retold(held)
 
 
-async def _run(program: str, told: Told, tongue: tongues.Tongue) -> None:
+async def _run(program: str, told: Told, adapter: adapters.Adapter) -> None:
     bounds = told.bounds
     assert bounds is not None
-    daemon = _build(program, bounds, tongue)
+    daemon = _build(program, bounds, adapter)
     loop = asyncio.get_running_loop()
     asked = 0
 
@@ -117,10 +117,10 @@
 
 def run(program: str, spoken: argparse.Namespace) -> int:
     """Run a program until it is told to stop; its exit code."""
-    return start(program, lambda: settings.gather(program, spoken), tongues.Own())
+    return start(program, lambda: settings.gather(program, spoken), adapters.Own())
 
 
-def start(program: str, read: Read, tongue: tongues.Tongue) -> int:
+def start(program: str, read: Read, adapter: adapters.Adapter) -> int:
     """Run a program by what `read` tells it, in an outside's own tongue; its exit code."""
     told = Told(read)
     result = told.look()
@@ -132,8 +132,8 @@
         if not folder.is_dir() or not os.access(folder, os.W_OK):
             return _plain(outcome.TABLE["no_folder"], bounds.data)
     try:
-        asyncio.run(_run(program, told, tongue))
-    except shelf.Damage as flaw:
+        asyncio.run(_run(program, told, adapter))
+    except storage.Damage as flaw:
         return _plain(outcome.TABLE["disk_fault"], str(flaw))
     except OSError as flaw:
         return _plain(outcome.TABLE["port_taken"], str(flaw))
--- a/packages/cli/src/dykeswitch/cli/main.py
+++ b/packages/cli/src/dykeswitch/cli/main.py
@@ -45,9 +45,7 @@
     sub.add_argument("--event", action="append", default=[], help=event)
     sub.add_argument("--set", action="append", default=[], metavar="NAME=VALUE", help="a setting")
     sub.add_argument("--versus-event", action="append", default=[], help="events of a second variant")
-    sub.add_argument(
-        "--versus-set", action="append", default=[], metavar="NAME=VALUE", help="its settings"
-    )
+    sub.add_argument("--versus-set", action="append", default=[], metavar="NAME=VALUE", help="its settings")
     sub.add_argument("--span", type=float, default=30.0, help="seconds of traffic (default 30)")
     sub.add_argument("--scale", type=float, default=0.2, help="times the shape's rate (default 0.2)")
     sub.add_argument("--seeds", type=int, default=3, help="seeds, the same for both variants")
--- a/packages/cli/src/dykeswitch/cli/operate.py
+++ b/packages/cli/src/dykeswitch/cli/operate.py
@@ -101,33 +101,33 @@
 
 
 async def _remote(spoken: argparse.Namespace) -> int:
-    spots = spoken.at.split(",")
-    flaws = [f"{s}: {f}" for s in spots if (f := ports.spot_fault(s))]
+    addresses = spoken.at.split(",")
+    flaws = [f"{s}: {f}" for s in addresses if (f := ports.address_fault(s))]
     if flaws:
         return _say(outcome.bad("bad_settings", faults=tuple(flaws)))
     if spoken.word == "query":
-        return await _query(spoken, spots)
+        return await _query(spoken, addresses)
     if spoken.word == "fetch":
-        return await _fetch(spots)
+        return await _fetch(addresses)
     result = _load(spoken.file)
     if isinstance(result, outcome.Bad):
         return _say(result)
     if spoken.word == "apply":
-        return await _apply(spoken, spots, result.value)
-    return await _compare(spots, result.value)
+        return await _apply(spoken, addresses, result.value)
+    return await _compare(addresses, result.value)
 
 
 async def _ask(
-    spots: list[str], method: str, path: str, body: bytes, heads: list[tuple[str, str]]
+    addresses: list[str], method: str, path: str, body: bytes, heads: list[tuple[str, str]]
 ) -> ports.Reply | None:
     """The first answer; a registry without a majority is passed over if another has one."""
     web = real.RealWeb()
     last: ports.Reply | None = None
-    for spot in spots:
+    for address in addresses:
         try:
-            reply = await web.ask(method, spot, path, heads, body, WAIT_S)
+            reply = await web.ask(method, address, path, heads, body, WAIT_S)
         except (OSError, TimeoutError) as flaw:
-            sys.stderr.write(f"dykeswitch: {spot}: {flaw or 'no answer in time'}\n")
+            sys.stderr.write(f"dykeswitch: {address}: {flaw or 'no answer in time'}\n")
             # What was sent may have been done: another registry must not do it again.
             if isinstance(flaw, TimeoutError) and method in ("PUT", "POST"):
                 return None
@@ -156,13 +156,13 @@
     return UNKNOWN if reply.status == 504 else REFUSED
 
 
-async def _query(spoken: argparse.Namespace, spots: list[str]) -> int:
+async def _query(spoken: argparse.Namespace, addresses: list[str]) -> int:
     # A shell takes the quotes off a reason: words that came as one are quoted again.
     words = spoken.text
     if len(words) > 1:
         words = [f'"{w}"' if " " in w and '"' not in w else w for w in words]
     ask = json.dumps({"text": " ".join(words), "by": spoken.by}).encode()
-    reply = await _ask(spots, "POST", "/v1/query", ask, [("content-type", "application/json")])
+    reply = await _ask(addresses, "POST", "/v1/query", ask, [("content-type", "application/json")])
     code = _told(reply)
     if code is not None or reply is None:
         return UNREACHED if code is None else code
@@ -177,11 +177,11 @@
     return DONE
 
 
-async def _apply(spoken: argparse.Namespace, spots: list[str], layout: layouts.Layout) -> int:
+async def _apply(spoken: argparse.Namespace, addresses: list[str], layout: layouts.Layout) -> int:
     heads = [("content-type", "application/json")]
     if spoken.if_version is not None:
         heads.append(("if-match", f'"{spoken.if_version}"'))
-    reply = await _ask(spots, "PUT", "/v1/layout", layouts.pack(layout), heads)
+    reply = await _ask(addresses, "PUT", "/v1/layout", layouts.pack(layout), heads)
     code = _told(reply)
     if code is not None or reply is None:
         return UNREACHED if code is None else code
@@ -189,13 +189,13 @@
     return DONE
 
 
-async def _newest(spots: list[str]) -> tuple[int | None, ports.Reply | None]:
-    reply = await _ask(spots, "GET", "/v1/layout", b"", [])
+async def _newest(addresses: list[str]) -> tuple[int | None, ports.Reply | None]:
+    reply = await _ask(addresses, "GET", "/v1/layout", b"", [])
     return _told(reply), reply
 
 
-async def _fetch(spots: list[str]) -> int:
-    code, reply = await _newest(spots)
+async def _fetch(addresses: list[str]) -> int:
+    code, reply = await _newest(addresses)
     if code is not None or reply is None:
         return UNREACHED if code is None else code
     sys.stderr.write(f"version {reply.head('dykeswitch-version')}\n")
@@ -203,8 +203,8 @@
     return DONE
 
 
-async def _compare(spots: list[str], layout: layouts.Layout) -> int:
-    code, reply = await _newest(spots)
+async def _compare(addresses: list[str], layout: layouts.Layout) -> int:
+    code, reply = await _newest(addresses)
     if code is not None or reply is None:
         return UNREACHED if code is None else code
     one = json.dumps(json.loads(reply.body), indent=2, sort_keys=True).splitlines()
--- a/packages/frames/src/dykeswitch/frames/__init__.py
+++ b/packages/frames/src/dykeswitch/frames/__init__.py
@@ -55,11 +55,11 @@
         self.bad = bad
 
 
-class FramePipe:
+class FrameConnection:
     """A pipe that carries whole frames."""
 
-    def __init__(self, pipe: ports.Pipe) -> None:
-        self._pipe = pipe
+    def __init__(self, connection: ports.Connection) -> None:
+        self._connection = connection
         self._held = bytearray()
         # Bytes of the last frame each way, heads included.
         self.got = 0
@@ -67,7 +67,7 @@
 
     async def _fill(self, size: int) -> bool:
         while len(self._held) < size:
-            data = await self._pipe.read(READ_SIZE)
+            data = await self._connection.read(READ_SIZE)
             if not data:
                 return False
             self._held += data
@@ -103,13 +103,13 @@
         if len(data) > FRAME_MOST:
             raise FrameFault(outcome.bad("frame_too_big", f"{len(data)} bytes"))
         self.sent = HEAD.size + len(data)
-        await self._pipe.write(HEAD.pack(MAGIC, VERSION, len(data)) + data)
+        await self._connection.write(HEAD.pack(MAGIC, VERSION, len(data)) + data)
 
     def close(self) -> None:
-        self._pipe.close()
+        self._connection.close()
 
     def ended(self) -> bool:
-        return self._pipe.ended() or bool(self._held)
+        return self._connection.ended() or bool(self._held)
 
 
 def _bad_body(bad: outcome.Bad) -> Body:
@@ -136,8 +136,8 @@
         self._note = note
         self._meter = meter or NoMeter()
 
-    async def serve(self, pipe: ports.Pipe) -> None:
-        frames = FramePipe(pipe)
+    async def serve(self, connection: ports.Connection) -> None:
+        frames = FrameConnection(connection)
         try:
             while True:
                 body = await frames.read()
@@ -176,57 +176,57 @@
     def __init__(self, net: ports.Network, meter: Meter | None = None) -> None:
         self._net = net
         self._meter = meter or NoMeter()
-        self._idle: dict[str, collections.deque[FramePipe]] = {}
+        self._idle: dict[str, collections.deque[FrameConnection]] = {}
 
     def close(self) -> None:
-        for pipes in self._idle.values():
-            for pipe in pipes:
-                pipe.close()
+        for connections in self._idle.values():
+            for connection in connections:
+                connection.close()
         self._idle.clear()
 
-    async def ask(self, spot: str, kind: str, body: Body, wait: float) -> Result:
+    async def ask(self, address: str, kind: str, body: Body, wait: float) -> Result:
         """One call, answered or given up on within the wait."""
         try:
             async with asyncio.timeout(wait):
-                return await self._ask(spot, {**body, "kind": kind}, wait)
+                return await self._ask(address, {**body, "kind": kind}, wait)
         except TimeoutError:
-            return outcome.bad("no_reply", spot)
+            return outcome.bad("no_reply", address)
         except FrameFault as flaw:
             return flaw.bad
         except OSError as flaw:
-            return outcome.bad("no_reply", f"{spot}: {flaw}")
+            return outcome.bad("no_reply", f"{address}: {flaw}")
 
-    async def _ask(self, spot: str, body: Body, wait: float) -> Result:
-        idle = self._idle.setdefault(spot, collections.deque())
+    async def _ask(self, address: str, body: Body, wait: float) -> Result:
+        idle = self._idle.setdefault(address, collections.deque())
         while idle:
-            pipe = idle.pop()
-            if pipe.ended():
-                pipe.close()
+            connection = idle.pop()
+            if connection.ended():
+                connection.close()
                 continue
-            result = await self._once(spot, pipe, body)
+            result = await self._once(address, connection, body)
             # A pipe kept idle may have died unseen: every call may be repeated
             # safely, so a fresh pipe gets it once more.
             if result is not None:
                 return result
-        pipe = FramePipe(await self._net.dial(spot, wait))
-        result = await self._once(spot, pipe, body)
-        return outcome.bad("no_reply", f"{spot}: closed") if result is None else result
+        connection = FrameConnection(await self._net.dial(address, wait))
+        result = await self._once(address, connection, body)
+        return outcome.bad("no_reply", f"{address}: closed") if result is None else result
 
-    async def _once(self, spot: str, pipe: FramePipe, body: Body) -> Result | None:
+    async def _once(self, address: str, connection: FrameConnection, body: Body) -> Result | None:
         done = False
         try:
-            await pipe.write(body)
-            reply = await pipe.read()
+            await connection.write(body)
+            reply = await connection.read()
             if reply is None:
                 return None
             done = True
-            self._meter.call("asked", body["kind"], pipe.sent, pipe.got)
+            self._meter.call("asked", body["kind"], connection.sent, connection.got)
             return _result(reply)
         except OSError:
             return None
         finally:
-            idle = self._idle.setdefault(spot, collections.deque())
+            idle = self._idle.setdefault(address, collections.deque())
             if done and len(idle) < IDLE_MOST:
-                idle.append(pipe)
+                idle.append(connection)
             else:
-                pipe.close()
+                connection.close()
--- a/packages/hollow/src/dykeswitch/hollow/data.py
+++ b/packages/hollow/src/dykeswitch/hollow/data.py
@@ -63,14 +63,14 @@
 
     def __init__(self, load: Load, folder: pathlib.Path, turn: int, sampled: bool) -> None:
         self.load = load
-        self.dice = random.Random(turn)
+        self.rng = random.Random(turn)
         self.fleet = fleets.Fleet(shapes.Shape("data", 1, 1, ("z1",), ()), folder, turn)
         (proxy,) = self.fleet.proxies
         if sampled:
             proxy = Sampled("proxy", proxy.name, proxy.flags, folder)
             self.fleet.proxies[:] = [proxy]
         self.proxy = proxy
-        block = f"127.{self.dice.randrange(1, 250)}.{os.getpid() % 250}"
+        block = f"127.{self.rng.randrange(1, 250)}.{os.getpid() % 250}"
         members = [
             {
                 "name": f"{SERVICE}-{n}",
@@ -85,7 +85,7 @@
         self.herd = grounds.Herd("endpoints", spec, folder)
         relay = {"spot": f"{block}.2:{grounds.PORT_FROM}", "ear": members[0]["spot"]}
         self.relay = grounds.Herd("relay", {"kind": "relay", "members": [relay]}, folder)
-        self.spots = [str(m["spot"]) for m in members]
+        self.addresses = [str(m["spot"]) for m in members]
         self.took: dict[str, list[float]] = collections.defaultdict(list)
         self.failed = 0
         self._used: dict[str, float] = {}
@@ -122,19 +122,19 @@
         end = loop.time() + SPAN_S
         due = loop.time()
         async with asyncio.TaskGroup() as group:
-            while (due := due + self.dice.expovariate(self.load.rate)) < end:
+            while (due := due + self.rng.expovariate(self.load.rate)) < end:
                 await asyncio.sleep(max(0.0, due - loop.time()))
-                group.create_task(self._one(self.dice.choice(ARMS)))
+                group.create_task(self._one(self.rng.choice(ARMS)))
         after = gauge.read(self.proxy.pid)
         rest = (before.run_s - idle.run_s) / IDLE_S * SPAN_S
         return gauge.Reading(after.run_s - before.run_s - rest, after.wait_s - before.wait_s, after.memory_mb)
 
     async def _one(self, arm: str) -> None:
-        spot = {"proxy": self.proxy.web, "relay": str(self.relay.spec["members"][0]["spot"])}.get(arm)
-        spot = spot or self.dice.choice(self.spots)
+        address = {"proxy": self.proxy.web, "relay": str(self.relay.spec["members"][0]["spot"])}.get(arm)
+        address = address or self.rng.choice(self.addresses)
         begun = asyncio.get_running_loop().time()
         try:
-            reply = await self.fleet.machine.web.ask("GET", spot, "/x?ask=a", [], b"", 5.0)
+            reply = await self.fleet.machine.web.ask("GET", address, "/x?ask=a", [], b"", 5.0)
         except (OSError, TimeoutError):
             self.failed += 1
             return
--- a/packages/hollow/src/dykeswitch/hollow/ground.py
+++ b/packages/hollow/src/dykeswitch/hollow/ground.py
@@ -153,9 +153,9 @@
     def __init__(self, size: Size, folder: pathlib.Path, seed: int) -> None:
         self.size = size
         self.folder = folder
-        self.dice = random.Random(seed)
+        self.rng = random.Random(seed)
         # A block of loopback numbers of our own, so that two runs do not meet.
-        self._block = f"127.{self.dice.randrange(1, 250)}.{os.getpid() % 250}"
+        self._block = f"127.{self.rng.randrange(1, 250)}.{os.getpid() % 250}"
         self._ports = iter(range(PORT_FROM, 32000))
         shape = shapes.Shape("hollow", 1, size.cores, ZONES[: max(3, size.cores)], ())
         self.fleet = fleets.Fleet(shape, folder, seed)
@@ -165,7 +165,7 @@
         self._warden: subprocess.Popen[bytes] | None = None
         self.changes: dict[int, float] = {}
 
-    def _spot(self) -> str:
+    def _address(self) -> str:
         return f"{self._block}.1:{next(self._ports)}"
 
     def _herds(self, kind: str, count: int, member: typing.Callable[[int], Page]) -> list[Herd]:
@@ -173,7 +173,7 @@
         parts = -(-count // HERD_MOST[kind])
         herds = []
         for n in range(parts):
-            spec: Page = {"kind": kind, "members": members[n::parts], "seed": self.dice.random()}
+            spec: Page = {"kind": kind, "members": members[n::parts], "seed": self.rng.random()}
             if kind == "endpoint":
                 spec["registries"] = [registry.web for registry, _ in self.fleet.cores]
                 spec["interval_s"] = 1.0
@@ -184,14 +184,14 @@
     def _proxy(self, n: int) -> Page:
         seeds = [registry.flags["member"] for registry, _ in self.fleet.cores]
         zone = self.fleet.shape.zones[n % len(self.fleet.shape.zones)]
-        spot = self._spot()
-        page: Page = {"name": f"hollow{n}", "zone": zone, "member": spot, "web": spot, "seeds": seeds}
+        address = self._address()
+        page: Page = {"name": f"hollow{n}", "zone": zone, "member": address, "web": address, "seeds": seeds}
         return page
 
     def _endpoint(self, n: int) -> Page:
         zone = self.fleet.shape.zones[n % len(self.fleet.shape.zones)]
         service = f"s{n % self.size.services}"
-        return {"name": f"{service}-{n}", "service": service, "spot": self._spot(), "zone": zone}
+        return {"name": f"{service}-{n}", "service": service, "spot": self._address(), "zone": zone}
 
     # Starting and stopping.
 
@@ -257,8 +257,8 @@
 
     async def mark(self, n: int) -> tuple[float, str]:
         """Have some hollow proxy mark an endpoint; when, and the mark's key."""
-        herd = self.dice.choice(self.proxies)
-        name = self.dice.choice(herd.spec["members"])["name"]
+        herd = self.rng.choice(self.proxies)
+        name = self.rng.choice(herd.spec["members"])["name"]
         every = [m["name"] for h in self.endpoints for m in h.spec["members"]]
         page = await herd.ask(do="mark", name=name, endpoint=every[n % len(every)])
         return float(page["at"]), str(page["key"])
@@ -307,8 +307,8 @@
             "endpoint": [(await h.ask(do="tally"))["counts"] for h in self.endpoints],
         }
 
-    async def _page(self, spot: str) -> dict[str, float]:
-        reply = await self.fleet.machine.web.ask("GET", spot, "/-/counters", [], b"", 10)
+    async def _page(self, address: str) -> dict[str, float]:
+        reply = await self.fleet.machine.web.ask("GET", address, "/-/counters", [], b"", 10)
         found: dict[str, float] = {}
         for line in reply.body.decode().splitlines():
             name, _, text = line.partition("{")
--- a/packages/hollow/src/dykeswitch/hollow/herd.py
+++ b/packages/hollow/src/dykeswitch/hollow/herd.py
@@ -40,15 +40,15 @@
 class NoWeb(real.RealWeb):
     """Serves nothing: hollow proxies have no callers."""
 
-    async def serve(self, spot: str, app: ports.App) -> ports.WebServer:
+    async def serve(self, address: str, app: ports.App) -> ports.WebServer:
         return NoServer()
 
 
-class CountPipe:
+class CountingConnection:
     """A pipe that adds its bytes to a book."""
 
-    def __init__(self, pipe: ports.Pipe, book: dict[str, int], name: str) -> None:
-        self._pipe = pipe
+    def __init__(self, connection: ports.Connection, book: dict[str, int], name: str) -> None:
+        self._connection = connection
         self._book = book
         self._name = name
 
@@ -57,19 +57,19 @@
         self._book[key] = self._book.get(key, 0) + size
 
     async def read(self, most: int) -> bytes:
-        data = await self._pipe.read(most)
+        data = await self._connection.read(most)
         self._add("got", len(data))
         return data
 
     async def write(self, data: bytes) -> None:
         self._add("sent", len(data))
-        await self._pipe.write(data)
+        await self._connection.write(data)
 
     def close(self) -> None:
-        self._pipe.close()
+        self._connection.close()
 
     def ended(self) -> bool:
-        return self._pipe.ended()
+        return self._connection.ended()
 
 
 class CountNetwork:
@@ -79,14 +79,14 @@
         self._net = net
         self.book: dict[str, int] = {}
 
-    async def dial(self, spot: str, wait: float) -> ports.Pipe:
-        return CountPipe(await self._net.dial(spot, wait), self.book, "beat")
+    async def dial(self, address: str, wait: float) -> ports.Connection:
+        return CountingConnection(await self._net.dial(address, wait), self.book, "beat")
 
-    async def listen(self, spot: str, serve: ports.Serve) -> ports.Listener:
-        async def counted(pipe: ports.Pipe) -> None:
-            await serve(CountPipe(pipe, self.book, "probe"))
+    async def listen(self, address: str, serve: ports.Serve) -> ports.Listener:
+        async def counted(connection: ports.Connection) -> None:
+            await serve(CountingConnection(connection, self.book, "probe"))
 
-        return await self._net.listen(spot, counted)
+        return await self._net.listen(address, counted)
 
 
 class Herd(typing.Protocol):
@@ -167,7 +167,7 @@
     """Hollow endpoints: they beat to registries and answer probes."""
 
     def __init__(self, spec: Spec, write: typing.Callable[[list[typing.Any]], None]) -> None:
-        self._dice = random.Random(spec["seed"])
+        self._rng = random.Random(spec["seed"])
         self._net = CountNetwork(real.RealNetwork())
         self._members: dict[str, endpoints.Endpoint] = {}
         for raw in spec["members"]:
@@ -180,7 +180,7 @@
                 raw["zone"],
                 machine,
                 lambda: spec["registries"],
-                self._dice,
+                self._rng,
                 0.0,
                 spec["interval_s"],
             )
@@ -194,7 +194,7 @@
 
     async def _beat(self, member: endpoints.Endpoint) -> None:
         # Endpoints that all beat at the same moment are no fleet.
-        await asyncio.sleep(self._dice.random() * self._interval_s)
+        await asyncio.sleep(self._rng.random() * self._interval_s)
         await member.beat_for_ever()
 
     async def obey(self, ask: Page) -> Page:
@@ -217,15 +217,15 @@
         await asyncio.Event().wait()
 
     def _bring(self, ear: str) -> ports.Serve:
-        async def serve(pipe: ports.Pipe) -> None:
+        async def serve(connection: ports.Connection) -> None:
             there = await self._net.dial(ear, 1.0)
             async with asyncio.TaskGroup() as group:
-                group.create_task(self._pump(pipe, there))
-                group.create_task(self._pump(there, pipe))
+                group.create_task(self._pump(connection, there))
+                group.create_task(self._pump(there, connection))
 
         return serve
 
-    async def _pump(self, one: ports.Pipe, two: ports.Pipe) -> None:
+    async def _pump(self, one: ports.Connection, two: ports.Connection) -> None:
         while part := await one.read(real.READ_SIZE):
             await two.write(part)
         two.close()
--- a/packages/hollow/src/dykeswitch/hollow/virtual.py
+++ b/packages/hollow/src/dykeswitch/hollow/virtual.py
@@ -12,7 +12,7 @@
 
 import dykeswitch.hollow.ground as grounds
 import dykeswitch.hollow.measure as measure
-import dykeswitch.layout.papers as papers
+import dykeswitch.layout.documents as documents
 import dykeswitch.simulator.fleet as fleets
 import dykeswitch.simulator.loop as loops
 import dykeswitch.standin.shape as shapes
@@ -81,7 +81,7 @@
         waits = {edge.node.name: edge.node.daemon for edge in self.fleet.edges}
         took = []
         while waits and self.fleet.clock.now() < begun + measure.SEEN_MOST_S:
-            for name in [n for n, d in waits.items() if d.papers.version(papers.LAYOUT) >= version]:
+            for name in [n for n, d in waits.items() if d.documents.version(documents.LAYOUT) >= version]:
                 del waits[name]
                 took.append(self.fleet.clock.now() - begun)
             await asyncio.sleep(LOOK_S)
--- a/packages/hollow/src/dykeswitch/hollow/worked.py
+++ b/packages/hollow/src/dykeswitch/hollow/worked.py
@@ -59,8 +59,8 @@
 def figures() -> dict[str, tuple[float, str]]:
     """Each by name, with its unit."""
     entry = entry_bytes()
-    paper = layout_bytes(T.rules, T.services)
-    rule = paper / T.rules
+    document = layout_bytes(T.rules, T.services)
+    rule = document / T.rules
     day = targets.DAY_S
     every_s = day / T.changes_day
     restarts = T.restarts_day + T.failures_day
@@ -74,13 +74,13 @@
         "beat_budget": (T.bytes_s / entry, "endpoints"),
         "changes_only_bytes": (2 * restarts * entry / day, "B/s"),
         "rule_bytes": (rule, "B"),
-        "paper_bytes": (paper, "B"),
+        "paper_bytes": (document, "B"),
         "paper_most": (BOUNDS.layout_most, "B"),
         "every_s": (every_s, "s"),
-        "paper_rate": (paper / every_s, "B/s"),
-        "paper_over": (paper / every_s / T.bytes_s, "times"),
+        "paper_rate": (document / every_s, "B/s"),
+        "paper_over": (document / every_s / T.bytes_s, "times"),
         "paper_delta_rate": (rule / every_s, "B/s"),
-        "paper_all_rate": (T.nodes * paper / every_s, "B/s"),
+        "paper_all_rate": (T.nodes * document / every_s, "B/s"),
         "paper_all_delta_rate": (T.nodes * rule / every_s, "B/s"),
         "zone_endpoints": (zone, "endpoints"),
         "region_endpoints": (region, "endpoints"),
--- a/packages/layout/src/dykeswitch/layout/__init__.py
+++ b/packages/layout/src/dykeswitch/layout/__init__.py
@@ -64,9 +64,7 @@
 
 # Methods that the HTTP standard calls safe: they may be run any number of times.
 READING: typing.Final = frozenset({"GET", "HEAD", "OPTIONS", "TRACE"})
-METHODS: typing.Final = frozenset(
-    {"GET", "HEAD", "POST", "PUT", "DELETE", "PATCH", "OPTIONS", "TRACE"}
-)
+METHODS: typing.Final = frozenset({"GET", "HEAD", "POST", "PUT", "DELETE", "PATCH", "OPTIONS", "TRACE"})
 TOKEN: typing.Final = frozenset("abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.")
 FAULTS_MOST: typing.Final = 200
 TRIES_MOST: typing.Final = 100
@@ -123,14 +121,14 @@
         """Every service that a request under this rule may go to."""
         return tuple(name for name, weight in self.split if weight > 0) if self.split else (self.service,)
 
-    def draw(self, dice: random.Random) -> str:
+    def draw(self, rng: random.Random) -> str:
         """The service of one request: drawn by weight where the rule is split."""
         if not self.split:
             return self.service
         names, weights = zip(*self.split)
         if not sum(weights):
             return ""
-        return str(dice.choices(names, weights)[0])
+        return str(rng.choices(names, weights)[0])
 
     def writes(self, method: str) -> bool:
         """Stated by the rule, else told by the method."""
--- a/packages/layout/src/dykeswitch/layout/papers.py
+++ b/packages/layout/src/dykeswitch/layout/documents.py
@@ -23,7 +23,7 @@
 Reads = typing.Callable[[str, int, bytes], typing.Awaitable[Take | None]]
 
 
-class Papers:
+class Documents:
     """The newest confirmed papers this member holds."""
 
     def __init__(self, line: timeline.Timeline, caller: frames.Caller, call_s: float, reads: Reads) -> None:
@@ -44,9 +44,9 @@
         return self._held.get(name, (0, b""))[1]
 
     def kinds(self) -> dict[str, frames.Handle]:
-        return {"paper": self._on_paper}
+        return {"paper": self._on_document}
 
-    async def _on_paper(self, body: frames.Body) -> frames.Result:
+    async def _on_document(self, body: frames.Body) -> frames.Result:
         name = str(body["name"])
         if name not in self._held:
             return outcome.bad("no_such", name)
@@ -77,32 +77,30 @@
         """Papers named on the timeline at a version we do not hold yet."""
         return [
             (e.key, int(e.fields["version"]))
-            for e in self._line.all(timeline.PAPER)
+            for e in self._line.all(timeline.DOCUMENT)
             if e.key in NAMES and int(e.fields["version"]) > self.version(e.key)
         ]
 
-    async def catch_up(self, spots: typing.Sequence[str]) -> bool:
+    async def catch_up(self, addresses: typing.Sequence[str]) -> bool:
         """Fetch what we are behind on from the first member that has it."""
         async with self._lock:
             for name, want in self.behind():
-                await self._fetch(name, want, spots)
+                await self._fetch(name, want, addresses)
             return not self.behind()
 
-    async def _fetch(self, name: str, want: int, spots: typing.Sequence[str]) -> None:
+    async def _fetch(self, name: str, want: int, addresses: typing.Sequence[str]) -> None:
         """Ask one member, and soon another while the first is silent."""
         ask = {"name": name, "want": want, "name_of": self._line.name}
         calls: set[asyncio.Task[frames.Result]] = set()
-        left = list(spots)
+        left = list(addresses)
         try:
             while (left or calls) and self.version(name) < want:
                 if left:
-                    spot = left.pop(0)
-                    calls.add(asyncio.create_task(self._caller.ask(spot, "paper", ask, self._call_s)))
+                    address = left.pop(0)
+                    calls.add(asyncio.create_task(self._caller.ask(address, "paper", ask, self._call_s)))
                 # A member that is cut off must cost us a part of the wait, not all.
                 wait = self._call_s / HEDGES if left else None
-                done, calls = await asyncio.wait(
-                    calls, timeout=wait, return_when=asyncio.FIRST_COMPLETED
-                )
+                done, calls = await asyncio.wait(calls, timeout=wait, return_when=asyncio.FIRST_COMPLETED)
                 for call in done:
                     result = call.result()
                     if isinstance(result, outcome.Good):
--- a/packages/layout/src/dykeswitch/layout/objects.py
+++ b/packages/layout/src/dykeswitch/layout/objects.py
@@ -71,13 +71,13 @@
         return found
     shared = _notes(meta, RULE_KEYS, path, faults)
     for n, entry in enumerate(entries):
-        spot = f"{path}.spec.rules[{n}]"
+        address = f"{path}.spec.rules[{n}]"
         backs = entry.get("backendRefs") if isinstance(entry, dict) else None
         if not isinstance(backs, list) or len(backs) != 1 or not isinstance(backs[0], dict):
-            faults.append(f"{spot}.backendRefs: must name one service")
+            faults.append(f"{address}.backendRefs: must name one service")
             continue
         for m, match in enumerate(entry.get("matches") or [{}]):
-            rule = _match(match, f"{spot}.matches[{m}]", faults)
+            rule = _match(match, f"{address}.matches[{m}]", faults)
             for host in spec.get("hostnames") or [""]:
                 whole = {**shared, **rule, "service": backs[0].get("name")}
                 found.append({**whole, "host": host} if host else whole)
--- a/packages/membership/src/dykeswitch/membership/__init__.py
+++ b/packages/membership/src/dykeswitch/membership/__init__.py
@@ -38,11 +38,11 @@
 
     name: str
     kind: str
-    spot: str
+    address: str
     age: int = 0
 
     def wire(self) -> list[typing.Any]:
-        return [self.name, self.kind, self.spot, self.age]
+        return [self.name, self.kind, self.address, self.age]
 
 
 @dataclasses.dataclass(slots=True)
@@ -63,7 +63,7 @@
         line: timeline.Timeline,
         machine: ports.Machine,
         caller: frames.Caller,
-        dice: random.Random,
+        rng: random.Random,
         shuffle_s: float,
         call_s: float,
         hold_s: float,
@@ -71,15 +71,15 @@
         note: typing.Callable[[str, str], None],
     ) -> None:
         self.me = me
-        self.boot = f"{dice.getrandbits(48):012x}"
+        self.boot = f"{rng.getrandbits(48):012x}"
         self.line = line
         self._clock = machine.clock
         self._caller = caller
-        self._dice = dice
+        self._rng = rng
         self._shuffle_s = shuffle_s
         self._call_s = call_s
         self._hold_s = hold_s
-        self._seeds = [seed for seed in seeds if seed != me.spot]
+        self._seeds = [seed for seed in seeds if seed != me.address]
         self._note = note
         self.view: dict[str, Member] = {}
         self._cursors: dict[str, Cursor] = {}
@@ -95,7 +95,7 @@
 
     def reseed(self, seeds: typing.Sequence[str]) -> None:
         """Other members to begin with, from now on."""
-        self._seeds = [seed for seed in seeds if seed != self.me.spot]
+        self._seeds = [seed for seed in seeds if seed != self.me.address]
 
     def kinds(self) -> dict[str, frames.Handle]:
         return {"shuffle": self._on_shuffle, "tell": self._on_tell, "poll": self._on_poll}
@@ -151,7 +151,9 @@
             async with self.line.news:
                 await ports.wait_for(
                     # In this order, so that what is no number holds it no longer either.
-                    self.line.news, lambda: self.line.urgent > seq, min(self._hold_s, float(body["hold"]))
+                    self.line.news,
+                    lambda: self.line.urgent > seq,
+                    min(self._hold_s, float(body["hold"])),
                 )
         head = self.head()
         # What each proxy says of itself it says to every core; no other proxy needs it.
@@ -169,22 +171,22 @@
 
     def _sample(self, but: str) -> list[list[typing.Any]]:
         others = [m for m in self.view.values() if m.name != but]
-        picked = self._dice.sample(others, min(SAMPLE - 1, len(others)))
-        return [[self.me.name, self.me.kind, self.me.spot, 0], *(m.wire() for m in picked)]
+        picked = self._rng.sample(others, min(SAMPLE - 1, len(others)))
+        return [[self.me.name, self.me.kind, self.me.address, 0], *(m.wire() for m in picked)]
 
     def _learn(self, raw: typing.Iterable[typing.Any]) -> None:
         for word in raw:
             if not _member(word):
                 continue
-            name, kind, spot, age = word
-            if name == self.me.name or spot == self.me.spot:
+            name, kind, address, age = word
+            if name == self.me.name or address == self.me.address:
                 continue
             if not int(age):
-                self._note_spot(str(spot))
+                self._note_address(str(address))
             old = self.view.get(name)
             # The younger word wins: it was heard from the member itself later.
-            if old is None or int(age) < old.age or old.spot != spot and int(age) <= old.age:
-                self.view[str(name)] = Member(str(name), str(kind), str(spot), int(age))
+            if old is None or int(age) < old.age or old.address != address and int(age) <= old.age:
+                self.view[str(name)] = Member(str(name), str(kind), str(address), int(age))
         for member in list(self.view.values()):
             if member.age > AGE_MOST:
                 del self.view[member.name]
@@ -192,24 +194,22 @@
             oldest = max(self.view.values(), key=lambda m: (m.age, m.name))
             del self.view[oldest.name]
 
-    def _note_spot(self, spot: str) -> None:
-        self._book[spot] = self._clock.now()
-        self._book.move_to_end(spot)
+    def _note_address(self, address: str) -> None:
+        self._book[address] = self._clock.now()
+        self._book.move_to_end(address)
         if len(self._book) > BOOK_MOST:
             self._book.popitem(last=False)
 
     def _stranger(self) -> str | None:
         """An address where a member once was, that no neighbour has now."""
         young = self._clock.now() - self.line.forget_s
-        near = {m.spot for m in self.view.values()} | set(self.cores().values())
-        spots = [spot for spot, at in self._book.items() if at > young and spot not in near]
-        return self._dice.choice(spots) if spots else None
+        near = {m.address for m in self.view.values()} | set(self.cores().values())
+        addresses = [address for address, at in self._book.items() if at > young and address not in near]
+        return self._rng.choice(addresses) if addresses else None
 
     def known_cores(self) -> dict[str, str]:
         """Every registry there was of late, by name, with its address."""
-        return {
-            e.key: str(e.fields["spot"]) for e in self.line.all(timeline.CORE) if e.key != self.me.name
-        }
+        return {e.key: str(e.fields["spot"]) for e in self.line.all(timeline.CORE) if e.key != self.me.name}
 
     def cores(self) -> dict[str, str]:
         """Every registry heard of late: by us, or by whoever told us of it for the first time."""
@@ -217,7 +217,7 @@
         known = self.known_cores()
         for name in known:
             self._last.setdefault(name, self._clock.now())
-        return {name: spot for name, spot in known.items() if self._last[name] > edge}
+        return {name: address for name, address in known.items() if self._last[name] > edge}
 
     # The tasks.
 
@@ -231,36 +231,36 @@
                 if turn % KNOCK_TURNS == 0 and (self._knock is None or self._knock.done()):
                     # One that comes back may know only seeds that are gone for good: it can't
                     # find us, so we look for it where it was.
-                    spot = self._stranger()
-                    if spot is not None:
-                        self._knock = group.create_task(self._trade(spot, ""))
+                    address = self._stranger()
+                    if address is not None:
+                        self._knock = group.create_task(self._trade(address, ""))
                 self.line.tidy()
                 turn += 1
                 # A short first while: a new member should be known soon.
                 span = self._shuffle_s * (0.2 if turn < 5 else CALM if self.cores() else 1.0)
-                await self._clock.sleep(span * (0.75 + self._dice.random() / 2))
+                await self._clock.sleep(span * (0.75 + self._rng.random() / 2))
 
     async def _shuffle(self, turn: int, group: asyncio.TaskGroup) -> None:
         for member in self.view.values():
             member.age += 1
         known = list(self.view.values())
-        seeds = [s for s in self._seeds if s not in {m.spot for m in known}]
+        seeds = [s for s in self._seeds if s not in {m.address for m in known}]
         # Islands that forgot each other meet again through seeds, so ask one now and then.
         if seeds and (len(known) < 2 or turn % 4 == 0):
             if not known:
-                await asyncio.gather(*(self._trade(spot, "") for spot in seeds))
+                await asyncio.gather(*(self._trade(address, "") for address in seeds))
                 return
             # Seeds may all be down: the neighbours there are must not wait for that.
             if self._seeking is None or self._seeking.done():
-                self._seeking = group.create_task(self._trade(self._dice.choice(seeds), ""))
+                self._seeking = group.create_task(self._trade(self._rng.choice(seeds), ""))
         if not known:
             return
         oldest = max(known, key=lambda m: (m.age, m.name))
-        if not await self._trade(oldest.spot, oldest.name):
+        if not await self._trade(oldest.address, oldest.name):
             self.view.pop(oldest.name, None)
 
-    async def _trade(self, spot: str, name: str) -> bool:
-        cursor = self._cursors.get(spot) or Cursor()
+    async def _trade(self, address: str, name: str) -> bool:
+        cursor = self._cursors.get(address) or Cursor()
         seq = self.line.seq
         tells = self._tells()
         body = {
@@ -272,27 +272,27 @@
         }
         # No longer than to the next turn: one neighbour that is gone must not keep us from
         # the others for longer than it takes to seem cut off.
-        result = await self._caller.ask(spot, "shuffle", body, min(self._call_s, self._shuffle_s))
+        result = await self._caller.ask(address, "shuffle", body, min(self._call_s, self._shuffle_s))
         if isinstance(result, outcome.Bad):
             # What it missed while away is sent again.
-            self._cursors.pop(spot, None)
+            self._cursors.pop(address, None)
             return False
         reply = result.value
-        fresh = self._take(reply, cursor, seq, spot)
+        fresh = self._take(reply, cursor, seq, address)
         if fresh is None:
-            self._cursors.pop(spot, None)
+            self._cursors.pop(address, None)
             return False
         # What was not traded stays owed, for when no core is heard.
         if not tells:
             fresh.ours = cursor.ours
         if not reply.get("told", True):
             fresh.boot, fresh.theirs = cursor.boot, cursor.theirs
-        self._cursors[spot] = fresh
+        self._cursors[address] = fresh
         if name and reply["name"] != name:
             self.view.pop(name, None)
         return True
 
-    def _take(self, reply: frames.Body, cursor: Cursor, seq: int, spot: str) -> Cursor | None:
+    def _take(self, reply: frames.Body, cursor: Cursor, seq: int, address: str) -> Cursor | None:
         """Take up a reply; a malformed one, as from another release, harms nobody."""
         try:
             self._heard(reply)
@@ -302,22 +302,22 @@
             # A member that started anew has forgotten what it was told.
             return Cursor(str(reply["boot"]), int(reply["seq"]), seq if same else 0)
         except (KeyError, TypeError, ValueError, AttributeError) as flaw:
-            self._note("reply refused", f"{spot}: {type(flaw).__name__}: {flaw}")
+            self._note("reply refused", f"{address}: {type(flaw).__name__}: {flaw}")
             return None
 
     def _tend(self, group: asyncio.TaskGroup) -> None:
         known = self.known_cores()
-        near = [m.spot for m in self.view.values()]
+        near = [m.address for m in self.view.values()]
         # Every proxy polls every core, so news told to the cores is told to all. Only while no
         # core is heard do neighbours tell each other.
         told = list(known.values()) if self.cores() else [*known.values(), *near]
         wanted: dict[tuple[str, str], typing.Callable[[str], typing.Awaitable[None]]] = {}
-        for spot in told:
-            if spot != self.me.spot:
-                wanted[("push", spot)] = self._push
+        for address in told:
+            if address != self.me.address:
+                wanted[("push", address)] = self._push
         if self.me.kind == "proxy":
-            for spot in known.values():
-                wanted[("pull", spot)] = self._pull
+            for address in known.values():
+                wanted[("pull", address)] = self._pull
         for key, task in list(self._tasks.items()):
             if key not in wanted:
                 task.cancel()
@@ -329,9 +329,9 @@
     def _news(self, since: int) -> bool:
         return self.line.urgent > since
 
-    async def _push(self, spot: str) -> None:
+    async def _push(self, address: str) -> None:
         """Tell one member of urgent news as it comes."""
-        sent = self.line.seq if spot in self._cursors else 0
+        sent = self.line.seq if address in self._cursors else 0
         core = self.me.kind == "registry"
         while True:
             async with self.line.news:
@@ -346,7 +346,7 @@
             if not core and not items:
                 sent = upto
                 continue
-            result = await self._caller.ask(spot, "tell", {**self.head(), "items": items}, self._call_s)
+            result = await self._caller.ask(address, "tell", {**self.head(), "items": items}, self._call_s)
             if isinstance(result, outcome.Bad):
                 # Shuffles and polls carry the rest once it is back.
                 await self._clock.sleep(self._shuffle_s)
@@ -355,7 +355,7 @@
             if items:
                 sent = upto
 
-    async def _pull(self, spot: str) -> None:
+    async def _pull(self, address: str) -> None:
         """Ask one core with what we have; it answers when there is news."""
         cursor = Cursor()
         while True:
@@ -367,12 +367,12 @@
                 "cursor": [cursor.boot, cursor.theirs],
                 "hold": self._hold_s,
             }
-            result = await self._caller.ask(spot, "poll", body, self._hold_s + self._call_s)
+            result = await self._caller.ask(address, "poll", body, self._hold_s + self._call_s)
             if isinstance(result, outcome.Bad):
                 cursor = Cursor()
                 await self._clock.sleep(self._shuffle_s)
                 continue
-            fresh = self._take(result.value, cursor, seq, spot)
+            fresh = self._take(result.value, cursor, seq, address)
             if fresh is None:
                 await self._clock.sleep(self._shuffle_s)
             cursor = fresh or Cursor()
@@ -388,11 +388,11 @@
     """Whether a word about a member is one that we could act on."""
     if not isinstance(raw, (list, tuple)) or len(raw) != 4:
         return False
-    name, kind, spot, age = raw
+    name, kind, address, age = raw
     if not isinstance(name, str) or not 0 < len(name) <= 128 or kind not in ("proxy", "registry"):
         return False
     good = isinstance(age, int) and not isinstance(age, bool) and 0 <= age <= AGE_MOST * 2
-    return good and isinstance(spot, str) and ports.spot_fault(spot) is None
+    return good and isinstance(address, str) and ports.address_fault(address) is None
 
 
 async def _coroutine(work: typing.Awaitable[None]) -> None:
--- a/packages/ports/src/dykeswitch/ports/__init__.py
+++ b/packages/ports/src/dykeswitch/ports/__init__.py
@@ -23,7 +23,7 @@
 
 # The same few addresses come with each beat: they are not read anew each time.
 @functools.lru_cache(4096)
-def spot_fault(text: str) -> str | None:
+def address_fault(text: str) -> str | None:
     """What is wrong with an `ip:port`, if anything."""
     host, colon, port = text.rpartition(":")
     if not colon:
@@ -47,7 +47,7 @@
     async def sleep(self, span: float) -> None: ...
 
 
-class Pipe(typing.Protocol):
+class Connection(typing.Protocol):
     """A two-way stream of bytes."""
 
     async def read(self, most: int) -> bytes: ...
@@ -59,7 +59,7 @@
     def ended(self) -> bool: ...
 
 
-Serve = typing.Callable[[Pipe], typing.Awaitable[None]]
+Serve = typing.Callable[[Connection], typing.Awaitable[None]]
 
 
 class Listener(typing.Protocol):
@@ -71,9 +71,9 @@
 class Network(typing.Protocol):
     """Pipes by address; an address is `ip:port`."""
 
-    async def dial(self, spot: str, wait: float) -> Pipe: ...
+    async def dial(self, address: str, wait: float) -> Connection: ...
 
-    async def listen(self, spot: str, serve: Serve) -> Listener: ...
+    async def listen(self, address: str, serve: Serve) -> Listener: ...
 
 
 class Disk(typing.Protocol):
@@ -133,12 +133,12 @@
 class Web(typing.Protocol):
     """Web calls out, and an application served to the outside."""
 
-    async def serve(self, spot: str, app: App) -> "WebServer": ...
+    async def serve(self, address: str, app: App) -> "WebServer": ...
 
     async def ask(
         self,
         method: str,
-        spot: str,
+        address: str,
         path: str,
         heads: Fields,
         body: bytes,
--- a/packages/ports/src/dykeswitch/ports/real.py
+++ b/packages/ports/src/dykeswitch/ports/real.py
@@ -22,9 +22,9 @@
 READ_SIZE: typing.Final = 65536
 
 
-def split_spot(spot: str) -> tuple[str, int]:
+def split_address(address: str) -> tuple[str, int]:
     """An `ip:port` in its two parts."""
-    host, _, port = spot.rpartition(":")
+    host, _, port = address.rpartition(":")
     return host, int(port)
 
 
@@ -41,7 +41,7 @@
         await asyncio.sleep(span)
 
 
-class RealPipe:
+class RealConnection:
     """A TCP stream."""
 
     def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -74,9 +74,7 @@
     def ended(self) -> bool:
         # Unread bytes on an idle pipe are as bad as its end: nobody asked for them.
         return (
-            self._reader.at_eof()
-            or self._writer.is_closing()
-            or bool(getattr(self._reader, "_buffer", b""))
+            self._reader.at_eof() or self._writer.is_closing() or bool(getattr(self._reader, "_buffer", b""))
         )
 
 
@@ -85,38 +83,38 @@
 
     def __init__(self) -> None:
         self.server: asyncio.Server | None = None
-        self.pipes: set[RealPipe] = set()
+        self.connections: set[RealConnection] = set()
 
     def close(self) -> None:
         if self.server is not None:
             self.server.close()
-        for pipe in list(self.pipes):
-            pipe.close()
+        for connection in list(self.connections):
+            connection.close()
 
 
 class RealNetwork:
     """TCP by IP numbers."""
 
-    async def dial(self, spot: str, wait: float) -> ports.Pipe:
-        host, port = split_spot(spot)
+    async def dial(self, address: str, wait: float) -> ports.Connection:
+        host, port = split_address(address)
         async with asyncio.timeout(wait):
             reader, writer = await asyncio.open_connection(host, port)
-        return RealPipe(reader, writer)
+        return RealConnection(reader, writer)
 
-    async def listen(self, spot: str, serve: ports.Serve) -> ports.Listener:
-        host, port = split_spot(spot)
+    async def listen(self, address: str, serve: ports.Serve) -> ports.Listener:
+        host, port = split_address(address)
         ear = RealListener()
 
         async def opened(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-            pipe = RealPipe(reader, writer)
-            ear.pipes.add(pipe)
+            connection = RealConnection(reader, writer)
+            ear.connections.add(connection)
             try:
-                await serve(pipe)
+                await serve(connection)
             except (OSError, asyncio.CancelledError):
                 return
             finally:
-                ear.pipes.discard(pipe)
-                pipe.close()
+                ear.connections.discard(connection)
+                connection.close()
 
         ear.server = await asyncio.start_server(opened, host, port, reuse_address=True)
         return ear
@@ -177,7 +175,7 @@
         self._head_most = head_most
         self._client: httpx.AsyncClient | None = None
 
-    async def serve(self, spot: str, app: ports.App) -> ports.WebServer:
+    async def serve(self, address: str, app: ports.App) -> ports.WebServer:
         # Brought in where it is needed: a store serves no web, and starting is part of recovery.
         import uvicorn
 
@@ -188,7 +186,7 @@
             def capture_signals(self) -> collections.abc.Generator[None, None, None]:
                 yield
 
-        host, port = split_spot(spot)
+        host, port = split_address(address)
         # Bind first, so that a taken port is told as one plain line.
         # The protocol is named: asyncio turns Nagle's delay off only where it is, and a
         # reply's head and body are two writes.
@@ -219,14 +217,14 @@
         while not server.started:
             if task.done():
                 await task
-                raise OSError(f"cannot serve on {spot}")
+                raise OSError(f"cannot serve on {address}")
             await asyncio.sleep(0.005)
         return RealWebServer(server, task)
 
     async def ask(
         self,
         method: str,
-        spot: str,
+        address: str,
         path: str,
         heads: ports.Fields,
         body: bytes,
@@ -242,7 +240,7 @@
         try:
             async with asyncio.timeout(wait):
                 reply = await self._client.request(
-                    method, f"http://{spot}{path}", headers=fields, content=body, timeout=wait
+                    method, f"http://{address}{path}", headers=fields, content=body, timeout=wait
                 )
         except httpx.HTTPError as flaw:
             raise OSError(f"{type(flaw).__name__}: {flaw}") from flaw
--- a/packages/proxy/src/dykeswitch/proxy/borrower.py
+++ b/packages/proxy/src/dykeswitch/proxy/borrower.py
@@ -204,9 +204,7 @@
         wants[(self._home + need.turn) % slots.PARTS] = QUIET
         return wants
 
-    def _lender(
-        self, wish: Wish, need: Need, cores: typing.Container[str], now: float
-    ) -> str | None:
+    def _lender(self, wish: Wish, need: Need, cores: typing.Container[str], now: float) -> str | None:
         """The registry to ask now, if it is time to, and it is known and not at work for us."""
         side = need.sides[wish.part]
         due = side.asked + (side.haste if need.lack else side.rest)
--- a/packages/proxy/src/dykeswitch/proxy/carrier.py
+++ b/packages/proxy/src/dykeswitch/proxy/carrier.py
@@ -6,6 +6,7 @@
 import random
 import typing
 
+import dykeswitch.adapter as adapters
 import dykeswitch.layout as layouts
 import dykeswitch.logs as logs
 import dykeswitch.outcome as outcome
@@ -15,9 +16,8 @@
 import dykeswitch.proxy.selection as selection
 import dykeswitch.settings as settings
 import dykeswitch.soundness as soundness
-import dykeswitch.soundness.pipe as pipes
+import dykeswitch.soundness.connection as connections
 import dykeswitch.timeline as timeline
-import dykeswitch.tongue as tongues
 
 # Fields of one hop, which the HTTP standard forbids to pass on.
 HOP: typing.Final = frozenset(
@@ -67,7 +67,7 @@
     """A reply that can't be finished: the caller's pipe must break."""
 
 
-def kept_heads(heads: pipes.Heads) -> pipes.Heads:
+def kept_heads(heads: connections.Heads) -> connections.Heads:
     """Header fields that go on to the next hop."""
     named = {
         part.strip().lower()
@@ -88,13 +88,13 @@
         line: timeline.Timeline,
         marks: timeline.Marks,
         log: logs.Log,
-        dice: random.Random,
+        rng: random.Random,
         senses: Senses,
-        tongue: tongues.Tongue | None = None,
+        adapter: adapters.Adapter | None = None,
     ) -> None:
-        self._tongue: tongues.Tongue = tongue or tongues.Own()
-        self._heads = self._tongue.heads
-        self._dice = dice
+        self._adapter: adapters.Adapter = adapter or adapters.Own()
+        self._heads = self._adapter.heads
+        self._rng = rng
         self._bounds = bounds
         self._net = machine.net
         self._clock = machine.clock
@@ -103,9 +103,9 @@
         self._log = log
         self._senses = senses
         self.layout: layouts.Layout | None = None
-        self.selector = selection.Selector(line, marks, bounds, dice)
+        self.selector = selection.Selector(line, marks, bounds, rng)
         self.table: dict[str, exchanges.Exchange] = {}
-        self._idle: dict[str, list[pipes.EndpointPipe]] = {}
+        self._idle: dict[str, list[connections.EndpointConnection]] = {}
         self._budgets: dict[str, budgets.Budget] = {}
         self._strikes = soundness.Strikes(bounds.mark_s)
         self.closing = False
@@ -134,9 +134,9 @@
         """Pipes to an endpoint that is leaving, gone or moved are closed at once."""
         if entry.kind != timeline.ENDPOINT:
             return
-        for pipe in self._idle.get(entry.key, []):
-            if entry.fields["state"] != timeline.UP or pipe.spot != entry.fields["address"]:
-                pipe.close()
+        for connection in self._idle.get(entry.key, []):
+            if entry.fields["state"] != timeline.UP or connection.address != entry.fields["address"]:
+                connection.close()
         if entry.fields["state"] != timeline.UP:
             self._idle.pop(entry.key, None)
 
@@ -147,7 +147,7 @@
             while x.stage is not Stage.DONE:
                 x.stage = await self._passes[x.stage](x)
         finally:
-            if x.pipe is not None:
+            if x.connection is not None:
                 self._put_away(x, sound=False)
             self._remember(x)
             self._log.info(
@@ -247,7 +247,7 @@
             return "no_rule"
         # Drawn once where the rule is split, and again only if the rule has moved on.
         if x.service not in rule.services():
-            x.service = rule.draw(self._dice)
+            x.service = rule.draw(self._rng)
         if not x.service:
             return "no_rule"
         limits = layouts.limits(self.layout, rule, x.service)
@@ -298,8 +298,8 @@
         x.ahead = self.selector.ahead(entry)
         self.selector.begun(entry.key)
         try:
-            x.pipe = await self._pipe_to(x, entry)
-        except pipes.Flaw as flaw:
+            x.connection = await self._connection_to(x, entry)
+        except connections.Flaw as flaw:
             # Nothing was sent: this is no go, and another endpoint may be selected.
             self.selector.ended(entry.key)
             x.misses += 1
@@ -320,71 +320,80 @@
             return self._give_up(x, "not_run")
         return Stage.DELIVER
 
-    async def _pipe_to(self, x: exchanges.Exchange, entry: timeline.Entry) -> pipes.EndpointPipe:
-        spot = str(entry.fields["address"])
+    async def _connection_to(
+        self, x: exchanges.Exchange, entry: timeline.Entry
+    ) -> connections.EndpointConnection:
+        address = str(entry.fields["address"])
         now = self._clock.now()
         assert self.layout is not None
         probe = self.layout.services[x.service].probe
         held = self._idle.get(entry.key, [])
         while held:
-            pipe = held.pop()
-            if not pipe.usable() or pipe.spot != spot or self._stale(pipe, now):
-                pipe.close()
+            connection = held.pop()
+            if not connection.usable() or connection.address != address or self._stale(connection, now):
+                connection.close()
                 continue
             # A pipe that lay idle may by now lead to whoever took the address over without
             # our hearing of it: only a fresh proof tells, or the id that the request bears.
-            if now - pipe.used < self._bounds.drain_s / 4 or self._bounds.proof == "header":
-                return pipe
-            if await self._still_proven(pipe, probe, max(0.0, x.expiry - self._clock.now())):
-                return pipe
+            if now - connection.used < self._bounds.drain_s / 4 or self._bounds.proof == "header":
+                return connection
+            if await self._still_proven(connection, probe, max(0.0, x.expiry - self._clock.now())):
+                return connection
         dial_s = self._bounds.dial_s
         try:
             async with asyncio.timeout(x.expiry - self._clock.now()):
                 if self._bounds.proof == "header":
                     names = self._heads.exchange
-                    return await pipes.open_pipe(self._net, self._clock, entry.key, spot, dial_s, names)
+                    return await connections.open_connection(
+                        self._net, self._clock, entry.key, address, dial_s, names
+                    )
                 wait = self._bounds.probe_wait_s
-                return await pipes.open_proven(
-                    self._net, self._clock, entry.key, spot, probe, dial_s, wait, self._heads
+                return await connections.open_proven(
+                    self._net, self._clock, entry.key, address, probe, dial_s, wait, self._heads
                 )
         except TimeoutError as flaw:
             # It had less time than a dial and a probe have: that says nothing of the endpoint.
-            raise pipes.Flaw("expired", False) from flaw
+            raise connections.Flaw("expired", False) from flaw
 
-    def _stale(self, pipe: pipes.EndpointPipe, now: float) -> bool:
+    def _stale(self, connection: connections.EndpointConnection, now: float) -> bool:
         """Whether the endpoint is about to close an idle pipe, by its own word."""
-        return pipe.idle_s is not None and now - pipe.used > pipe.idle_s / 2
+        return connection.idle_s is not None and now - connection.used > connection.idle_s / 2
 
-    async def _still_proven(self, pipe: pipes.EndpointPipe, probe: str, left: float) -> bool:
+    async def _still_proven(
+        self, connection: connections.EndpointConnection, probe: str, left: float
+    ) -> bool:
         """Prove an idle pipe anew; one that fails is closed, and judged by a fresh one."""
         try:
             async with asyncio.timeout(min(self._bounds.probe_wait_s, left)):
-                if await pipes.prove(pipe, probe, self._heads.served_by) is None and pipe.usable():
+                if (
+                    await connections.prove(connection, probe, self._heads.served_by) is None
+                    and connection.usable()
+                ):
                     return True
         except TimeoutError as flaw:
             # It hangs: a fresh pipe would only hang as long again.
-            pipe.close()
+            connection.close()
             hurried = left < self._bounds.probe_wait_s
-            raise pipes.Flaw("expired" if hurried else soundness.PROBE_TIMED_OUT, False) from flaw
-        except pipes.Flaw:
+            raise connections.Flaw("expired" if hurried else soundness.PROBE_TIMED_OUT, False) from flaw
+        except connections.Flaw:
             pass
-        pipe.close()
+        connection.close()
         return False
 
     def _put_away(self, x: exchanges.Exchange, sound: bool) -> None:
         """Give a pipe back for the next exchange, or close it."""
-        pipe, x.pipe = x.pipe, None
-        if pipe is None:
+        connection, x.connection = x.connection, None
+        if connection is None:
             return
-        self.selector.ended(pipe.endpoint)
-        entry = self._line.get(timeline.ENDPOINT, pipe.endpoint)
-        held = self._idle.setdefault(pipe.endpoint, [])
+        self.selector.ended(connection.endpoint)
+        entry = self._line.get(timeline.ENDPOINT, connection.endpoint)
+        held = self._idle.setdefault(connection.endpoint, [])
         stays = entry is not None and entry.fields["state"] == timeline.UP
-        if sound and stays and pipe.usable() and len(held) < IDLE_MOST and not self.closing:
-            pipe.used = self._clock.now()
-            held.append(pipe)
+        if sound and stays and connection.usable() and len(held) < IDLE_MOST and not self.closing:
+            connection.used = self._clock.now()
+            held.append(connection)
         else:
-            pipe.close()
+            connection.close()
 
     def _go_s(self, x: exchanges.Exchange) -> float:
         """How long this go may take."""
@@ -395,12 +404,12 @@
         return min(x.request_s, left)
 
     async def _deliver(self, x: exchanges.Exchange) -> Stage:
-        assert x.pipe is not None and x.endpoint is not None
-        entry, pipe = x.endpoint, x.pipe
+        assert x.connection is not None and x.endpoint is not None
+        entry, connection = x.endpoint, x.connection
         x.head, x.buffer, x.rest, x.flaw, x.sent = None, b"", None, "", False
         span = self._go_s(x)
         begun = self._clock.now()
-        mark = pipe.wrote()
+        mark = connection.wrote()
 
         def gate() -> bool:
             # The last look before the first byte: frozen, expired, or gone since?
@@ -415,7 +424,7 @@
 
         try:
             async with asyncio.timeout(span):
-                x.head = await pipe.send(x.method, x.target, self._heads_for(x), x.body, gate)
+                x.head = await connection.send(x.method, x.target, self._heads_for(x), x.body, gate)
                 await self._gather(x)
         except TimeoutError:
             x.flaw = soundness.TIMED_OUT
@@ -423,21 +432,21 @@
             # A caller in a hurry says nothing about the endpoint.
             if waited < min(self._bounds.probe_wait_s, x.request_s):
                 x.flaw = "expired"
-        except pipes.Flaw as flaw:
+        except connections.Flaw as flaw:
             x.flaw = flaw.reason
         finally:
             # Also when we are cut short: whether it may have run must be known.
             x.took = self._clock.now() - begun
-            x.sent = pipe.wrote_since(mark)
+            x.sent = connection.wrote_since(mark)
             if x.sent:
                 x.goes += 1
         return Stage.JUDGE
 
-    def _heads_for(self, x: exchanges.Exchange) -> pipes.Heads:
+    def _heads_for(self, x: exchanges.Exchange) -> connections.Heads:
         left = max(1, int((x.expiry - self._clock.now()) * 1000))
         names = self._heads
         ours = {names.expiry, names.expected, b"content-length"}
-        if not self._tongue.named_by_caller:
+        if not self._adapter.named_by_caller:
             ours.add(names.exchange)
         heads = [(k, v) for k, v in kept_heads(x.heads) if k not in ours]
         # One that came in chunks goes on with a length: it is whole by now.
@@ -446,17 +455,17 @@
         heads.append((names.expiry, str(left).encode()))
         if x.endpoint is not None:
             heads.append((names.expected, x.endpoint.key.encode()))
-        if not self._tongue.named_by_caller:
+        if not self._adapter.named_by_caller:
             heads.append((b"via", b"1.1 dykeswitch"))
             heads.append((names.exchange, x.name.encode()))
         return heads
 
     async def _gather(self, x: exchanges.Exchange) -> None:
         """Hold the reply's body up to the bound, so that a cut one is never passed on."""
-        assert x.head is not None and x.pipe is not None
+        assert x.head is not None and x.connection is not None
         if not _framed(x):
-            raise pipes.Flaw(soundness.UNFRAMED, True)
-        rest = x.pipe.parts()
+            raise connections.Flaw(soundness.UNFRAMED, True)
+        rest = x.connection.parts()
         held = bytearray()
         async for part in rest:
             held += part
@@ -467,7 +476,7 @@
 
     async def _judge(self, x: exchanges.Exchange) -> Stage:
         """What the go's end says of the endpoint and of the exchange."""
-        assert x.endpoint is not None and x.pipe is not None
+        assert x.endpoint is not None and x.connection is not None
         name = x.endpoint.key
         if x.flaw:
             self._put_away(x, sound=False)
@@ -479,7 +488,7 @@
             return Stage.RETRY
         assert x.head is not None
         served = x.head.get(self._heads.served_by)
-        promised = self._tongue.promised(x.head.status, x.head.heads)
+        promised = self._adapter.promised(x.head.status, x.head.heads)
         other = served is not None and served.decode("latin-1") != name
         bare = x.head.status < 300 and self._heads.seal and x.head.get(self._heads.seal) is None
         if (other and not promised) or bare:
@@ -490,9 +499,9 @@
             self._put_away(x, sound=False)
             self._mark(name, soundness.Fault(x.flaw))
             return Stage.RETRY
-        burden = tongues.burden(x.head.get(self._heads.burden))
+        load = adapters.load(x.head.get(self._heads.load))
         if not promised:
-            self.selector.learn(x.endpoint, x.took, x.ahead, burden)
+            self.selector.learn(x.endpoint, x.took, x.ahead, load)
         elif x.head.status != soundness.MISDIRECTED:
             self.selector.full(name)
         fault = soundness.status_fault(x.head.status, promised)
@@ -564,12 +573,12 @@
             heads = [(k, v) for k, v in heads if k != b"retry-after"]
         elif x.status in soundness.FREE and not any(k == b"retry-after" for k, _ in heads):
             # Given up on, and nothing of it runs any more: say when to come back.
-            heads.append((b"retry-after", self._tongue.hint(self._come_back(x))))
+            heads.append((b"retry-after", self._adapter.hint(self._come_back(x))))
         bodiless = x.method == "HEAD" or x.status in (204, 304) or x.status < 200
         if x.rest is None and not bodiless:
             heads = [(k, v) for k, v in heads if k != b"content-length"]
             heads.append((b"content-length", str(len(x.buffer)).encode()))
-        if not self._tongue.named_by_caller:
+        if not self._adapter.named_by_caller:
             heads = [(k, v) for k, v in heads if k != self._heads.exchange]
             heads.append((b"via", b"1.1 dykeswitch"))
             heads.append((self._heads.exchange, x.name.encode()))
@@ -594,7 +603,7 @@
             async with asyncio.timeout(max(0.0, x.expiry - self._clock.now())):
                 async for part in x.rest:
                     await x.send({"type": "http.response.body", "body": part, "more_body": True})
-        except (TimeoutError, pipes.Flaw) as flaw:
+        except (TimeoutError, connections.Flaw) as flaw:
             self._put_away(x, sound=False)
             self._mark(x.endpoint.key, soundness.Fault(soundness.BROKE_OFF))
             self.count("broken")
@@ -617,7 +626,7 @@
             (self._heads.exchange, x.name.encode()),
         ]
         if x.retry_after is not None:
-            heads.append((b"retry-after", self._tongue.hint(x.retry_after)))
+            heads.append((b"retry-after", self._adapter.hint(x.retry_after)))
         if self._parting():
             heads.append((b"connection", b"close"))
         x.replied = True
@@ -626,12 +635,12 @@
 
     def idle(self) -> int:
         """How many usable pipes lie idle."""
-        return sum(1 for held in self._idle.values() for pipe in held if pipe.usable())
+        return sum(1 for held in self._idle.values() for connection in held if connection.usable())
 
     def close(self) -> None:
         for held in self._idle.values():
-            for pipe in held:
-                pipe.close()
+            for connection in held:
+                connection.close()
         self._idle.clear()
 
 
--- a/packages/proxy/src/dykeswitch/proxy/exchange.py
+++ b/packages/proxy/src/dykeswitch/proxy/exchange.py
@@ -8,7 +8,7 @@
 import dykeswitch.layout as layouts
 import dykeswitch.outcome as outcome
 import dykeswitch.ports as ports
-import dykeswitch.soundness.pipe as pipes
+import dykeswitch.soundness.connection as connections
 import dykeswitch.timeline as timeline
 
 TRAIL_MOST: typing.Final = 32
@@ -38,7 +38,7 @@
     host: str
     path: str
     target: bytes
-    heads: pipes.Heads
+    heads: connections.Heads
     body: bytes
     born: float
     asked_s: float | None
@@ -59,9 +59,9 @@
     misses: int = 0
     tried: set[str] = dataclasses.field(default_factory=set)
     endpoint: timeline.Entry | None = None
-    pipe: pipes.EndpointPipe | None = None
+    connection: connections.EndpointConnection | None = None
     # What the last go brought.
-    head: pipes.Head | None = None
+    head: connections.Head | None = None
     buffer: bytes = b""
     rest: typing.AsyncIterator[bytes] | None = None
     flaw: str = ""
--- a/packages/proxy/src/dykeswitch/proxy/pages.py
+++ b/packages/proxy/src/dykeswitch/proxy/pages.py
@@ -4,7 +4,7 @@
 
 import litestar
 
-import dykeswitch.layout.papers as papers
+import dykeswitch.layout.documents as documents
 import dykeswitch.logs.counters as counters
 import dykeswitch.ports as ports
 
@@ -20,7 +20,10 @@
 
     def ready() -> litestar.Response[dict[str, typing.Any]]:
         why = proxy.ready()
-        page: dict[str, typing.Any] = {"ready": why is None, "layout": proxy.papers.version(papers.LAYOUT)}
+        page: dict[str, typing.Any] = {
+            "ready": why is None,
+            "layout": proxy.documents.version(documents.LAYOUT),
+        }
         if why is not None:
             page["why"] = why
         return litestar.Response(page, status_code=200 if why is None else 503)
--- a/packages/proxy/src/dykeswitch/proxy/program.py
+++ b/packages/proxy/src/dykeswitch/proxy/program.py
@@ -4,9 +4,11 @@
 import random
 import typing
 
+import dykeswitch.adapter as adapters
+import dykeswitch.adapter.page as pages
 import dykeswitch.frames as frames
 import dykeswitch.layout as layouts
-import dykeswitch.layout.papers as papers
+import dykeswitch.layout.documents as documents
 import dykeswitch.layout.pauses as pauses
 import dykeswitch.logs as logs
 import dykeswitch.membership as membership
@@ -17,8 +19,6 @@
 import dykeswitch.proxy.exchange as exchanges
 import dykeswitch.settings as settings
 import dykeswitch.timeline as timeline
-import dykeswitch.tongue as tongues
-import dykeswitch.tongue.page as pages
 
 # The part of the grace after which work still in hand is answered.
 LAST_CALL: typing.Final = 0.88
@@ -33,11 +33,11 @@
         bounds: settings.Settings,
         machine: ports.Machine,
         log: logs.Log,
-        dice: random.Random,
-        tongue: tongues.Tongue | None = None,
+        rng: random.Random,
+        adapter: adapters.Adapter | None = None,
     ) -> None:
         self.bounds = bounds
-        self.tongue: tongues.Tongue = tongue or tongues.Own()
+        self.adapter: adapters.Adapter = adapter or adapters.Own()
         self.machine = machine
         self.log = log
         self.clock = machine.clock
@@ -51,15 +51,15 @@
             self.line,
             machine,
             self.caller,
-            dice,
+            rng,
             bounds.shuffle_s,
             bounds.call_s,
             bounds.hold_s,
             bounds.seeds,
             log.note,
         )
-        self.papers = papers.Papers(self.line, self.caller, bounds.call_s, self._reads)
-        self.carrier = carrier.Carrier(bounds, machine, self.line, self.marks, log, dice, self, self.tongue)
+        self.documents = documents.Documents(self.line, self.caller, bounds.call_s, self._reads)
+        self.carrier = carrier.Carrier(bounds, machine, self.line, self.marks, log, rng, self, self.adapter)
         # The carrier has a budget for each service it carried; the borrower fills them.
         self.borrower = borrowers.Borrower(
             bounds.name,
@@ -72,7 +72,7 @@
         )
         self._pauses: list[pauses.Pause] = []
         self.carrier.selector.paused = self.paused
-        self._names = f"{dice.getrandbits(32):08x}"
+        self._names = f"{rng.getrandbits(32):08x}"
         self._turn = 0
         self._tick = self.clock.now()
         # Until a core has confirmed what we hold, we are not sure of it.
@@ -93,9 +93,9 @@
 
     # Papers.
 
-    async def _reads(self, name: str, version: int, data: bytes) -> papers.Take | None:
+    async def _reads(self, name: str, version: int, data: bytes) -> documents.Take | None:
         """Read a paper while exchanges go on; what is handed back takes it up at once."""
-        if name == papers.PAUSES:
+        if name == documents.PAUSES:
             planned = pauses.read(data)
 
             def plan() -> None:
@@ -103,7 +103,7 @@
                 self.log.info("pauses taken up", version=version, pauses=len(planned))
 
             return plan
-        raw = self.tongue.layout(data)
+        raw = self.adapter.layout(data)
         if isinstance(raw, outcome.Bad):
             self.log.error("layout refused", version=version, why=raw.why)
             return None
@@ -132,7 +132,7 @@
             "zone": self.bounds.zone,
             "web": self.bounds.web,
             "spot": self.bounds.member,
-            "layout": self.papers.version(papers.LAYOUT),
+            "layout": self.documents.version(documents.LAYOUT),
             "ready": self.ready() is None,
             "extra": f"{self.borrower.borrowed()} lent",
         }
@@ -186,16 +186,16 @@
         # A freeze may outlast what is known of the cores: who was one may be one still.
         known = self.spread.known_cores()
         self._cores = known or self._cores
-        spots = list(self._cores.values())
+        addresses = list(self._cores.values())
         good = False
-        calls = [asyncio.create_task(self._confirm_at(spot)) for spot in spots]
+        calls = [asyncio.create_task(self._confirm_at(address)) for address in addresses]
         while calls and not good:
             done, _ = await asyncio.wait(calls, return_when=asyncio.FIRST_COMPLETED)
             good = any(call.result() for call in done)
             calls = [call for call in calls if call not in done]
         if good:
             # Knowing of a newer layout without holding it is no more than doubt.
-            good = await self.papers.catch_up(self._spots())
+            good = await self.documents.catch_up(self._addresses())
         # Frozen again meanwhile: what we heard is old already.
         if good and self.clock.now() - begun > self.bounds.drain_s:
             return False
@@ -204,7 +204,7 @@
             # comes after it is newer.
             self._doubt = False
             self._confirmed = True
-        elif self._confirmed and self._in_company() and not self.papers.behind():
+        elif self._confirmed and self._in_company() and not self.documents.behind():
             # No core can be reached: go on with the last list, as asked for.
             self._doubt = False
         return good
@@ -213,18 +213,18 @@
         """Whether somebody was heard since we began to doubt, and not by words that lay waiting."""
         return self.spread.heard > self._doubt_at + self.bounds.gap_s / 2
 
-    async def _confirm_at(self, spot: str) -> bool:
+    async def _confirm_at(self, address: str) -> bool:
         ask = {"name": self.bounds.name, "items": [], "cursor": ["", 0], "hold": 0.0}
-        result = await self.caller.ask(spot, "confirm", ask, self.bounds.call_s)
+        result = await self.caller.ask(address, "confirm", ask, self.bounds.call_s)
         if isinstance(result, outcome.Bad):
             return False
         self.line.merge(result.value["items"])
         self.spread.heard = self.clock.now()
         return True
 
-    def _spots(self) -> list[str]:
+    def _addresses(self) -> list[str]:
         cores = list(self.spread.cores().values())
-        return cores + [m.spot for m in self.spread.view.values() if m.spot not in cores]
+        return cores + [m.address for m in self.spread.view.values() if m.address not in cores]
 
     # Soundness of the proxy itself.
 
@@ -316,7 +316,7 @@
     async def _intake(self, x: exchanges.Exchange, receive: ports.Receive) -> outcome.Bad | None:
         if sum(len(k) + len(v) for k, v in x.heads) > (self._taken().head_most or self.bounds.head_most):
             return outcome.bad("head_too_big")
-        text = tongues.find(x.heads, self.tongue.heads.expiry)
+        text = adapters.find(x.heads, self.adapter.heads.expiry)
         if text is not None:
             if not text.isdigit() or len(text) > 9:
                 return outcome.bad("bad_expiry", text[:40].decode("latin-1"))
@@ -361,7 +361,7 @@
 
     async def run(self) -> None:
         """Serve until told to stop."""
-        kinds = {**self.spread.kinds(), **self.papers.kinds(), "exchange": self._on_exchange}
+        kinds = {**self.spread.kinds(), **self.documents.kinds(), "exchange": self._on_exchange}
         ear = frames.Ear(kinds, self.log.note, self.meter)
         self._ear = await self.machine.net.listen(self.bounds.ear or self.bounds.member, ear.serve)
         try:
@@ -369,7 +369,7 @@
             self._server = await self.machine.web.serve(self.bounds.web, self._app())
             if self.bounds.ready:
                 asked = pages.app(
-                    self.tongue.ready_path, self.ready, None, ("proxy", self.bounds.name, self.counts)
+                    self.adapter.ready_path, self.ready, None, ("proxy", self.bounds.name, self.counts)
                 )
                 self._ready_server = await self.machine.web.serve(self.bounds.ready, asked)
             self.log.info("started", web=self.bounds.web, member=self.bounds.member)
@@ -377,7 +377,7 @@
                 tasks = [
                     group.create_task(self.spread.run()),
                     group.create_task(self._keep_ticking()),
-                    group.create_task(self._keep_papers()),
+                    group.create_task(self._keep_documents()),
                     group.create_task(self._keep_saying()),
                     group.create_task(self.borrower.run()),
                 ]
@@ -436,12 +436,14 @@
                 self._confirming = asyncio.create_task(self._confirm())
             await self.clock.sleep(self.bounds.tick_s)
 
-    async def _keep_papers(self) -> None:
+    async def _keep_documents(self) -> None:
         """Fetch a paper as soon as a higher version of it is named."""
         while True:
             async with self.line.news:
-                await ports.wait_for(self.line.news, lambda: bool(self.papers.behind()), self.bounds.hold_s)
-            if self.papers.behind() and not await self.papers.catch_up(self._spots()):
+                await ports.wait_for(
+                    self.line.news, lambda: bool(self.documents.behind()), self.bounds.hold_s
+                )
+            if self.documents.behind() and not await self.documents.catch_up(self._addresses()):
                 await self.clock.sleep(self.bounds.tick_s)
 
     async def _keep_saying(self) -> None:
--- a/packages/proxy/src/dykeswitch/proxy/selection.py
+++ b/packages/proxy/src/dykeswitch/proxy/selection.py
@@ -8,9 +8,9 @@
 import random
 import typing
 
+import dykeswitch.adapter as adapters
 import dykeswitch.settings as settings
 import dykeswitch.timeline as timeline
-import dykeswitch.tongue as tongues
 
 # How many replies weigh as much as what is thought of the whole service.
 PRIOR: typing.Final = 4.0
@@ -70,13 +70,13 @@
         line: timeline.Timeline,
         marks: timeline.Marks,
         bounds: settings.Settings,
-        dice: random.Random,
+        rng: random.Random,
     ) -> None:
         self._line = line
         self._marks = marks
         self._bounds = bounds
         self._zone = bounds.zone
-        self._dice = dice
+        self._rng = rng
         self.flights: dict[str, int] = {}
         self.paused: typing.Callable[[str], str | None] = lambda endpoint: None
         self._services: dict[str, set[str]] = {}
@@ -140,9 +140,7 @@
         mark = self._marks.down(endpoint)
         return mark.expiry if mark is not None else 0.0
 
-    def _soonest(
-        self, service: str, sound: list[timeline.Entry], aim_s: float | None
-    ) -> timeline.Entry:
+    def _soonest(self, service: str, sound: list[timeline.Entry], aim_s: float | None) -> timeline.Entry:
         """The one that is to finish first; another zone's must be sooner by a part of the aim."""
         base = self._base(service)
         far = self._bounds.far_share * (aim_s if aim_s is not None else base * 4)
@@ -151,15 +149,17 @@
             span = self.finish_s(entry, base)
             if entry.fields.get("zone") != self._zone:
                 span += far
-            return span + base * LOT * self._dice.random()
+            return span + base * LOT * self._rng.random()
 
         return min(sound, key=cost)
 
     def _base(self, service: str) -> float:
         """What a request of a service takes, in seconds, as far as we know."""
         pace = self._paces.get(service)
-        return pace.mean(self._bounds.request_s * FIRST_PACE) if pace is not None else (
-            self._bounds.request_s * FIRST_PACE
+        return (
+            pace.mean(self._bounds.request_s * FIRST_PACE)
+            if pace is not None
+            else (self._bounds.request_s * FIRST_PACE)
         )
 
     def waiting(self, endpoint: str, base: float) -> float:
@@ -201,25 +201,23 @@
         else:
             self.flights.pop(endpoint, None)
 
-    def learn(
-        self, endpoint: timeline.Entry, span: float, ahead: float, burden: tongues.Burden | None
-    ) -> None:
+    def learn(self, endpoint: timeline.Entry, span: float, ahead: float, load: adapters.Load | None) -> None:
         """A reply came after a span (seconds), with so many ahead of it when it was sent."""
         service = str(endpoint.fields["service"])
         seen = self._seen.get(endpoint.key)
         if seen is None:
             return
-        slots = burden.slots if burden is not None else seen.slots or 1
+        slots = load.slots if load is not None else seen.slots or 1
         work = span / (1 + max(0.0, ahead + 1 - slots) / max(1, slots))
         seen.pace.add(work)
         self._paces.setdefault(service, Pace()).add(work)
-        if burden is not None:
+        if load is not None:
             # Our own exchange is still counted in flight, and done there.
             own = self.flights.get(endpoint.key, 1) - 1
-            seen.others = max(0.0, burden.running + burden.waiting - own)
+            seen.others = max(0.0, load.running + load.waiting - own)
             seen.usual += (seen.others - seen.usual) / MEMORY
             seen.at = self._line.clock.now()
-            seen.slots = max(1, burden.slots)
+            seen.slots = max(1, load.slots)
 
     def full(self, endpoint: str) -> None:
         """It turned a request away: its queue is full for about as long as a request takes."""
--- a/packages/register/src/dykeswitch/register/__init__.py
+++ b/packages/register/src/dykeswitch/register/__init__.py
@@ -81,7 +81,7 @@
         return [self.epoch, [[list(pair) for pair in group] for group in self.groups]]
 
     def disks(self) -> dict[str, str]:
-        return {disk: spot for group in self.groups for disk, spot in group}
+        return {disk: address for group in self.groups for disk, address in group}
 
     def joint(self) -> bool:
         return len(self.groups) > 1
@@ -97,7 +97,9 @@
     if not whole(epoch) or (epoch and not (1 <= len(groups) <= 2 and all(groups))):
         raise ValueError("not a member set")
     for group in groups:
-        if any(not disk or not isinstance(disk, str) or ports.spot_fault(spot) for disk, spot in group):
+        if any(
+            not disk or not isinstance(disk, str) or ports.address_fault(address) for disk, address in group
+        ):
             raise ValueError("not a member set")
     return MemberSet(epoch, tuple(tuple((str(d), str(s)) for d, s in group) for group in groups))
 
--- a/packages/register/src/dykeswitch/register/proposer.py
+++ b/packages/register/src/dykeswitch/register/proposer.py
@@ -37,7 +37,7 @@
         clock: ports.Clock,
         points: ports.Points,
         wait: float,
-        dice: random.Random,
+        rng: random.Random,
     ) -> None:
         # The name must be new with each start, so that no ballot is ever used twice.
         self._name = name
@@ -45,11 +45,11 @@
         self._clock = clock
         self._points = points
         self._wait = wait
-        self._dice = dice
+        self._rng = rng
         self._count = 0
         self.members = register.NOBODY
         # Where a disk was last seen, which beats the address in the member set.
-        self.spots: dict[str, str] = {}
+        self.addresses: dict[str, str] = {}
         self._held: dict[str, tuple[register.Ballot, register.Value]] = {}
         self.mended = 0
         # Calls whose answer came too late to count, held until they end.
@@ -70,20 +70,20 @@
         self, groups: Groups, kind: str, body: frames.Body
     ) -> tuple[dict[str, frames.Body], list[outcome.Bad]]:
         """Ask every disk of the groups; return once each group has its majority or can't."""
-        spots = {disk: self.spots.get(disk, spot) for group in groups for disk, spot in group}
+        addresses = {disk: self.addresses.get(disk, address) for group in groups for disk, address in group}
         yes: dict[str, frames.Body] = {}
         no: list[outcome.Bad] = []
         news = asyncio.Event()
 
-        async def one(disk: str, spot: str) -> None:
-            result = await self._caller.ask(spot, kind, {**body, "disk": disk}, self._wait)
+        async def one(disk: str, address: str) -> None:
+            result = await self._caller.ask(address, kind, {**body, "disk": disk}, self._wait)
             if isinstance(result, outcome.Good):
                 yes[disk] = result.value
             else:
                 no.append(result)
             news.set()
 
-        tasks = [asyncio.create_task(one(disk, spot)) for disk, spot in spots.items()]
+        tasks = [asyncio.create_task(one(disk, address)) for disk, address in addresses.items()]
         try:
             while not register.carried(groups, yes) and len(yes) + len(no) < len(tasks):
                 news.clear()
@@ -110,9 +110,9 @@
 
     async def learn(self, more: typing.Iterable[str] = ()) -> bool:
         """Ask the stores we know of for a newer member set."""
-        spots = {self.spots.get(d, s) for d, s in self.members.disks().items()} | set(more)
+        addresses = {self.addresses.get(d, s) for d, s in self.members.disks().items()} | set(more)
         results = await asyncio.gather(
-            *(self._caller.ask(s, "state", {}, self._wait) for s in sorted(spots))
+            *(self._caller.ask(s, "state", {}, self._wait) for s in sorted(addresses))
         )
         moved = False
         for result in results:
@@ -138,7 +138,7 @@
             trial += 1
             if trial > 1:
                 # Longer with each try, and by chance, so that two that race part.
-                await self._clock.sleep(self._wait * 0.02 * min(trial, TRIES) * self._dice.random())
+                await self._clock.sleep(self._wait * 0.02 * min(trial, TRIES) * self._rng.random())
             if not self.members.groups:
                 return outcome.bad("unknown") if sent else outcome.bad("no_majority", "no member set known")
             epoch = self.members.epoch
@@ -212,7 +212,7 @@
                 return outcome.Good(self._keep(key, ballots.pop(), yes, have))
             # A change may be under way: to mend at once would only outvote it.
             if look < LOOKS:
-                await self._clock.sleep(self._wait * 0.05 * (1 + look) * self._dice.random())
+                await self._clock.sleep(self._wait * 0.05 * (1 + look) * self._rng.random())
                 continue
             self.mended += 1
             return await self.change(key, lambda now: now)
@@ -253,16 +253,16 @@
 
     async def _everyone(self, key: str) -> tuple[dict[str, frames.Body], int]:
         """Each reachable disk's ballot for a key, waiting for all rather than a majority."""
-        spots = {d: self.spots.get(d, s) for d, s in self.members.disks().items()}
+        addresses = {d: self.addresses.get(d, s) for d, s in self.members.disks().items()}
         have = self._held.get(key)
         ask: frames.Body = {"key": key, "epoch": self.members.epoch}
         if have is not None:
             ask["have"] = list(have[0])
         results = await asyncio.gather(
-            *(self._caller.ask(s, "read", {**ask, "disk": d}, self._wait) for d, s in spots.items())
+            *(self._caller.ask(s, "read", {**ask, "disk": d}, self._wait) for d, s in addresses.items())
         )
-        yes = {d: r.value for d, r in zip(spots, results) if isinstance(r, outcome.Good)}
-        return yes, len(spots)
+        yes = {d: r.value for d, r in zip(addresses, results) if isinstance(r, outcome.Good)}
+        return yes, len(addresses)
 
 
 def decode_set(value: register.Value) -> register.MemberSet:
--- a/packages/register/src/dykeswitch/register/shelf.py
+++ b/packages/register/src/dykeswitch/register/storage.py
@@ -31,7 +31,7 @@
     """A generation that was switched to can't be read: the disk itself is at fault."""
 
 
-class Shelf:
+class Storage:
     """Records by key, each write synced before it returns."""
 
     def __init__(self, disk: ports.Disk, points: ports.Points) -> None:
--- a/packages/register/src/dykeswitch/register/voter.py
+++ b/packages/register/src/dykeswitch/register/voter.py
@@ -9,7 +9,7 @@
 import dykeswitch.outcome as outcome
 import dykeswitch.ports as ports
 import dykeswitch.register as register
-import dykeswitch.register.shelf as shelf
+import dykeswitch.register.storage as storage
 
 DISK_KEY: typing.Final = "@disk"
 SET_KEY: typing.Final = "@set"
@@ -42,10 +42,10 @@
 class Voter:
     """Votes for one disk; every answer that binds it is synced first."""
 
-    def __init__(self, disk: ports.Disk, points: ports.Points, dice: random.Random) -> None:
+    def __init__(self, disk: ports.Disk, points: ports.Points, rng: random.Random) -> None:
         self._disk = disk
-        self._dice = dice
-        self._shelf = shelf.Shelf(disk, points)
+        self._rng = rng
+        self._storage = storage.Storage(disk, points)
         self._seats: dict[str, Seat] = {}
         self._set = register.NOBODY
         self._set_lock = asyncio.Lock()
@@ -54,7 +54,7 @@
 
     async def open(self) -> None:
         """Read the disk; a disk never used before gets its random id."""
-        records = await self._disk.run(self._shelf.open)
+        records = await self._disk.run(self._storage.open)
         for key, record in records.items():
             if key == DISK_KEY:
                 self.disk_id = str(record)
@@ -68,8 +68,8 @@
         if not self.disk_id:
             # A disk with votes but no id is not blank: someone removed a part of it.
             if records:
-                raise shelf.Damage("the disk's id is gone but its records are not")
-            name = f"{self._dice.getrandbits(64):016x}"
+                raise storage.Damage("the disk's id is gone but its records are not")
+            name = f"{self._rng.getrandbits(64):016x}"
             await self._put(DISK_KEY, name)
             self.disk_id = name
 
@@ -102,7 +102,7 @@
         if self.damaged:
             raise OSError(self.damaged)
         try:
-            await self._disk.run(lambda: self._shelf.put(key, record))
+            await self._disk.run(lambda: self._storage.put(key, record))
         except OSError as flaw:
             self.damaged = str(flaw)
             raise
--- a/packages/registry/src/dykeswitch/registry/endpoints.py
+++ b/packages/registry/src/dykeswitch/registry/endpoints.py
@@ -17,7 +17,7 @@
 # What the register remembers of an endpoint.
 TABLE: typing.Final = ("service", "address", "zone", "interval", "slots")
 # A told burden that moved by less is no news.
-BURDEN_STEP: typing.Final = 0.1
+LOAD_STEP: typing.Final = 0.1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -28,7 +28,7 @@
     service: str
     address: str
     zone: str
-    burden: float
+    load: float
     interval_s: float
     leaving: bool
     # Still serving what it has, but nothing new is to come: it leaves as surely.
@@ -96,11 +96,11 @@
             faults.append(f"{key}: must be 1 to {NAME_MOST} letters")
     address = raw.get("address")
     if not (address is None and leaving is True):
-        flaw = ports.spot_fault(address) if isinstance(address, str) else "must be ip:port"
+        flaw = ports.address_fault(address) if isinstance(address, str) else "must be ip:port"
         if flaw:
             faults.append(f"address: {flaw}")
-    burden = raw.get("burden", 0.0)
-    if isinstance(burden, bool) or not isinstance(burden, (int, float)) or not 0 <= burden < 1e9:
+    load = raw.get("burden", 0.0)
+    if isinstance(load, bool) or not isinstance(load, (int, float)) or not 0 <= load < 1e9:
         faults.append("burden: must be a number from 0")
     interval = raw.get("interval_s", 2.0)
     if isinstance(interval, bool) or not isinstance(interval, (int, float)) or not 0 < interval <= 60:
@@ -113,7 +113,7 @@
             str(raw.get("service", "")),
             str(address or ""),
             str(raw.get("zone", "")),
-            float(burden),
+            float(load),
             max(INTERVAL_LEAST, float(interval)),
             bool(leaving),
             bool(draining),
@@ -200,7 +200,7 @@
             return True
         if old.fields.get("slots") != fields.get("slots"):
             return True
-        return abs(float(old.fields.get("burden", 0.0)) - float(fields["burden"])) >= BURDEN_STEP
+        return abs(float(old.fields.get("burden", 0.0)) - float(fields["burden"])) >= LOAD_STEP
 
     # What the register remembers, for the day when every machine forgets at once.
 
@@ -225,7 +225,7 @@
             if self._line.get(timeline.ENDPOINT, name) is not None:
                 continue
             fields: timeline.Fields = {k: row[k] for k in TABLE if k in row}
-            fields.update(state=timeline.UP, burden=0.0, remembered=True, born=[0, self._line.name])
+            fields.update(state=timeline.UP, load=0.0, remembered=True, born=[0, self._line.name])
             span = float(fields.get("interval", 2.0)) * REMEMBERED
             if self._line.write(timeline.ENDPOINT, name, fields, span) is not None:
                 taken += 1
@@ -248,7 +248,7 @@
             "service": beat.service,
             "address": beat.address,
             "zone": beat.zone,
-            "burden": beat.burden,
+            "burden": beat.load,
             "interval": beat.interval_s,
             "state": timeline.UP,
             "born": born,
--- a/packages/registry/src/dykeswitch/registry/lender.py
+++ b/packages/registry/src/dykeswitch/registry/lender.py
@@ -124,8 +124,8 @@
         if book is None or book.fence != hold.fence:
             # Somebody else lent meanwhile, or may have: what we knew is worth nothing.
             book = self._books[slot] = Book(hold.fence)
-        shelf = book.services.setdefault(ask.service, {})
-        account = shelf.get(who) or Account()
+        storage = book.services.setdefault(ask.service, {})
+        account = storage.get(who) or Account()
         if turn <= account.turn:
             # A late or repeated ask: what it says of its sender is no longer so.
             self.passed_over += 1
@@ -135,14 +135,14 @@
         until = now + self._bounds.loan_s + self._bounds.lapse_s
         coins = 0
         if ask.want != NOTHING:
-            coins = self._coins(shelf, who, account, ask, now, self._waits(hold) > 0)
+            coins = self._coins(storage, who, account, ask, now, self._waits(hold) > 0)
         if coins:
             account.put(coins, until)
             self.lent += 1
         elif ask.want != NOTHING:
             self.refused += 1
         account.got = coins
-        shelf[who] = account
+        storage[who] = account
         _clear(book, ask.service, now, self._bounds.loan_s)
         return [coins, hold.fence]
 
@@ -153,18 +153,18 @@
         return max(0.0, hold.since + self._bounds.inherit_s - self._clock.now())
 
     def _coins(
-        self, shelf: dict[str, Account], who: str, account: Account, ask: Ask, now: float, waits: bool
+        self, storage: dict[str, Account], who: str, account: Account, ask: Ask, now: float, waits: bool
     ) -> int:
         """How many coins a borrower may have now."""
         if waits:
             # What it still has of the lender before us is out anyway, and may stay so.
             lent = min(ask.lent, self.part(ask.part))
-            if who in shelf:
+            if who in storage:
                 return min(lent, account.out(now))
             account.put(ask.bound, now + self._bounds.lapse_s)
             return lent
         whole = self.part(ask.part)
-        others = {name: a for name, a in shelf.items() if name != who}
+        others = {name: a for name, a in storage.items() if name != who}
         out = sum(a.out(now) for a in others.values())
         pressed = [a for a in others.values() if a.pressed(now, self._bounds.loan_s)]
         share = max(1, whole // (len(pressed) + 1))
@@ -200,11 +200,11 @@
             if hold is None or hold.fence != book.fence:
                 continue
             part = (slot - slots.PROBE) // slots.BUCKETS
-            for service, shelf in sorted(book.services.items()):
-                outs = [a.out(now) for a in shelf.values()]
+            for service, storage in sorted(book.services.items()):
+                outs = [a.out(now) for a in storage.values()]
                 lent = [
                     max((c for c, until in a.outs if until - self._bounds.lapse_s > now), default=0)
-                    for a in shelf.values()
+                    for a in storage.values()
                 ]
                 wait = round(self._waits(hold), 1)
                 many = sum(1 for n in lent if n)
@@ -220,9 +220,9 @@
 
 def _clear(book: Book, service: str, now: float, span: float) -> None:
     """Keep accounts that have something out, and those pressed lately; let go of the rest."""
-    shelf = book.services[service]
-    for name, account in list(shelf.items()):
+    storage = book.services[service]
+    for name, account in list(storage.items()):
         if not account.pressed(now, span) and not account.out(now):
-            del shelf[name]
-    if not shelf:
+            del storage[name]
+    if not storage:
         del book.services[service]
--- a/packages/registry/src/dykeswitch/registry/prober.py
+++ b/packages/registry/src/dykeswitch/registry/prober.py
@@ -8,7 +8,7 @@
 import dykeswitch.ports as ports
 import dykeswitch.registry.duties as duties
 import dykeswitch.settings as settings
-import dykeswitch.soundness.pipe as pipes
+import dykeswitch.soundness.connection as connections
 import dykeswitch.timeline as timeline
 import dykeswitch.timeline.slots as slots
 
@@ -116,18 +116,18 @@
     async def _look(self, entry: timeline.Entry) -> str | None:
         """One semantic probe on a fresh pipe; the reason it failed, or nothing."""
         path = self._probe_path(str(entry.fields["service"])) or layouts.DEFAULT_PROBE
-        spot = str(entry.fields["address"])
+        address = str(entry.fields["address"])
         try:
-            pipe = await pipes.open_proven(
+            connection = await connections.open_proven(
                 self._machine.net,
                 self._clock,
                 entry.key,
-                spot,
+                address,
                 path,
                 self._bounds.dial_s,
                 self._bounds.probe_wait_s,
             )
-        except pipes.Flaw as flaw:
+        except connections.Flaw as flaw:
             return flaw.reason
-        pipe.close()
+        connection.close()
         return None
--- a/packages/registry/src/dykeswitch/registry/program.py
+++ b/packages/registry/src/dykeswitch/registry/program.py
@@ -9,10 +9,11 @@
 import litestar
 import litestar.exceptions
 
+import dykeswitch.adapter as adapters
 import dykeswitch.frames as frames
 import dykeswitch.language as language
 import dykeswitch.layout as layouts
-import dykeswitch.layout.papers as papers
+import dykeswitch.layout.documents as documents
 import dykeswitch.layout.pauses as pauses
 import dykeswitch.logs as logs
 import dykeswitch.membership as membership
@@ -28,7 +29,6 @@
 import dykeswitch.registry.seating as seatings
 import dykeswitch.settings as settings
 import dykeswitch.timeline as timeline
-import dykeswitch.tongue as tongues
 
 Page = litestar.Response[dict[str, typing.Any]]
 BEAT_MOST: typing.Final = 16384
@@ -62,11 +62,11 @@
         bounds: settings.Settings,
         machine: ports.Machine,
         log: logs.Log,
-        dice: random.Random,
-        tongue: tongues.Tongue | None = None,
+        rng: random.Random,
+        adapter: adapters.Adapter | None = None,
     ) -> None:
         self.bounds = bounds
-        self.tongue: tongues.Tongue = tongue or tongues.Own()
+        self.adapter: adapters.Adapter = adapter or adapters.Own()
         self.machine = machine
         self.log = log
         self.clock = machine.clock
@@ -80,29 +80,27 @@
             self.line,
             machine,
             self.caller,
-            dice,
+            rng,
             bounds.shuffle_s,
             bounds.call_s,
             bounds.hold_s,
             bounds.seeds,
             log.note,
         )
-        self._boot = f"{dice.getrandbits(32):08x}"
+        self._boot = f"{rng.getrandbits(32):08x}"
         self.proposer = proposers.Proposer(
-            f"{bounds.name}/{self._boot}", self.caller, self.clock, machine.points, bounds.call_s, dice
+            f"{bounds.name}/{self._boot}", self.caller, self.clock, machine.points, bounds.call_s, rng
         )
-        self.papers = papers.Papers(self.line, self.caller, bounds.call_s, self._reads)
+        self.documents = documents.Documents(self.line, self.caller, bounds.call_s, self._reads)
         self.endpoints = endpoints.Endpoints(bounds, self.clock, self.line)
         self.duties = duties.Duties(bounds.name, self._boot, bounds, self.line, self.proposer)
         self.lender = lenders.Lender(bounds, self.clock, self.duties)
         self.prober = probers.Prober(
             bounds.name, bounds, machine, self.line, self.marks, self.duties, self._probe_path, log.note
         )
-        self.seating = seatings.Seating(
-            bounds.name, bounds, machine, self.caller, self.proposer, log.note
-        )
+        self.seating = seatings.Seating(bounds.name, bounds, machine, self.caller, self.proposer, log.note)
         self.layout: layouts.Layout | None = None
-        self._dice = dice
+        self._rng = rng
         self.pauses: list[pauses.Pause] = []
         self.replies = replies.Replies(
             self.line, self.marks, self.spread.wall, lambda: self.layout, lambda: self.pauses
@@ -129,7 +127,7 @@
                 litestar.get("/v1/members", sync_to_thread=False)(self._get_members),
                 litestar.post("/v1/query")(self._post_query),
                 litestar.get("/v1/health")(self._get_health),
-                *self.tongue.calls(self),
+                *self.adapter.calls(self),
             ],
             openapi_config=None,
             logging_config=None,
@@ -139,12 +137,12 @@
 
     # Papers.
 
-    async def _reads(self, name: str, version: int, data: bytes) -> papers.Take | None:
+    async def _reads(self, name: str, version: int, data: bytes) -> documents.Take | None:
         """Read a paper while calls go on; what is handed back takes it up at once."""
-        if name == papers.PAUSES:
+        if name == documents.PAUSES:
             planned = pauses.read(data)
             return lambda: setattr(self, "pauses", planned)
-        raw = self.tongue.layout(data)
+        raw = self.adapter.layout(data)
         result = raw if isinstance(raw, outcome.Bad) else await layouts.check_gently(raw.value)
         if isinstance(result, outcome.Bad):
             self.log.error("layout refused", version=version, faults=result.faults[:5])
@@ -166,16 +164,16 @@
         """Name a confirmed version on the timeline, so that every proxy fetches it."""
         if not value.version:
             return
-        await self.papers.take(name, value.version, value.body)
-        named = self.line.get(timeline.PAPER, name)
+        await self.documents.take(name, value.version, value.body)
+        named = self.line.get(timeline.DOCUMENT, name)
         if named is None or int(named.fields["version"]) < value.version:
-            self.line.write(timeline.PAPER, name, {"version": value.version}, self.bounds.forget_s)
+            self.line.write(timeline.DOCUMENT, name, {"version": value.version}, self.bounds.forget_s)
         elif named.expiry - self.clock.now() < self.bounds.forget_s / 2:
-            self.line.write(timeline.PAPER, name, dict(named.fields), self.bounds.forget_s, urgent=False)
+            self.line.write(timeline.DOCUMENT, name, dict(named.fields), self.bounds.forget_s, urgent=False)
 
-    async def _read_papers(self) -> outcome.Bad | None:
+    async def _read_documents(self) -> outcome.Bad | None:
         """Read the newest papers from a majority and name them."""
-        for name in papers.NAMES:
+        for name in documents.NAMES:
             result = await self.proposer.read(name)
             if isinstance(result, outcome.Bad):
                 return result
@@ -188,7 +186,7 @@
     def kinds(self) -> dict[str, frames.Handle]:
         return {
             **self.spread.kinds(),
-            **self.papers.kinds(),
+            **self.documents.kinds(),
             **self.lender.kinds(),
             "confirm": self._on_confirm,
             "seen": self._on_seen,
@@ -222,9 +220,9 @@
 
     async def _others(self, kind: str, body: frames.Body) -> list[frames.Body]:
         """What the other registries answer, those that do in time."""
-        spots = list(self.spread.cores().values())
+        addresses = list(self.spread.cores().values())
         found = await asyncio.gather(
-            *(self.caller.ask(spot, kind, body, self.bounds.call_s) for spot in spots)
+            *(self.caller.ask(address, kind, body, self.bounds.call_s) for address in addresses)
         )
         return [result.value for result in found if isinstance(result, outcome.Good)]
 
@@ -245,7 +243,7 @@
 
     async def _on_confirm(self, body: frames.Body) -> frames.Result:
         """What a majority holds at this moment, not what we read a while ago."""
-        bad = await self._read_papers()
+        bad = await self._read_documents()
         if bad is not None:
             return bad
         return outcome.Good({"items": self.line.wire_since(0)})
@@ -333,9 +331,9 @@
         if entry is None or need <= 0:
             return told
         ask: frames.Body = {"items": [entry.wire(self.clock.now())], **self.spread.head()}
-        spots = list(self.spread.known_cores().values())
+        addresses = list(self.spread.known_cores().values())
         wait = self.bounds.call_s * TELL_PART
-        calls = [asyncio.create_task(self.caller.ask(spot, "tell", ask, wait)) for spot in spots]
+        calls = [asyncio.create_task(self.caller.ask(address, "tell", ask, wait)) for address in addresses]
         held = 0
         for call in asyncio.as_completed(calls):
             held += isinstance(await call, outcome.Good)
@@ -349,10 +347,10 @@
 
     async def newest(self) -> outcome.Good[bytes] | outcome.Bad:
         """The newest layout, as it was sent, from a majority."""
-        result = await self.proposer.read(papers.LAYOUT)
+        result = await self.proposer.read(documents.LAYOUT)
         if isinstance(result, outcome.Bad):
             return result
-        await self._publish(papers.LAYOUT, result.value)
+        await self._publish(documents.LAYOUT, result.value)
         if not result.value.version:
             return outcome.bad("no_such", "no layout yet")
         return outcome.Good(result.value.body)
@@ -363,32 +361,32 @@
         A numbered layout moves the register only if its number is higher than the one that
         stands; an older or equal one is acknowledged and changes nothing.
         """
-        raw = self.tongue.layout(data)
+        raw = self.adapter.layout(data)
         checked = raw if isinstance(raw, outcome.Bad) else await layouts.check_gently(raw.value)
         if isinstance(checked, outcome.Bad):
             return checked
-        kept = layouts.pack(checked.value) if isinstance(self.tongue, tongues.Own) else data
-        result = await self._change(papers.LAYOUT, kept, want, checked.value.number)
+        kept = layouts.pack(checked.value) if isinstance(self.adapter, adapters.Own) else data
+        result = await self._change(documents.LAYOUT, kept, want, checked.value.number)
         if isinstance(result, outcome.Bad):
             return result
-        await self._publish(papers.LAYOUT, result.value)
-        await self._handed(papers.LAYOUT, result.value.version)
+        await self._publish(documents.LAYOUT, result.value)
+        await self._handed(documents.LAYOUT, result.value.version)
         self.log.info("layout accepted", version=result.value.version, number=checked.value.number)
         return outcome.Good(result.value.version)
 
     def _number(self, body: bytes) -> int | None:
         """The operator's number of a layout that the register holds."""
-        raw = self.tongue.layout(body) if body else outcome.bad("no_such")
+        raw = self.adapter.layout(body) if body else outcome.bad("no_such")
         if isinstance(raw, outcome.Bad) or not isinstance(raw.value, dict):
             return None
         number = raw.value.get("number")
         return number if isinstance(number, int) else None
 
     async def _get_layout(self) -> litestar.Response[typing.Any]:
-        result = await self.proposer.read(papers.LAYOUT)
+        result = await self.proposer.read(documents.LAYOUT)
         if isinstance(result, outcome.Bad):
             return _page(result)
-        await self._publish(papers.LAYOUT, result.value)
+        await self._publish(documents.LAYOUT, result.value)
         if not result.value.version:
             return _page(outcome.bad("no_such", "no layout yet"))
         return litestar.Response(
@@ -415,14 +413,12 @@
         proxies = len(self.line.all(timeline.PROXY))
         end = self.clock.now() + self.bounds.gap_s
         while self.clock.now() < end:
-            got = self.papers.handed.get((name, version), set())
-            if len(got) >= min(HANDED, proxies) or self.papers.version(name) > version:
+            got = self.documents.handed.get((name, version), set())
+            if len(got) >= min(HANDED, proxies) or self.documents.version(name) > version:
                 return
             await self.clock.sleep(self.bounds.gap_s / 100)
 
-    async def _change(
-        self, name: str, data: bytes, want: int | None, number: int | None
-    ) -> proposers.Read:
+    async def _change(self, name: str, data: bytes, want: int | None, number: int | None) -> proposers.Read:
         self._ops += 1
         op = f"{self.bounds.name}/{self._boot}/{name}/{self._ops}"
 
@@ -430,7 +426,7 @@
             # Ours already, or the same body by a repeat after an unknown outcome.
             if now.made(op) is not None or now.body == data:
                 return now
-            held = self._number(now.body) if name == papers.LAYOUT else None
+            held = self._number(now.body) if name == documents.LAYOUT else None
             if held is not None and number is None:
                 return outcome.bad("lost_race", f"layouts are numbered; the newest is {held}")
             if held is not None and number is not None and number <= held:
@@ -490,7 +486,7 @@
             return await self._end_pause(ask.pause)
         if ask.subject == "pauses":
             # Planned pauses are told from a majority, not from memory.
-            bad = await self._read_papers()
+            bad = await self._read_documents()
             if bad is not None:
                 return bad
         if ask.subject == "history":
@@ -530,7 +526,7 @@
             held = sorted(self.duties.owners().items())
             return replies.Table(("slot", "owner", "fence"), [[s, o, f] for s, (o, f) in held])
         if ask.subject == "layout":
-            version = self.papers.version(papers.LAYOUT)
+            version = self.documents.version(documents.LAYOUT)
             rules = len(self.layout.rules) if self.layout else 0
             return replies.Table(("version", "rules"), [[version, rules]])
         rows = [
@@ -547,7 +543,7 @@
 
     async def _pause(self, ask: language.Pause, by: str) -> replies.Table | outcome.Bad:
         wall = self.spread.wall()
-        name = f"p{self._dice.getrandbits(32):08x}"
+        name = f"p{self._rng.getrandbits(32):08x}"
         fresh = pauses.Pause(
             name, ask.endpoint, wall + ask.in_s, wall + ask.in_s + ask.for_s, ask.reason, by, wall
         )
@@ -580,11 +576,11 @@
                 return edited
             return now.next(pauses.pack(edited), op)
 
-        result = await self.proposer.change(papers.PAUSES, step)
+        result = await self.proposer.change(documents.PAUSES, step)
         if isinstance(result, outcome.Bad):
             return result
-        await self._publish(papers.PAUSES, result.value)
-        await self._handed(papers.PAUSES, result.value.version)
+        await self._publish(documents.PAUSES, result.value)
+        await self._handed(documents.PAUSES, result.value.version)
         self.log.info("pauses changed", version=result.value.version)
         found = self.replies.show(language.Show("pauses"))
         assert found is not None
@@ -617,7 +613,7 @@
                 },
             },
             "duties": {str(s): {"owner": o, "fence": f} for s, (o, f) in self.duties.owners().items()},
-            "layout": self.papers.version(papers.LAYOUT),
+            "layout": self.documents.version(documents.LAYOUT),
         }
 
     async def _get_health(self) -> dict[str, typing.Any]:
@@ -717,14 +713,14 @@
         while True:
             stores = {str(e.fields["store"]) for e in self.line.all(timeline.CORE)}
             await self.seating.tend(stores | {self.bounds.store}, self.live())
-            span = self.bounds.sweep_s * (0.75 + 0.5 * self._dice.random())
+            span = self.bounds.sweep_s * (0.75 + 0.5 * self._rng.random())
             # Until a set is known nothing can be told to anybody: look again soon.
             await self.clock.sleep(span if self.proposer.members.groups else span * EAGER)
 
     async def _keep_reading(self) -> None:
         """Learn what others committed, also when they died before they could tell."""
         while True:
-            bad = await self._read_papers()
+            bad = await self._read_documents()
             eager = bad is not None and self._majority < 0
             await self.clock.sleep(self.bounds.sweep_s * (EAGER if eager else 1.0))
 
@@ -778,5 +774,3 @@
             mended = await self.proposer.sweep_copies()
             if mended:
                 self.log.info("copies mended", keys=mended)
-
-
--- a/packages/registry/src/dykeswitch/registry/replies.py
+++ b/packages/registry/src/dykeswitch/registry/replies.py
@@ -202,8 +202,8 @@
             else:
                 open_ones.append(entry)
         for entry in open_ones:
-            burden = entry.fields.get("burden", 0.0)
-            rows.append(["may go to", entry.key, f"open, zone {entry.fields.get('zone')}, burden {burden}"])
+            load = entry.fields.get("burden", 0.0)
+            rows.append(["may go to", entry.key, f"open, zone {entry.fields.get('zone')}, burden {load}"])
         if not open_ones:
             rows.append(["none open", rule.service, "the one whose mark ends first would be asked, if any"])
         return Table(("step", "what", "why"), rows)
--- a/packages/registry/src/dykeswitch/registry/seating.py
+++ b/packages/registry/src/dykeswitch/registry/seating.py
@@ -45,9 +45,9 @@
         self._ops = 0
         self.states: dict[str, frames.Body] = {}
 
-    async def tend(self, spots: typing.Collection[str], live: typing.Collection[str]) -> None:
+    async def tend(self, addresses: typing.Collection[str], live: typing.Collection[str]) -> None:
         """One round: look at every store, then do the one thing that is next."""
-        await self._look(spots)
+        await self._look(addresses)
         if not self._proposer.members.groups:
             await self._found()
             return
@@ -62,21 +62,21 @@
         else:
             await self._swap()
 
-    async def _look(self, spots: typing.Collection[str]) -> None:
-        known = {self._proposer.spots.get(d, s) for d, s in self._proposer.members.disks().items()}
-        asked = sorted(known | set(spots) | set(self._bounds.founders))
+    async def _look(self, addresses: typing.Collection[str]) -> None:
+        known = {self._proposer.addresses.get(d, s) for d, s in self._proposer.members.disks().items()}
+        asked = sorted(known | set(addresses) | set(self._bounds.founders))
         results = await asyncio.gather(
-            *(self._caller.ask(spot, "state", {}, self._bounds.call_s) for spot in asked)
+            *(self._caller.ask(address, "state", {}, self._bounds.call_s) for address in asked)
         )
         self.states = {}
         now = self._clock.now()
-        for spot, result in zip(asked, results):
+        for address, result in zip(asked, results):
             if isinstance(result, outcome.Bad):
                 continue
             state = result.value
             disk = str(state["disk"])
-            self.states[disk] = {**state, "spot": spot}
-            self._proposer.spots[disk] = spot
+            self.states[disk] = {**state, "spot": address}
+            self._proposer.addresses[disk] = address
             self._proposer.adopt(register.set_of(state["set"]))
         for disk in self._proposer.members.disks():
             # A disk that refuses to write is as lost as one that is silent.
@@ -89,10 +89,10 @@
     async def _found(self) -> None:
         """Found only when all founding members are reached and blank."""
         founders = self._bounds.founders
-        by_spot = {str(state["spot"]): disk for disk, state in self.states.items()}
-        if not founders or any(spot not in by_spot for spot in founders):
+        by_address = {str(state["spot"]): disk for disk, state in self.states.items()}
+        if not founders or any(address not in by_address for address in founders):
             return
-        disks = [by_spot[spot] for spot in founders]
+        disks = [by_address[address] for address in founders]
         if not all(self.states[disk]["blank"] for disk in disks):
             return
         first = register.MemberSet(1, (tuple(sorted(zip(disks, founders))),))
@@ -112,9 +112,7 @@
         ask: frames.Body = {"set": members.wire()}
         results = await asyncio.gather(
             *(
-                self._caller.ask(
-                    str(state["spot"]), "install", {**ask, "disk": disk}, self._bounds.call_s
-                )
+                self._caller.ask(str(state["spot"]), "install", {**ask, "disk": disk}, self._bounds.call_s)
                 for disk, state in sorted(old.items())
             )
         )
@@ -124,9 +122,7 @@
         return self._holding(members.epoch)
 
     def _holding(self, epoch: int) -> set[str]:
-        return {
-            disk for disk, state in self.states.items() if register.set_of(state["set"]).epoch >= epoch
-        }
+        return {disk for disk, state in self.states.items() if register.set_of(state["set"]).epoch >= epoch}
 
     async def _behind(self) -> bool:
         """Whether a later set was decided than is installed; if so, bring it out."""
--- a/packages/settings/src/dykeswitch/settings/__init__.py
+++ b/packages/settings/src/dykeswitch/settings/__init__.py
@@ -154,8 +154,8 @@
     "registry": ("name", "zone", "member", "web", "store"),
     "store": ("name", "store", "data"),
 }
-SPOTS: typing.Final = ("member", "ear", "web", "ready", "store")
-SPOT_LISTS: typing.Final = ("seeds", "founders")
+ADDRESSES: typing.Final = ("member", "ear", "web", "ready", "store")
+ADDRESS_LISTS: typing.Final = ("seeds", "founders")
 SPANS: typing.Final = (
     "recover_s",
     "drain_s",
@@ -204,13 +204,13 @@
     for name in NEEDS[program]:
         if not raw.get(name):
             faults.append(f"{name}: missing, and {program} needs it")
-    for name in SPOTS:
-        flaw = ports.spot_fault(kept[name]) if kept.get(name) else None
+    for name in ADDRESSES:
+        flaw = ports.address_fault(kept[name]) if kept.get(name) else None
         if flaw:
             faults.append(f"{name}: {flaw}")
-    for name in SPOT_LISTS:
-        for n, spot in enumerate(kept.get(name, ())):
-            flaw = ports.spot_fault(spot)
+    for name in ADDRESS_LISTS:
+        for n, address in enumerate(kept.get(name, ())):
+            flaw = ports.address_fault(address)
             if flaw:
                 faults.append(f"{name}[{n}]: {flaw}")
     for name in SPANS:
@@ -241,7 +241,7 @@
     flags.add_argument("--settings", metavar="FILE", help="a TOML file of settings; flags win over it")
     for field in dataclasses.fields(Settings):
         word = "--" + field.name.replace("_", "-")
-        if field.name in SPOT_LISTS:
+        if field.name in ADDRESS_LISTS:
             flags.add_argument(word, metavar="IP:PORT,...", help=f"default: {field.default}")
         else:
             flags.add_argument(word, metavar="VALUE", help=f"default: {field.default!r}")
--- a/packages/simulator/src/dykeswitch/simulator/disk.py
+++ b/packages/simulator/src/dykeswitch/simulator/disk.py
@@ -11,9 +11,9 @@
 class SimDisk:
     """Files lie in a real scratch folder; beside it, what a power loss would leave."""
 
-    def __init__(self, root: pathlib.Path, dice: random.Random) -> None:
+    def __init__(self, root: pathlib.Path, rng: random.Random) -> None:
         self._root = root
-        self._dice = dice
+        self._rng = rng
         self.dead = False
         # Things have numbers of their own, so that renames and drops can be undone.
         self._ids: dict[pathlib.Path, int] = {root: 0}
@@ -86,10 +86,10 @@
     def _rebuild(self, number: int, live: pathlib.Path, kept: pathlib.Path) -> None:
         kept.mkdir()
         names = dict(self._names.get(number, {}))
-        if live.is_dir() and self._dice.random() < 0.5:
+        if live.is_dir() and self._rng.random() < 0.5:
             # The system may have written some names back without being asked.
             for path in sorted(live.iterdir()):
-                if self._ids.get(path) is not None and self._dice.random() < 0.5:
+                if self._ids.get(path) is not None and self._rng.random() < 0.5:
                     names.setdefault(path.name, self._ids[path])
         for name, child in sorted(names.items()):
             if child in self._folders:
@@ -101,7 +101,7 @@
 
     def wake(self) -> "SimDisk":
         """The same disk, as a restarted machine finds it."""
-        fresh = SimDisk(self._root, self._dice)
+        fresh = SimDisk(self._root, self._rng)
         for path in sorted(self._root.rglob("*")):
             fresh._id(path)
         for path in [self._root, *sorted(self._root.rglob("*"))]:
--- a/packages/simulator/src/dykeswitch/simulator/faults/__init__.py
+++ b/packages/simulator/src/dykeswitch/simulator/faults/__init__.py
@@ -4,6 +4,7 @@
 
 import dykeswitch.simulator.faults.beats as beats
 import dykeswitch.simulator.faults.callers as callers
+import dykeswitch.simulator.faults.connections as connections
 import dykeswitch.simulator.faults.cores as cores
 import dykeswitch.simulator.faults.endpoints as endpoints
 import dykeswitch.simulator.faults.full as full
@@ -11,7 +12,6 @@
 import dykeswitch.simulator.faults.grey as grey
 import dykeswitch.simulator.faults.identity as identity
 import dykeswitch.simulator.faults.operators as operators
-import dykeswitch.simulator.faults.pipes as pipes
 import dykeswitch.simulator.faults.proxies as proxies
 import dykeswitch.simulator.faults.wires as wires
 import dykeswitch.simulator.stage as stages
@@ -20,7 +20,7 @@
 OUTER: typing.Final[dict[str, stages.Fault]] = {
     **garbage.FAULTS,
     **full.FAULTS,
-    **pipes.FAULTS,
+    **connections.FAULTS,
     **grey.FAULTS,
     **identity.FAULTS,
     **beats.FAULTS,
@@ -38,7 +38,7 @@
 # one moves it into its module's other table.
 COMING: typing.Final[dict[str, stages.Fault]] = {
     **garbage.COMING,
-    **pipes.COMING,
+    **connections.COMING,
     **grey.COMING,
     **identity.COMING,
     **beats.COMING,
--- a/packages/simulator/src/dykeswitch/simulator/faults/beats.py
+++ b/packages/simulator/src/dykeswitch/simulator/faults/beats.py
@@ -33,11 +33,11 @@
 async def beat_after_leaving(stage: stages.Stage) -> None:
     """An endpoint's last beats come after the one by which it left."""
     service = stage.any_service()
-    name = stage.dice.choice(stage.live_endpoints(service.name))
+    name = stage.rng.choice(stage.live_endpoints(service.name))
     pages = [stage.fleet.endpoints[name].page() for _ in range(4)]
-    stage.new_endpoint(service, stage.fleet.world.spot())
+    stage.new_endpoint(service, stage.fleet.world.address())
     leaving = asyncio.create_task(stage.fleet.drain_endpoint(name, 5.0))
-    for page in stage.dice.sample(pages, len(pages)):
+    for page in stage.rng.sample(pages, len(pages)):
         await asyncio.sleep(0.8)
         await _post(stage, page)
     await leaving
@@ -46,13 +46,13 @@
 
 async def beat_of_the_dead(stage: stages.Stage) -> None:
     """An endpoint ends, another service has its address, and then its last beats come."""
-    one, two = stage.dice.sample(stage.fleet.shape.services, 2)
-    name = stage.dice.choice(stage.live_endpoints(one.name))
+    one, two = stage.rng.sample(stage.fleet.shape.services, 2)
+    name = stage.rng.choice(stage.live_endpoints(one.name))
     endpoint = stage.fleet.endpoints[name]
     pages = [endpoint.page() for _ in range(4)]
     stage.fleet.kill_endpoint(name)
-    stage.new_endpoint(two, endpoint.spot, 0.2)
-    stage.new_endpoint(one, stage.fleet.world.spot())
+    stage.new_endpoint(two, endpoint.address, 0.2)
+    stage.new_endpoint(one, stage.fleet.world.address())
     for page in pages:
         await asyncio.sleep(1.2)
         await _post(stage, page)
@@ -64,7 +64,7 @@
     service = stage.any_service()
     names = [
         stage.new_endpoint(
-            service, stage.fleet.world.spot(), tells_more=True, slots=2, queue=4, warm_by=3.0, warm_s=2.0
+            service, stage.fleet.world.address(), tells_more=True, slots=2, queue=4, warm_by=3.0, warm_s=2.0
         )
         for _ in range(3)
     ]
@@ -77,7 +77,7 @@
 async def beat_overtaken(stage: stages.Stage) -> None:
     """An older beat, which says nothing of draining, comes after the one that does."""
     service = stage.any_service()
-    name = stage.new_endpoint(service, stage.fleet.world.spot(), tells_more=True)
+    name = stage.new_endpoint(service, stage.fleet.world.address(), tells_more=True)
     await asyncio.sleep(2.5)
     endpoint = stage.fleet.endpoints[name]
     pages = [endpoint.page() for _ in range(3)]
--- a/packages/simulator/src/dykeswitch/simulator/faults/callers.py
+++ b/packages/simulator/src/dykeswitch/simulator/faults/callers.py
@@ -41,7 +41,7 @@
     service = stage.any_service()
     with (
         stage.mannered(tries=2),
-        stage.planned(stage.some_of(service.name, 0.2), stage.dice.choice(("lose", "lose_reset")), 0.5),
+        stage.planned(stage.some_of(service.name, 0.2), stage.rng.choice(("lose", "lose_reset")), 0.5),
     ):
         await asyncio.sleep(5.0)
 
--- a/packages/simulator/src/dykeswitch/simulator/faults/cores.py
+++ b/packages/simulator/src/dykeswitch/simulator/faults/cores.py
@@ -40,7 +40,7 @@
     await stage.change(old)
     old.store.lose_power()
     old.registry.lose_power()
-    await asyncio.sleep(stage.dice.uniform(0.0, 4.0))
+    await asyncio.sleep(stage.rng.uniform(0.0, 4.0))
     core = stage.new_core(old)
     await stage.seated()
     await fleet.get(core)
@@ -66,7 +66,7 @@
 
 async def jump_clock(stage: stages.Stage) -> None:
     core = stage.core()
-    core.registry.clock.jump += stage.dice.choice([-86400.0, -3.0, 3.0, 86400.0])
+    core.registry.clock.jump += stage.rng.choice([-86400.0, -3.0, 3.0, 86400.0])
     await asyncio.sleep(1.0)
     await stage.change(core)
     await asyncio.sleep(1.0)
@@ -77,9 +77,9 @@
     core = stage.core()
     others = [c for c in stage.fleet.cores if c is not core]
     names = [n for c in others for n in c.names()]
-    edge = stage.dice.choice(stage.up_edges())
+    edge = stage.rng.choice(stage.up_edges())
     rest = [e.node.name for e in stage.fleet.edges if e is not edge]
-    stage.wires.cut(core.names(), names + rest, both=stage.dice.random() < 0.7)
+    stage.wires.cut(core.names(), names + rest, both=stage.rng.random() < 0.7)
     # Nobody carries news of the change to the core that is apart.
     begun = stage.now
     edge.node.kill()
@@ -138,10 +138,10 @@
     old.store.lose_power()
     old.registry.lose_power()
     core = stage.new_core(old)
-    await asyncio.sleep(stage.dice.uniform(2.5, 5.0))
-    one = stage.dice.choice([c for c in fleet.cores if c is not core])
+    await asyncio.sleep(stage.rng.uniform(2.5, 5.0))
+    one = stage.rng.choice([c for c in fleet.cores if c is not core])
     stage.wires.cut(one.names(), [n for c in fleet.cores if c is not one for n in c.names()])
-    await asyncio.sleep(stage.dice.uniform(0.2, 3.0))
+    await asyncio.sleep(stage.rng.uniform(0.2, 3.0))
     await fleet.put(stage.layout(), core, wait=3.0)
     stage.wires.heal()
     await stage.seated()
@@ -158,7 +158,7 @@
         left = [c for c in stage.fleet.cores if c is not core and not c.registry.name.startswith("core-new")]
         stage.new_core(core, () if left else tuple(c.member for c in stage.fleet.cores))
         await stage.seated()
-    herd = stage.dice.sample(stage.up_edges(), 3)
+    herd = stage.rng.sample(stage.up_edges(), 3)
     begun = stage.now
     for edge in herd:
         edge.node.kill()
@@ -188,11 +188,11 @@
     old.registry.lose_power()
     core = stage.new_core(old)
     others = [c for c in fleet.cores if c is not core]
-    await asyncio.sleep(stage.dice.uniform(2.5, 5.0))
+    await asyncio.sleep(stage.rng.uniform(2.5, 5.0))
     for other in others:
         other.store.lose_power()
         other.registry.lose_power()
-        await asyncio.sleep(stage.dice.uniform(0.0, 0.5))
+        await asyncio.sleep(stage.rng.uniform(0.0, 0.5))
     await asyncio.sleep(1.0)
     for other in others:
         other.store.restart()
@@ -276,7 +276,7 @@
     nodes = [stage.core().registry, stage.core().store, *(e.node for e in stage.up_edges()[:3])]
     for jump in (-0.7, 2.5, -3.0e8, 3.0e8):
         for node in nodes:
-            node.clock.jump += jump * stage.dice.choice([-1, 1])
+            node.clock.jump += jump * stage.rng.choice([-1, 1])
         await asyncio.sleep(0.7)
         await stage.change()
     await asyncio.sleep(1.0)
@@ -289,7 +289,7 @@
     core = stage.core()
     node = core.registry
     held = {n for n, (o, _) in node.daemon.duties.owners().items() if o.startswith(f"{core.registry.name}/")}
-    sick = stage.dice.choice(stage.live_endpoints())
+    sick = stage.rng.choice(stage.live_endpoints())
     plan = stage.fleet.endpoints[sick].plan
     plan.fault, plan.probe_too = "status_502", True
     node.points.armed[21] = node.freeze
@@ -333,7 +333,7 @@
     # Everyone who lent is gone for a second, and half of those who had something.
     for core in fleet.cores:
         core.registry.kill()
-    herd = stage.dice.sample(stage.up_edges(), len(stage.up_edges()) // 2)
+    herd = stage.rng.sample(stage.up_edges(), len(stage.up_edges()) // 2)
     for edge in herd:
         edge.node.kill()
     await asyncio.sleep(1.0)
--- a/packages/simulator/src/dykeswitch/simulator/faults/endpoints.py
+++ b/packages/simulator/src/dykeswitch/simulator/faults/endpoints.py
@@ -9,39 +9,39 @@
 
 async def roll_endpoints(stage: stages.Stage) -> None:
     """A release: new ones come, old ones leave, one by one."""
-    service = stage.dice.choice(stage.fleet.shape.services)
+    service = stage.rng.choice(stage.fleet.shape.services)
     for name in stage.live_endpoints(service.name)[:3]:
-        stage.new_endpoint(service, stage.fleet.world.spot())
+        stage.new_endpoint(service, stage.fleet.world.address())
         await asyncio.sleep(1.0)
         await stage.fleet.drain_endpoint(name, 2.5)
 
 
 async def kill_endpoint(stage: stages.Stage) -> None:
-    name = stage.dice.choice(stage.live_endpoints())
+    name = stage.rng.choice(stage.live_endpoints())
     old = stage.fleet.endpoints[name]
     stage.fleet.kill_endpoint(name)
     await asyncio.sleep(2.0)
-    stage.new_endpoint(stage.shape_of(old.service), stage.fleet.world.spot())
+    stage.new_endpoint(stage.shape_of(old.service), stage.fleet.world.address())
     await asyncio.sleep(2.0)
 
 
 async def hand_over_address(stage: stages.Stage) -> None:
     """An endpoint ends and its address goes to another service, pipes still open."""
-    name = stage.dice.choice(stage.live_endpoints())
+    name = stage.rng.choice(stage.live_endpoints())
     old = stage.fleet.endpoints[name]
-    other = stage.dice.choice([s for s in stage.fleet.shape.services if s.name != old.service])
+    other = stage.rng.choice([s for s in stage.fleet.shape.services if s.name != old.service])
     stage.fleet.kill_endpoint(name)
     # It listens well before it first says who it is.
-    stage.new_endpoint(other, old.spot, stage.dice.uniform(0.0, 2.0))
+    stage.new_endpoint(other, old.address, stage.rng.uniform(0.0, 2.0))
     await asyncio.sleep(0.5)
-    stage.new_endpoint(stage.shape_of(old.service), stage.fleet.world.spot())
+    stage.new_endpoint(stage.shape_of(old.service), stage.fleet.world.address())
     await asyncio.sleep(4.0)
 
 
 def misbehave(fault: str, many: int = 1, probe_too: bool = False, share: float = 0.7) -> stages.Fault:
     async def act(stage: stages.Stage) -> None:
-        service = stage.dice.choice(stage.fleet.shape.services)
-        names = stage.dice.sample(stage.live_endpoints(service.name), many)
+        service = stage.rng.choice(stage.fleet.shape.services)
+        names = stage.rng.sample(stage.live_endpoints(service.name), many)
         for name in names:
             plan = stage.fleet.endpoints[name].plan
             plan.fault, plan.share, plan.probe_too = fault, share, probe_too
@@ -54,8 +54,8 @@
 
 async def two_faced(stage: stages.Stage) -> None:
     """One answers probes and fails requests, one the reverse; then they change places."""
-    service = stage.dice.choice(stage.fleet.shape.services)
-    names = stage.dice.sample(stage.live_endpoints(service.name), 2)
+    service = stage.rng.choice(stage.fleet.shape.services)
+    names = stage.rng.sample(stage.live_endpoints(service.name), 2)
     for turn in range(4):
         for n, name in enumerate(names):
             plan = stage.fleet.endpoints[name].plan
@@ -69,7 +69,7 @@
 
 async def fail_service(stage: stages.Stage) -> None:
     """A whole service fails: nothing helps, and extra goes must stay bounded."""
-    service = stage.dice.choice(stage.fleet.shape.services)
+    service = stage.rng.choice(stage.fleet.shape.services)
     names = stage.live_endpoints(service.name)
     begun = stage.now
     for name in names:
@@ -83,7 +83,7 @@
 
 async def press_budget(stage: stages.Stage) -> None:
     """Failures that come and go, with proxies dying and coming back amid them."""
-    service = stage.dice.choice(stage.fleet.shape.services)
+    service = stage.rng.choice(stage.fleet.shape.services)
     begun = stage.now
     for share, span in ((0.15, 5.0), (1.0, 4.0), (0.0, 3.0), (1.0, 4.0)):
         for name in stage.live_endpoints(service.name):
--- a/packages/simulator/src/dykeswitch/simulator/faults/full.py
+++ b/packages/simulator/src/dykeswitch/simulator/faults/full.py
@@ -73,7 +73,7 @@
     with stage.natured(names, slots=2, queue=8, press=2.0, spread=0.6, tells=True):
         for name in names:
             endpoint = stage.fleet.endpoints[name]
-            endpoint.nature = endpoint.nature.drawn(stage.dice)
+            endpoint.nature = endpoint.nature.drawn(stage.rng)
         for service in stage.fleet.shape.services:
             await stage.fleet.callers.burst(service, 15, 1.0)
         await asyncio.sleep(4.0)
@@ -83,8 +83,8 @@
     """A release of half a service, each of whose new endpoints is slow for some seconds."""
     service = stage.any_service()
     for name in stage.some_of(service.name, 1 / 2):
-        spot = stage.fleet.world.spot()
-        stage.new_endpoint(service, spot, slots=2, queue=4, warm_by=8.0, warm_s=4.0, tells=True)
+        address = stage.fleet.world.address()
+        stage.new_endpoint(service, address, slots=2, queue=4, warm_by=8.0, warm_s=4.0, tells=True)
         await asyncio.sleep(0.3)
         await stage.fleet.drain_endpoint(name, 0.7)
 
--- a/packages/simulator/src/dykeswitch/simulator/faults/grey.py
+++ b/packages/simulator/src/dykeswitch/simulator/faults/grey.py
@@ -25,9 +25,9 @@
 
 async def flap(stage: stages.Stage) -> None:
     """Two change between well and failing, each faster than a mark runs out."""
-    names = stage.dice.sample(stage.live_endpoints(stage.any_service().name), 2)
+    names = stage.rng.sample(stage.live_endpoints(stage.any_service().name), 2)
     for _ in range(8):
-        with stage.planned(names, stage.dice.choice(("status_503", "reset", "status_500")), probe_too=True):
+        with stage.planned(names, stage.rng.choice(("status_503", "reset", "status_500")), probe_too=True):
             await asyncio.sleep(0.4)
         await asyncio.sleep(0.6)
 
@@ -45,14 +45,14 @@
         await asyncio.gather(*pressing)
         for name in names:
             service = stage.shape_of(fleet.endpoints[name].service)
-            stage.new_endpoint(service, fleet.world.spot(), stage.dice.uniform(0.0, 1.0))
+            stage.new_endpoint(service, fleet.world.address(), stage.rng.uniform(0.0, 1.0))
         await asyncio.sleep(2.0)
 
 
 async def drain_told(stage: stages.Stage) -> None:
     """Endpoints say in a beat that they drain, serve on, say that they leave, and end."""
     service = stage.any_service()
-    old = [stage.new_endpoint(service, stage.fleet.world.spot(), tells_more=True) for _ in range(3)]
+    old = [stage.new_endpoint(service, stage.fleet.world.address(), tells_more=True) for _ in range(3)]
     await asyncio.sleep(2.5)
     for name in old:
         endpoint = stage.fleet.endpoints[name]
--- a/packages/simulator/src/dykeswitch/simulator/faults/identity.py
+++ b/packages/simulator/src/dykeswitch/simulator/faults/identity.py
@@ -8,22 +8,22 @@
 
 async def swap_addresses(stage: stages.Stage) -> None:
     """Endpoints of two services end, and each other's address is theirs when they come back."""
-    one, two = stage.dice.sample(stage.fleet.shape.services, 2)
+    one, two = stage.rng.sample(stage.fleet.shape.services, 2)
     for near, far in zip(stage.some_of(one.name, 0.2), stage.some_of(two.name, 0.2)):
-        spots = [stage.fleet.endpoints[name].spot for name in (near, far)]
+        addresses = [stage.fleet.endpoints[name].address for name in (near, far)]
         for name in (near, far):
             stage.fleet.kill_endpoint(name)
         # They listen at once; who they are is heard a little later.
-        stage.new_endpoint(one, spots[1], stage.dice.uniform(0.0, 1.5))
-        stage.new_endpoint(two, spots[0], stage.dice.uniform(0.0, 1.5))
+        stage.new_endpoint(one, addresses[1], stage.rng.uniform(0.0, 1.5))
+        stage.new_endpoint(two, addresses[0], stage.rng.uniform(0.0, 1.5))
         await asyncio.sleep(2.0)
 
 
 async def turncoat(stage: stages.Stage) -> None:
     """An endpoint begins to serve as another service without ending: its pipes stay open."""
     fleet = stage.fleet
-    one, two = stage.dice.sample(fleet.shape.services, 2)
-    name = stage.dice.choice(stage.live_endpoints(one.name))
+    one, two = stage.rng.sample(fleet.shape.services, 2)
+    name = stage.rng.choice(stage.live_endpoints(one.name))
     # Pipes that were used just now need no fresh proof.
     await fleet.callers.burst(one, 40, 0.1)
     endpoint = fleet.endpoints[name]
@@ -34,8 +34,8 @@
     await asyncio.sleep(1.0)
     fleet.kill_endpoint(name)
     # From now on it is known by what it turned into, and its first name by what it was.
-    fleet.endpoints[name] = fleet.endpoint(name, one, endpoint.spot, 0)
-    stage.new_endpoint(one, fleet.world.spot())
+    fleet.endpoints[name] = fleet.endpoint(name, one, endpoint.address, 0)
+    stage.new_endpoint(one, fleet.world.address())
     await asyncio.sleep(2.0)
 
 
--- a/packages/simulator/src/dykeswitch/simulator/faults/operators.py
+++ b/packages/simulator/src/dykeswitch/simulator/faults/operators.py
@@ -25,9 +25,7 @@
         stage.fleet.put(stage.layout(), stage.core(), match),
         stage.fleet.put(stage.layout(), stage.core(), match),
     )
-    await asyncio.gather(
-        stage.change(), stage.change()
-    )
+    await asyncio.gather(stage.change(), stage.change())
     broken = stage.broken()
     put = await stage.fleet.put(broken, stage.core())
     stage.story.broken_bodies.add(put.body)
@@ -36,7 +34,7 @@
 
 async def plan_pause(stage: stages.Stage) -> None:
     """A planned pause stands through probes, a clock that jumps, and all cores restarting."""
-    name = stage.dice.choice(stage.live_endpoints())
+    name = stage.rng.choice(stage.live_endpoints())
     page = await stage.fleet.query(f'pause {name} for 14s because "new disk"', stage.core())
     begun = stage.now
     if page is None or not any(row[1] == name for row in page["rows"]):
@@ -70,9 +68,9 @@
 async def pause_by_wrong_clock(stage: stages.Stage) -> None:
     """A pause is planned by a registry whose clock is wrong and stays so."""
     core = stage.core()
-    core.registry.clock.jump = stage.dice.choice([-3.0e8, -90.0, 90.0, 3.0e8])
+    core.registry.clock.jump = stage.rng.choice([-3.0e8, -90.0, 90.0, 3.0e8])
     await asyncio.sleep(1.5)
-    name = stage.dice.choice(stage.live_endpoints())
+    name = stage.rng.choice(stage.live_endpoints())
     page = await stage.fleet.query(f'pause {name} for 6s because "new disk"', core)
     begun = stage.now
     if page is None or not any(row[1] == name for row in page["rows"]):
--- a/packages/simulator/src/dykeswitch/simulator/faults/proxies.py
+++ b/packages/simulator/src/dykeswitch/simulator/faults/proxies.py
@@ -20,7 +20,7 @@
 
 async def kill_herd(stage: stages.Stage) -> None:
     edges = stage.up_edges()
-    herd = stage.dice.sample(edges, len(edges) // 2)
+    herd = stage.rng.sample(edges, len(edges) // 2)
     begun = stage.now
     for edge in herd:
         edge.node.kill()
@@ -78,9 +78,9 @@
     holding = asyncio.create_task(stage.hold_on(edge, 8.0))
     await asyncio.sleep(1.0)
     await stage.change()
-    leaving = stage.dice.choice(stage.live_endpoints())
+    leaving = stage.rng.choice(stage.live_endpoints())
     service = stage.shape_of(stage.fleet.endpoints[leaving].service)
-    stage.new_endpoint(service, stage.fleet.world.spot())
+    stage.new_endpoint(service, stage.fleet.world.address())
     await stage.fleet.drain_endpoint(leaving, 4.0)
     edge.node.thaw()
     stage.gone([edge], begun)
@@ -90,11 +90,11 @@
 
 async def freeze_herd(stage: stages.Stage) -> None:
     """Half the proxies freeze for a moment about as long as counts as a freeze."""
-    herd = stage.dice.sample(stage.up_edges(), len(stage.up_edges()) // 2)
+    herd = stage.rng.sample(stage.up_edges(), len(stage.up_edges()) // 2)
     begun = stage.now
     for edge in herd:
         edge.node.freeze()
-    await asyncio.sleep(stage.dice.uniform(0.3, 1.5))
+    await asyncio.sleep(stage.rng.uniform(0.3, 1.5))
     await stage.change()
     for edge in herd:
         edge.node.thaw()
@@ -112,9 +112,9 @@
     # One that this proxy would select: near ones go first.
     live = stage.live_endpoints()
     near = [n for n in live if stage.fleet.endpoints[n].zone == edge.zone]
-    leaving = stage.dice.choice(near or live)
+    leaving = stage.rng.choice(near or live)
     service = stage.shape_of(stage.fleet.endpoints[leaving].service)
-    stage.new_endpoint(service, stage.fleet.world.spot())
+    stage.new_endpoint(service, stage.fleet.world.address())
     await stage.fleet.drain_endpoint(leaving, 4.0)
     stage.wires.heal()
     await holding
@@ -123,7 +123,7 @@
 
 async def cut_proxies_from_cores(stage: stages.Stage) -> None:
     """Half the proxies lose every core but still reach the other half."""
-    edges = stage.dice.sample(stage.up_edges(), len(stage.up_edges()) // 2)
+    edges = stage.rng.sample(stage.up_edges(), len(stage.up_edges()) // 2)
     stage.wires.cut([e.node.name for e in edges], stage.core_names())
     await asyncio.sleep(2.0)
     await stage.change()
@@ -135,13 +135,13 @@
 async def replace_proxies(stage: stages.Stage) -> None:
     """Proxies go and others come under new names within ten seconds, a service failing amid it."""
     fleet = stage.fleet
-    service = stage.dice.choice(fleet.shape.services)
+    service = stage.rng.choice(fleet.shape.services)
     begun = stage.now
     names = stage.live_endpoints(service.name)
     for name in names:
         fleet.endpoints[name].plan.fault, fleet.endpoints[name].plan.share = "promise", 1.0
     for turn in range(3):
-        for edge in stage.dice.sample(stage.up_edges(), 3):
+        for edge in stage.rng.sample(stage.up_edges(), 3):
             edge.node.kill()
             stage.gone([edge], stage.now)
             stage.fresh += 1
--- a/packages/simulator/src/dykeswitch/simulator/faults/wires.py
+++ b/packages/simulator/src/dykeswitch/simulator/faults/wires.py
@@ -33,11 +33,11 @@
 
 async def cut_one_way(stage: stages.Stage) -> None:
     """Some of one kind lose one direction towards some of another; each pair in turn."""
-    for near, far in stage.dice.sample(PAIRS, 4):
+    for near, far in stage.rng.sample(PAIRS, 4):
         sides = _sides(stage)
-        ones = stage.dice.sample(sides[near], max(1, len(sides[near]) // 3))
-        twos = stage.dice.sample(sides[far], max(1, len(sides[far]) // 3))
-        if stage.dice.random() < 0.5:
+        ones = stage.rng.sample(sides[near], max(1, len(sides[near]) // 3))
+        twos = stage.rng.sample(sides[far], max(1, len(sides[far]) // 3))
+        if stage.rng.random() < 0.5:
             ones, twos = twos, ones
         stage.note(f"{near} to {far}: {ones[:3]} can not send to {twos[:3]}")
         stage.wires.cut(ones, twos, both=False)
@@ -50,8 +50,8 @@
 
 async def cut_endpoint_from_proxies(stage: stages.Stage) -> None:
     """Proxies do not reach an endpoint whose probes all succeed."""
-    name = stage.dice.choice(stage.live_endpoints())
-    stage.wires.cut(stage.edge_names(), [name], both=stage.dice.random() < 0.5)
+    name = stage.rng.choice(stage.live_endpoints())
+    stage.wires.cut(stage.edge_names(), [name], both=stage.rng.random() < 0.5)
     await asyncio.sleep(6.0)
     stage.wires.heal()
     await asyncio.sleep(1.0)
@@ -59,8 +59,8 @@
 
 async def cut_endpoint_from_cores(stage: stages.Stage) -> None:
     """The cores do not reach an endpoint that serves: it is marked, lapses, and comes back."""
-    name = stage.dice.choice(stage.live_endpoints())
-    stage.wires.cut(stage.core_names(), [name], both=stage.dice.random() < 0.5)
+    name = stage.rng.choice(stage.live_endpoints())
+    stage.wires.cut(stage.core_names(), [name], both=stage.rng.random() < 0.5)
     await asyncio.sleep(6.0)
     stage.wires.heal()
     await asyncio.sleep(1.0)
@@ -79,7 +79,7 @@
 
 async def lose_packets(stage: stages.Stage) -> None:
     """One packet in twenty is lost everywhere, and some machines are far away."""
-    slow = stage.dice.sample(stage.edge_names() + stage.core_names() + stage.live_endpoints(), 4)
+    slow = stage.rng.sample(stage.edge_names() + stage.core_names() + stage.live_endpoints(), 4)
     stage.wires.loss = 0.05
     stage.wires.slow = dict.fromkeys(slow, 0.05)
     # A packet that was lost comes half a second late, and a call takes several.
@@ -95,7 +95,7 @@
     """A whole zone goes dark, with its core, edges and endpoints, and comes back."""
     fleet = stage.fleet
     zones = [z for z in fleet.shape.zones if any(c.zone == z for c in fleet.cores)]
-    zone = stage.dice.choice(zones)
+    zone = stage.rng.choice(zones)
     cores = [c for c in fleet.cores if c.zone == zone]
     edges = [e for e in stage.up_edges() if e.zone == zone]
     names = [n for n in stage.live_endpoints() if fleet.endpoints[n].zone == zone]
--- a/packages/simulator/src/dykeswitch/simulator/fleet.py
+++ b/packages/simulator/src/dykeswitch/simulator/fleet.py
@@ -8,7 +8,7 @@
 import random
 import typing
 
-import dykeswitch.layout.papers as papers
+import dykeswitch.layout.documents as documents
 import dykeswitch.ports as ports
 import dykeswitch.proxy.program as proxies
 import dykeswitch.registry.program as registries
@@ -103,7 +103,7 @@
         self.world.wires.far_s = shape.far_s
         self.shape = shape
         self.scale = scale
-        self.dice = random.Random(seed + 2)
+        self.rng = random.Random(seed + 2)
         self._bounds = bounds or {}
         # Whether requests are sent that each layout moves to another service.
         self.slots = shapes.SLOTS if roving else ()
@@ -125,7 +125,7 @@
         self._tasks: set[asyncio.Task[typing.Any]] = set()
         self._build()
         self.callers = callers.Callers(
-            shape, self.outside, [e.web for e in self.edges], self.record, self.dice
+            shape, self.outside, [e.web for e in self.edges], self.record, self.rng
         )
 
     def settings(self, **own: typing.Any) -> settings.Settings:
@@ -133,41 +133,39 @@
 
     def _build(self) -> None:
         world, shape = self.world, self.shape
-        self.member_spots = [world.spot() for _ in range(shape.cores)]
-        self.store_spots = [world.spot() for _ in range(shape.cores)]
+        self.member_addresses = [world.address() for _ in range(shape.cores)]
+        self.store_addresses = [world.address() for _ in range(shape.cores)]
         for n in range(shape.cores):
-            self.cores.append(self.core(f"core{n}", n, self.member_spots[n], self.store_spots[n]))
+            self.cores.append(self.core(f"core{n}", n, self.member_addresses[n], self.store_addresses[n]))
         for n in range(shape.proxies):
             self.edges.append(self.edge(f"proxy{n}", n))
         for service in (*shape.services, *self.slots):
             for n in range(service.endpoints):
-                self.endpoint(f"{service.name}-{n}", service, world.spot(), n)
+                self.endpoint(f"{service.name}-{n}", service, world.address(), n)
 
-    def core(
-        self, name: str, n: int, member: str, store: str, seeds: tuple[str, ...] = ()
-    ) -> Core:
+    def core(self, name: str, n: int, member: str, store: str, seeds: tuple[str, ...] = ()) -> Core:
         """A core; also one that comes later, with the old seeds in its settings."""
         world = self.world
-        web = world.spot()
+        web = world.address()
         zone = self.shape.zones[n % len(self.shape.zones)]
         told = slice(self._known)
         shared = {
-            "seeds": seeds or tuple(self.member_spots[told]),
-            "founders": tuple(self.store_spots[told]),
+            "seeds": seeds or tuple(self.member_addresses[told]),
+            "founders": tuple(self.store_addresses[told]),
         }
         first = self.settings(name=name, zone=zone, member=member, web=web, store=store, **shared)
-        second = self.settings(name=f"{name}-store", store=store, web=world.spot(), data="-")
+        second = self.settings(name=f"{name}-store", store=store, web=world.address(), data="-")
         keeper = world.add(
             "store",
             f"{name}-store",
-            lambda machine, log, dice: stores.Store(second, machine, _disk_of(keeper), log, dice),
+            lambda machine, log, rng: stores.Store(second, machine, _disk_of(keeper), log, rng),
         )
         world.wires.zones |= {name: zone, f"{name}-store": zone}
-        keeper.disk = disks.SimDisk(world.folder(), world.dice)
+        keeper.disk = disks.SimDisk(world.folder(), world.rng)
         registry = world.add(
             "registry",
             name,
-            lambda machine, log, dice: registries.Registry(first, machine, log, dice),
+            lambda machine, log, rng: registries.Registry(first, machine, log, rng),
         )
         return Core(registry, keeper, member, web, store, zone)
 
@@ -177,37 +175,37 @@
         bounds = self.settings(
             name=name,
             zone=self.shape.zones[n % len(self.shape.zones)],
-            member=world.spot(),
-            web=web or world.spot(),
-            seeds=tuple(self.member_spots[: self._known]),
+            member=world.address(),
+            web=web or world.address(),
+            seeds=tuple(self.member_addresses[: self._known]),
         )
         world.wires.zones[name] = bounds.zone
 
-        def build(machine: ports.Machine, log: typing.Any, dice: random.Random) -> proxies.Proxy:
+        def build(machine: ports.Machine, log: typing.Any, rng: random.Random) -> proxies.Proxy:
             self._boots[name] = self._boots.get(name, 0) + 1
-            return proxies.Proxy(bounds, machine, log, dice)
+            return proxies.Proxy(bounds, machine, log, rng)
 
         return Edge(world.add("proxy", name, build), bounds.web, bounds.zone)
 
     # Endpoints are machines too, though they run no program of ours.
 
-    def endpoint(self, name: str, service: shapes.ServiceShape, spot: str, n: int) -> endpoints.Endpoint:
+    def endpoint(self, name: str, service: shapes.ServiceShape, address: str, n: int) -> endpoints.Endpoint:
         machine = self.world.machine_for(name)
         zone = self.shape.zones[n % len(self.shape.zones)]
         self.world.wires.zones[name] = zone
-        dice = random.Random(self.world.dice.getrandbits(64))
+        rng = random.Random(self.world.rng.getrandbits(64))
         made = endpoints.Endpoint(
             name,
             service.name,
-            spot,
+            address,
             zone,
             machine,
             lambda: [core.web for core in self.cores],
-            dice,
+            rng,
             service.work_s,
             ran=self.record.ran,
             hit=self._hit,
-            nature=natures.PLAIN if service.nature is None else service.nature.drawn(dice),
+            nature=natures.PLAIN if service.nature is None else service.nature.drawn(rng),
             began=self.record.began,
             turned=self._turn,
         )
@@ -377,7 +375,7 @@
                         now,
                         node.name,
                         self._boots.get(node.name, 0),
-                        daemon.papers.version(papers.LAYOUT),
+                        daemon.documents.version(documents.LAYOUT),
                         daemon.ready() is None,
                     )
                 )
--- a/packages/simulator/src/dykeswitch/simulator/history.py
+++ b/packages/simulator/src/dykeswitch/simulator/history.py
@@ -267,10 +267,16 @@
 
 def broken_refused(story: History) -> list[str]:
     """A broken layout is never accepted, and a good one never called broken."""
-    found = [f"a broken layout got {p.status}" for p in story.puts
-             if p.body in story.broken_bodies and p.status in (200, 504)]
-    found += [f"a good layout got {p.status}" for p in story.puts
-              if p.body not in story.broken_bodies and p.status in (400, 422)]
+    found = [
+        f"a broken layout got {p.status}"
+        for p in story.puts
+        if p.body in story.broken_bodies and p.status in (200, 504)
+    ]
+    found += [
+        f"a good layout got {p.status}"
+        for p in story.puts
+        if p.body not in story.broken_bodies and p.status in (400, 422)
+    ]
     return found
 
 
@@ -317,15 +323,13 @@
         f"{a.name}: {a.flaw}"
         for a in story.asks
         for s in story.stops
-        if a.flaw and a.spot == s.name and a.begun <= s.ended and a.ended >= s.begun
+        if a.flaw and a.address == s.name and a.begun <= s.ended and a.ended >= s.begun
     ]
 
 
 def _lost_with_machine(story: History, ask: callers.Ask) -> bool:
     """Whether a proxy was killed or frozen while it had a request in hand, or still was asked."""
-    return any(
-        s.name == ask.spot and s.begun <= ask.ended and s.ended >= ask.begun for s in story.gone
-    )
+    return any(s.name == ask.address and s.begun <= ask.ended and s.ended >= ask.begun for s in story.gone)
 
 
 def excuses(story: History) -> dict[str, int]:
@@ -351,7 +355,7 @@
 def broken_explained(story: History) -> list[str]:
     """A caller's pipe breaks only with the machine at its other end."""
     return [
-        f"{a.name} by {a.spot} at {a.begun:.2f}: {a.flaw}"
+        f"{a.name} by {a.address} at {a.begun:.2f}: {a.flaw}"
         for a in story.asks
         if a.flaw and not _lost_with_machine(story, a)
     ]
@@ -381,9 +385,7 @@
         for a in [*story.asks, *story.roves.values()]
         if a.begun > story.calm + RECOVER_S and (a.status not in (200, 404) or a.wrong)
     ]
-    return found + [
-        f"{a.name} at {a.begun:.2f} found no rule" for a in story.asks if a.status == 404
-    ]
+    return found + [f"{a.name} at {a.begun:.2f} found no rule" for a in story.asks if a.status == 404]
 
 
 def back_after(story: History, since: float, until: float) -> float:
@@ -396,15 +398,10 @@
     return max(bad, default=since) - since
 
 
-def back_by_fault(
-    story: History, spans: typing.Sequence[tuple[str, float, float]]
-) -> dict[str, float]:
+def back_by_fault(story: History, spans: typing.Sequence[tuple[str, float, float]]) -> dict[str, float]:
     """For each fault, begun and over, how long requests failed after it and before the next."""
     nexts = [*(begun for _, begun, _ in spans[1:]), story.end]
-    return {
-        name: round(back_after(story, over, until), 2)
-        for (name, _, over), until in zip(spans, nexts)
-    }
+    return {name: round(back_after(story, over, until), 2) for (name, _, over), until in zip(spans, nexts)}
 
 
 def in_time(story: History) -> list[str]:
--- a/packages/simulator/src/dykeswitch/simulator/leaks.py
+++ b/packages/simulator/src/dykeswitch/simulator/leaks.py
@@ -53,7 +53,8 @@
 def _astray(fleet: fleets.SimFleet, proxies: list[worlds.Node]) -> int:
     names = {n.name for n in proxies}
     open_ones: list[object] = [
-        p for p in fleet.world.wires.pipes
+        p
+        for p in fleet.world.wires.connections
         if p.here.name in names and p.there.name in fleet.endpoints and not p.ended()
     ]
     held: int = sum(n.daemon.carrier.idle() for n in proxies)
@@ -63,7 +64,7 @@
 def _pair(fleet: fleets.SimFleet) -> int:
     pairs = collections.Counter(
         (p.here.name, p.there.name)
-        for p in fleet.world.wires.pipes
+        for p in fleet.world.wires.connections
         if p.there.name not in fleet.endpoints and p.here.name not in fleet.endpoints
     )
     return max(pairs.values(), default=0)
--- a/packages/simulator/src/dykeswitch/simulator/net.py
+++ b/packages/simulator/src/dykeswitch/simulator/net.py
@@ -13,9 +13,9 @@
 class Wires:
     """Which machine reaches which, and how long it takes."""
 
-    def __init__(self, loop: loops.VirtualLoop, dice: random.Random) -> None:
+    def __init__(self, loop: loops.VirtualLoop, rng: random.Random) -> None:
         self.loop = loop
-        self.dice = dice
+        self.rng = rng
         self.cuts: set[tuple[str, str]] = set()
         self.slow: dict[str, float] = {}
         self.loss = 0.0
@@ -23,7 +23,7 @@
         self.apps: dict[str, tuple[loops.Host, ports.App, SimWebServer]] = {}
         # The machine that an address belongs to, whether or not anyone listens.
         self.homes: dict[str, loops.Host] = {}
-        self.pipes: dict[SimPipe, None] = {}
+        self.connections: dict[SimConnection, None] = {}
         self.off: set[str] = set()
         # Where machines stand, how much longer it takes between two zones, and the bytes
         # that went from one machine to another in another zone.
@@ -42,12 +42,12 @@
             self.crossed[one, two] += size
 
     def delay(self, one: str, two: str) -> float:
-        span = self.dice.uniform(0.0002, 0.0015) + self.slow.get(one, 0.0) + self.slow.get(two, 0.0)
+        span = self.rng.uniform(0.0002, 0.0015) + self.slow.get(one, 0.0) + self.slow.get(two, 0.0)
         if self.far_s and self.far(one, two):
             span += self.far_s
         # A lost packet is sent again by the transport: seen from here it is late.
-        if self.loss and self.dice.random() < self.loss:
-            span += self.dice.uniform(0.2, 0.5)
+        if self.loss and self.rng.random() < self.loss:
+            span += self.rng.uniform(0.2, 0.5)
         return span
 
     def open(self, one: str, two: str) -> bool:
@@ -66,24 +66,24 @@
 
     def heal(self) -> None:
         self.cuts.clear()
-        for pipe in list(self.pipes):
-            pipe.pump()
+        for connection in list(self.connections):
+            connection.pump()
 
     def reset_host(self, name: str) -> None:
         """The machine's system ends every pipe that its process had."""
-        for pipe in list(self.pipes):
-            if pipe.here.name == name:
-                pipe.reset()
+        for connection in list(self.connections):
+            if connection.here.name == name:
+                connection.reset()
 
 
-class SimPipe:
+class SimConnection:
     """One end of a pipe; the other end is `peer`."""
 
     def __init__(self, wires: Wires, here: loops.Host, there: loops.Host) -> None:
         self._wires = wires
         self.here = here
         self.there = there
-        self.peer: SimPipe | None = None
+        self.peer: SimConnection | None = None
         self._inbox = bytearray()
         self._fin = False
         self._rst = False
@@ -91,7 +91,7 @@
         self._news = asyncio.Event()
         self._queue: collections.deque[bytes | None] = collections.deque()
         self._last = 0.0
-        wires.pipes[self] = None
+        wires.connections[self] = None
 
     async def read(self, most: int) -> bytes:
         while not self._inbox and not self._fin and not self._rst and not self._closed:
@@ -121,7 +121,7 @@
             self.pump()
         # What a cut holds back still leaves once the cut is healed.
         if not self._queue or self.here.dead:
-            self._wires.pipes.pop(self, None)
+            self._wires.connections.pop(self, None)
 
     def ended(self) -> bool:
         return self._closed or self._fin or self._rst or bool(self._inbox)
@@ -154,12 +154,12 @@
 
     def reset(self) -> None:
         """End both ends at once, as far as the wire lets the other know."""
-        self._wires.pipes.pop(self, None)
+        self._wires.connections.pop(self, None)
         peer = self.peer
         if peer is not None and not peer._rst and self._wires.open(self.here.name, self.there.name):
             peer._rst = True
             peer._news.set()
-            self._wires.pipes.pop(peer, None)
+            self._wires.connections.pop(peer, None)
         self._rst = True
         self._news.set()
 
@@ -167,15 +167,15 @@
 class SimListener:
     """Takes pipes for one address until closed."""
 
-    def __init__(self, wires: Wires, spot: str) -> None:
+    def __init__(self, wires: Wires, address: str) -> None:
         self._wires = wires
-        self._spot = spot
-        self.pipes: dict[SimPipe, None] = {}
+        self._address = address
+        self.connections: dict[SimConnection, None] = {}
 
     def close(self) -> None:
-        self._wires.ears.pop(self._spot, None)
-        for pipe in list(self.pipes):
-            pipe.close()
+        self._wires.ears.pop(self._address, None)
+        for connection in list(self.connections):
+            connection.close()
 
 
 class SimNetwork:
@@ -185,66 +185,66 @@
         self._wires = wires
         self._host = host
 
-    async def dial(self, spot: str, wait: float) -> ports.Pipe:
+    async def dial(self, address: str, wait: float) -> ports.Connection:
         wires, me = self._wires, self._host
         async with asyncio.timeout(wait):
-            home = wires.homes.get(spot)
+            home = wires.homes.get(address)
             there = home.name if home is not None else "nowhere"
             await asyncio.sleep(wires.delay(me.name, there))
             # Silence, not a refusal: the packets go nowhere until a cut is healed.
             while home is None or not wires.both(me.name, there):
                 await asyncio.sleep(0.05)
-                home = wires.homes.get(spot)
+                home = wires.homes.get(address)
                 there = home.name if home is not None else "nowhere"
             await asyncio.sleep(wires.delay(there, me.name))
-            found = wires.ears.get(spot)
+            found = wires.ears.get(address)
             if found is None or found[0].dead:
-                raise ConnectionRefusedError(spot)
+                raise ConnectionRefusedError(address)
             host, serve = found
-            mine, theirs = SimPipe(wires, me, host), SimPipe(wires, host, me)
+            mine, theirs = SimConnection(wires, me, host), SimConnection(wires, host, me)
             mine.peer, theirs.peer = theirs, mine
             context = contextvars.Context()
             context.run(loops.HOST.set, host)
             wires.loop.create_task(_serve(serve, theirs), context=context)
         return mine
 
-    async def listen(self, spot: str, serve: ports.Serve) -> ports.Listener:
-        ear = SimListener(self._wires, spot)
+    async def listen(self, address: str, serve: ports.Serve) -> ports.Listener:
+        ear = SimListener(self._wires, address)
 
-        async def kept(pipe: ports.Pipe) -> None:
-            assert isinstance(pipe, SimPipe)
-            ear.pipes[pipe] = None
+        async def kept(connection: ports.Connection) -> None:
+            assert isinstance(connection, SimConnection)
+            ear.connections[connection] = None
             try:
-                await serve(pipe)
+                await serve(connection)
             finally:
-                ear.pipes.pop(pipe, None)
+                ear.connections.pop(connection, None)
 
-        if spot in self._wires.ears and not self._wires.ears[spot][0].dead:
-            raise OSError(f"{spot} is taken")
-        self._wires.ears[spot] = (self._host, kept)
-        self._wires.homes[spot] = self._host
+        if address in self._wires.ears and not self._wires.ears[address][0].dead:
+            raise OSError(f"{address} is taken")
+        self._wires.ears[address] = (self._host, kept)
+        self._wires.homes[address] = self._host
         return ear
 
 
-async def _serve(serve: ports.Serve, pipe: SimPipe) -> None:
+async def _serve(serve: ports.Serve, connection: SimConnection) -> None:
     try:
-        await serve(pipe)
+        await serve(connection)
     except OSError:
         return
     finally:
-        pipe.close()
+        connection.close()
 
 
 class SimWebServer:
     """A served application and what it has in hand."""
 
-    def __init__(self, wires: Wires, spot: str) -> None:
+    def __init__(self, wires: Wires, address: str) -> None:
         self._wires = wires
-        self._spot = spot
+        self._address = address
         self.flights: dict[asyncio.Task[None], None] = {}
 
     async def stop(self, grace: float) -> None:
-        self._wires.apps.pop(self._spot, None)
+        self._wires.apps.pop(self._address, None)
         if self.flights:
             await asyncio.wait(list(self.flights), timeout=grace)
         for task in list(self.flights):
@@ -258,23 +258,23 @@
         self._wires = wires
         self._host = host
 
-    async def serve(self, spot: str, app: ports.App) -> ports.WebServer:
-        server = SimWebServer(self._wires, spot)
-        self._wires.apps[spot] = (self._host, app, server)
-        self._wires.homes[spot] = self._host
+    async def serve(self, address: str, app: ports.App) -> ports.WebServer:
+        server = SimWebServer(self._wires, address)
+        self._wires.apps[address] = (self._host, app, server)
+        self._wires.homes[address] = self._host
         return server
 
     async def ask(
         self,
         method: str,
-        spot: str,
+        address: str,
         path: str,
         heads: ports.Fields,
         body: bytes,
         wait: float,
     ) -> ports.Reply:
         async with asyncio.timeout(wait):
-            return await self._ask(method, spot, path, heads, body)
+            return await self._ask(method, address, path, heads, body)
 
     async def _way(self, one: str, two: str) -> None:
         await asyncio.sleep(self._wires.delay(one, two))
@@ -282,17 +282,17 @@
             await asyncio.sleep(0.05)
 
     async def _ask(
-        self, method: str, spot: str, path: str, heads: ports.Fields, body: bytes
+        self, method: str, address: str, path: str, heads: ports.Fields, body: bytes
     ) -> ports.Reply:
         wires, me = self._wires, self._host.name
-        home = wires.homes.get(spot)
+        home = wires.homes.get(address)
         if home is None:
-            raise ConnectionRefusedError(spot)
+            raise ConnectionRefusedError(address)
         wires.sent(me, home.name, len(body))
         await self._way(me, home.name)
-        found = wires.apps.get(spot)
+        found = wires.apps.get(address)
         if found is None or found[0].dead:
-            raise ConnectionRefusedError(spot)
+            raise ConnectionRefusedError(address)
         host, app, server = found
         talk = _Talk(method, path, ports.made(heads), body)
         context = contextvars.Context()
--- a/packages/simulator/src/dykeswitch/simulator/realtrial.py
+++ b/packages/simulator/src/dykeswitch/simulator/realtrial.py
@@ -23,7 +23,7 @@
     def __init__(self, fleet: real.Fleet) -> None:
         self.fleet = fleet
         self.clock = fleet.machine.clock
-        self.dice = fleet.dice
+        self.rng = fleet.rng
         self.story = histories.History()
         self.marker = 0
         self.fresh = 0
@@ -41,7 +41,7 @@
         return doc
 
     def core(self) -> tuple[real.Process, real.Process]:
-        return self.dice.choice(self.fleet.cores)
+        return self.rng.choice(self.fleet.cores)
 
     async def put(
         self, core: tuple[real.Process, real.Process], doc: dict[str, typing.Any] | None = None
@@ -106,10 +106,10 @@
         self._boots[process.name] = self._boots.get(process.name, 0) + 1
         process.start()
 
-    def new_host(self, service: str, spot: str) -> real.Host:
+    def new_host(self, service: str, address: str) -> real.Host:
         self.fresh += 1
         shape = next(s for s in self.fleet.shape.services if s.name == service)
-        host = self.fleet.host(f"{service}-new{self.fresh}", shape, self.fresh, spot)
+        host = self.fleet.host(f"{service}-new{self.fresh}", shape, self.fresh, address)
         host.start()
         return host
 
@@ -123,7 +123,7 @@
 
 
 async def kill_proxy(stage: RealStage) -> None:
-    proxy = stage.dice.choice(stage.fleet.proxies)
+    proxy = stage.rng.choice(stage.fleet.proxies)
     begun = stage.now
     await stage.kill(proxy)
     await asyncio.sleep(1)
@@ -133,7 +133,7 @@
 
 
 async def kill_herd(stage: RealStage) -> None:
-    herd = stage.dice.sample(stage.fleet.proxies, len(stage.fleet.proxies) // 2)
+    herd = stage.rng.sample(stage.fleet.proxies, len(stage.fleet.proxies) // 2)
     begun = stage.now
     for proxy in herd:
         await stage.kill(proxy)
@@ -159,13 +159,13 @@
 
 
 async def freeze_proxy(stage: RealStage) -> None:
-    proxy = stage.dice.choice(stage.fleet.proxies)
+    proxy = stage.rng.choice(stage.fleet.proxies)
     begun = stage.now
     proxy.tell(signal.SIGSTOP)
     await asyncio.sleep(1)
     await stage.put(stage.core())
-    host = stage.dice.choice(stage.live())
-    stage.new_host(host.spec["service"], stage.fleet.spot())
+    host = stage.rng.choice(stage.live())
+    stage.new_host(host.spec["service"], stage.fleet.address())
     host.tell(signal.SIGTERM)
     await asyncio.sleep(4)
     proxy.tell(signal.SIGCONT)
@@ -175,14 +175,14 @@
 
 async def isolate_proxy(stage: RealStage) -> None:
     """Cut off from every other node, while callers hold on to it, a rule moves, one leaves."""
-    proxy = stage.dice.choice(stage.fleet.proxies)
+    proxy = stage.rng.choice(stage.fleet.proxies)
     names = [p.name for p in stage.fleet.proxies] + [registry.name for registry, _ in stage.fleet.cores]
     stage.fleet.relay.cut([proxy.name], names)
     holding = asyncio.create_task(_hold_on(stage, proxy, 9.0))
     await asyncio.sleep(0.5)
     await stage.put(stage.core())
-    host = stage.dice.choice(stage.live())
-    stage.new_host(host.spec["service"], stage.fleet.spot())
+    host = stage.rng.choice(stage.live())
+    stage.new_host(host.spec["service"], stage.fleet.address())
     host.tell(signal.SIGTERM)
     await asyncio.sleep(5.0)
     if not stage.fleet.relay.held:
@@ -197,7 +197,7 @@
     crowd, end = stage.fleet.callers, stage.now + span
 
     async def rude() -> None:
-        ask = await crowd.ask(stage.dice.choice(stage.fleet.shape.services), proxy.web)
+        ask = await crowd.ask(stage.rng.choice(stage.fleet.shape.services), proxy.web)
         stage.story.rude.add(ask.name)
 
     async with asyncio.TaskGroup() as group:
@@ -209,7 +209,7 @@
 
 async def cut_proxies_from_cores(stage: RealStage) -> None:
     """Half the proxies lose every core but still reach the other half."""
-    half = stage.dice.sample(stage.fleet.proxies, len(stage.fleet.proxies) // 2)
+    half = stage.rng.sample(stage.fleet.proxies, len(stage.fleet.proxies) // 2)
     stage.fleet.relay.cut([p.name for p in half], [registry.name for registry, _ in stage.fleet.cores])
     await asyncio.sleep(2.0)
     await stage.put(stage.core())
@@ -273,28 +273,28 @@
 
 
 async def kill_endpoint(stage: RealStage) -> None:
-    host = stage.dice.choice(stage.live())
+    host = stage.rng.choice(stage.live())
     await stage.kill(host)
     await asyncio.sleep(2)
-    stage.new_host(host.spec["service"], stage.fleet.spot())
+    stage.new_host(host.spec["service"], stage.fleet.address())
     await asyncio.sleep(2)
 
 
 async def roll_endpoints(stage: RealStage) -> None:
-    service = stage.dice.choice(stage.fleet.shape.services).name
+    service = stage.rng.choice(stage.fleet.shape.services).name
     for host in stage.live(service)[:3]:
-        stage.new_host(service, stage.fleet.spot())
+        stage.new_host(service, stage.fleet.address())
         await asyncio.sleep(1.5)
         host.tell(signal.SIGTERM)
         await host.gone(8)
 
 
 async def hand_over_address(stage: RealStage) -> None:
-    host = stage.dice.choice(stage.live())
-    other = stage.dice.choice([s for s in stage.fleet.shape.services if s.name != host.spec["service"]])
+    host = stage.rng.choice(stage.live())
+    other = stage.rng.choice([s for s in stage.fleet.shape.services if s.name != host.spec["service"]])
     await stage.kill(host)
     stage.new_host(other.name, host.spec["spot"])
-    stage.new_host(host.spec["service"], stage.fleet.spot())
+    stage.new_host(host.spec["service"], stage.fleet.address())
     await asyncio.sleep(5)
 
 
@@ -349,7 +349,7 @@
 
 async def stop_with_long_work(stage: RealStage) -> None:
     """Work of 3, 5 and 8 s is in hand when the polite signal comes."""
-    proxy = stage.dice.choice(stage.fleet.proxies)
+    proxy = stage.rng.choice(stage.fleet.proxies)
     writing = next(s for s in stage.fleet.shape.services if s.writing)
     asks = [
         asyncio.create_task(stage.fleet.callers.ask(writing, proxy.web, f"&work={span}"))
@@ -411,18 +411,12 @@
     for put in story.puts:
         if put.status != 200:
             continue
-        late = [
-            s.at
-            for s in story.samples
-            if s.ready and s.at > put.ended and s.layout < put.version
-        ]
+        late = [s.at for s in story.samples if s.ready and s.at > put.ended and s.layout < put.version]
         took.append(max((at - put.ended for at in late if at - put.ended < 30), default=0.0))
     return took
 
 
-async def day(
-    name: str, acts: typing.Sequence[str], seed: int, scale: float
-) -> dict[str, typing.Any]:
+async def day(name: str, acts: typing.Sequence[str], seed: int, scale: float) -> dict[str, typing.Any]:
     """A fleet of real processes, its traffic, the acts in turn, then calm and a verdict."""
     shape = shapes.SHAPES[name]
     async with real.running(shape, seed, roving=True) as fleet:
--- a/packages/simulator/src/dykeswitch/simulator/stage.py
+++ b/packages/simulator/src/dykeswitch/simulator/stage.py
@@ -22,9 +22,9 @@
 class Stage:
     """One fleet under one day of faults."""
 
-    def __init__(self, fleet: fleets.SimFleet, dice: random.Random) -> None:
+    def __init__(self, fleet: fleets.SimFleet, rng: random.Random) -> None:
         self.fleet = fleet
-        self.dice = dice
+        self.rng = rng
         self.story = histories.History()
         self.marker = 0
         self.fresh = 0
@@ -51,14 +51,12 @@
         """A layout like the standing one, but that it sends some requests elsewhere."""
         self.marker += 1
         doc = shapes.roving(copy.deepcopy(self.fleet.shape.layout()), self.marker)
-        doc["rules"].append(
-            {"path": f"/marker-{self.marker}", "service": self.fleet.shape.services[0].name}
-        )
+        doc["rules"].append({"path": f"/marker-{self.marker}", "service": self.fleet.shape.services[0].name})
         return doc
 
     def broken(self) -> dict[str, typing.Any]:
         doc = self.layout()
-        kind = self.dice.randrange(3)
+        kind = self.rng.randrange(3)
         if kind == 0:
             doc["rules"].append({"path": "/lost", "service": "nobody-knows"})
         elif kind == 1:
@@ -74,10 +72,10 @@
     # Who there is.
 
     def core(self) -> fleets.Core:
-        return self.dice.choice(self.fleet.cores)
+        return self.rng.choice(self.fleet.cores)
 
     def edge(self) -> fleets.Edge:
-        return self.dice.choice(self.up_edges())
+        return self.rng.choice(self.up_edges())
 
     def up_edges(self) -> list[fleets.Edge]:
         return [e for e in self.fleet.edges if e.node.up]
@@ -95,17 +93,20 @@
         return sorted(
             n
             for n, e in fleet.endpoints.items()
-            if n in fleet.hosts and not fleet.hosts[n].dead
-            and n not in fleet.left and service in ("", e.service) and e.service not in kept
+            if n in fleet.hosts
+            and not fleet.hosts[n].dead
+            and n not in fleet.left
+            and service in ("", e.service)
+            and e.service not in kept
         )
 
     def new_endpoint(
-        self, service: shapes.ServiceShape, spot: str, silent_s: float = 0.0, **changes: typing.Any
+        self, service: shapes.ServiceShape, address: str, silent_s: float = 0.0, **changes: typing.Any
     ) -> str:
         """One more endpoint; its nature is its service's, but for what is changed."""
         self.fresh += 1
         name = f"{service.name}-new{self.fresh}"
-        made = self.fleet.endpoint(name, service, spot, self.fresh)
+        made = self.fleet.endpoint(name, service, address, self.fresh)
         made.nature = dataclasses.replace(made.nature, **changes)
         self.fleet.wake(made, silent_s)
         return name
@@ -113,10 +114,10 @@
     def some_of(self, service: str, part: float) -> list[str]:
         """A part of a service's endpoints, by lot."""
         names = self.live_endpoints(service)
-        return self.dice.sample(names, max(1, round(len(names) * part)))
+        return self.rng.sample(names, max(1, round(len(names) * part)))
 
     def any_service(self) -> shapes.ServiceShape:
-        return self.dice.choice(self.fleet.shape.services)
+        return self.rng.choice(self.fleet.shape.services)
 
     # How endpoints and callers are for a while.
 
@@ -206,7 +207,7 @@
         fleet.cores.remove(old)
         self.fresh += 1
         name = f"core-new{self.fresh}"
-        core = fleet.core(name, self.fresh, fleet.world.spot(), fleet.world.spot(), seeds)
+        core = fleet.core(name, self.fresh, fleet.world.address(), fleet.world.address(), seeds)
         fleet.cores.append(core)
         core.store.start()
         core.registry.start()
@@ -221,9 +222,9 @@
         async with asyncio.TaskGroup() as group:
             while self.now < end:
                 await asyncio.sleep(0.1)
-                group.create_task(self._rude(self.dice.choice(services), edge.web))
+                group.create_task(self._rude(self.rng.choice(services), edge.web))
                 group.create_task(self.fleet.callers.rove(edge.web))
 
-    async def _rude(self, service: shapes.ServiceShape, spot: str) -> None:
-        ask = await self.fleet.callers.ask(service, spot)
+    async def _rude(self, service: shapes.ServiceShape, address: str) -> None:
+        ask = await self.fleet.callers.ask(service, address)
         self.story.rude.add(ask.name)
--- a/packages/simulator/src/dykeswitch/simulator/standing.py
+++ b/packages/simulator/src/dykeswitch/simulator/standing.py
@@ -92,9 +92,7 @@
     return found
 
 
-def wrong_refusal(
-    stood: typing.Sequence[Standing], roves: dict[str, callers.Ask], slack: float
-) -> list[str]:
+def wrong_refusal(stood: typing.Sequence[Standing], roves: dict[str, callers.Ask], slack: float) -> list[str]:
     """Requests told that there is no rule for them while every layout had one."""
     return [
         f"{a.name} ({a.method} {a.host}{a.path}) was told {a.result} at {a.ended:.2f}"
@@ -124,13 +122,13 @@
         # A layout of unknown outcome proves nothing of versions.
         if not fits or any(s.version is None for s in fits):
             continue
-        steps = proven.setdefault(ask.spot, [])
+        steps = proven.setdefault(ask.address, [])
         # Two requests on their way at once may arrive in either order.
         n = bisect.bisect_left(steps, (at - order_s, 0))
         floor = steps[n - 1][1] if n else 0
         versions = sorted(s.version for s in fits if s.version is not None)
         if versions[-1] < floor:
-            text = f"{ask.spot} went by {versions[-1]} at {at:.3f} after it had gone by {floor}"
+            text = f"{ask.address} went by {versions[-1]} at {at:.3f} after it had gone by {floor}"
             found.append(f"{name}: {text}")
         top = steps[-1][1] if steps else 0
         least = next((v for v in versions if v >= top), top)
--- a/packages/simulator/src/dykeswitch/simulator/trial.py
+++ b/packages/simulator/src/dykeswitch/simulator/trial.py
@@ -43,8 +43,8 @@
 def mixed(seed: int) -> tuple[str, ...]:
     """The faults of a mixed day, by its seed."""
     names = sorted(scenarios.FAULTS)
-    dice = random.Random(seed)
-    return tuple(dice.sample(names, MIXED))
+    rng = random.Random(seed)
+    return tuple(rng.sample(names, MIXED))
 
 
 def jobs_for(
--- a/packages/simulator/src/dykeswitch/simulator/whatif.py
+++ b/packages/simulator/src/dykeswitch/simulator/whatif.py
@@ -68,8 +68,8 @@
     def endpoints(self, event: Event) -> list[str]:
         found = []
         for name, endpoint in self._fleet.endpoints.items():
-            spots = {"zone": endpoint.zone, "service": endpoint.service, "endpoint": name}
-            if spots.get(event.target) == event.name:
+            addresses = {"zone": endpoint.zone, "service": endpoint.service, "endpoint": name}
+            if addresses.get(event.target) == event.name:
                 found.append(name)
         return found
 
--- a/packages/simulator/src/dykeswitch/simulator/whatreal.py
+++ b/packages/simulator/src/dykeswitch/simulator/whatreal.py
@@ -24,8 +24,8 @@
         if (event.target, event.name) in (("proxy", proxy.name), ("zone", proxy.flags["zone"])):
             found.append(proxy)
     for host in fleet.hosts:
-        spots = {"zone": host.spec["zone"], "service": host.spec["service"], "endpoint": host.name}
-        if spots.get(event.target) == event.name:
+        addresses = {"zone": host.spec["zone"], "service": host.spec["service"], "endpoint": host.name}
+        if addresses.get(event.target) == event.name:
             found.append(host)
     return found
 
--- a/packages/simulator/src/dykeswitch/simulator/world.py
+++ b/packages/simulator/src/dykeswitch/simulator/world.py
@@ -95,10 +95,10 @@
         )
         log = logs.Log(self.program, self.name, "info", self.clock)
         log.hook = self.world.log
-        dice = random.Random(self.world.dice.getrandbits(64))
+        rng = random.Random(self.world.rng.getrandbits(64))
 
         async def main() -> None:
-            self.daemon = self.build(machine, log, dice)
+            self.daemon = self.build(machine, log, rng)
             try:
                 await self.daemon.run()
             except BaseException as flaw:
@@ -149,7 +149,7 @@
     def wipe(self) -> None:
         """Swap the disk for an empty one; only while the machine is off."""
         assert self.disk is not None and self.host.dead
-        self.disk = disks.SimDisk(self.world.folder(), self.world.dice)
+        self.disk = disks.SimDisk(self.world.folder(), self.world.rng)
 
     def freeze(self) -> None:
         self.world.loop.freeze(self.host)
@@ -178,7 +178,7 @@
         assert isinstance(loop, loops.VirtualLoop)
         self.loop = loop
         self.seed = seed
-        self.dice = random.Random(seed)
+        self.rng = random.Random(seed)
         self.wires = nets.Wires(loop, random.Random(seed + 1))
         self.nodes: dict[str, Node] = {}
         self.events: list[dict[str, typing.Any]] = []
@@ -195,7 +195,7 @@
         path.mkdir()
         return path
 
-    def spot(self) -> str:
+    def address(self) -> str:
         """A fresh address."""
         self._ports += 1
         return f"10.1.{self._ports // 250}.{self._ports % 250 + 1}:7000"
