--- a/packages/soundness/src/dykeswitch/soundness/pipe.py
+++ b/packages/soundness/src/dykeswitch/soundness/connection.py
@@ -7,9 +7,9 @@
 
 import h11
 
+import dykeswitch.adapter as adapter
 import dykeswitch.ports as ports
 import dykeswitch.soundness as soundness
-import dykeswitch.tongue as tongue
 
 Heads = list[tuple[bytes, bytes]]
 
@@ -37,18 +37,18 @@
     heads: Heads
 
     def get(self, name: bytes) -> bytes | None:
-        return tongue.find(self.heads, name)
+        return adapter.find(self.heads, name)
 
 
-class EndpointPipe:
+class EndpointConnection:
     """One pipe to one endpoint by its registered id; one exchange at a time."""
 
     def __init__(
-        self, endpoint: str, spot: str, pipe: ports.Pipe, now: float, exchange: bytes = b""
+        self, endpoint: str, address: str, connection: ports.Connection, now: float, exchange: bytes = b""
     ) -> None:
         self.endpoint = endpoint
-        self.spot = spot
-        self._pipe = pipe
+        self.address = address
+        self._connection = connection
         self._talk = h11.Connection(h11.CLIENT)
         # The field that names the exchange in request and reply, where there is one.
         self._exchange = exchange
@@ -61,10 +61,10 @@
 
     def close(self) -> None:
         self.closed = True
-        self._pipe.close()
+        self._connection.close()
 
     def usable(self) -> bool:
-        if self.closed or self._pipe.ended():
+        if self.closed or self._connection.ended():
             return False
         return self._talk.our_state is h11.IDLE and not self._talk.trailing_data[0]
 
@@ -78,14 +78,14 @@
     ) -> Head:
         """Send a request and bring back the reply's head."""
         before = self._wrote
-        name = tongue.find(heads, self._exchange) if self._exchange else None
+        name = adapter.find(heads, self._exchange) if self._exchange else None
         try:
             data = self._request(method, target, heads, body)
             # Right before the first byte: may it still go?
             if gate is not None and not gate():
                 raise Flaw("no longer to be used", sent=False)
             self._wrote += len(data)
-            await self._pipe.write(data)
+            await self._connection.write(data)
             return await self._head(name, method, target, heads)
         except Flaw:
             self.close()
@@ -113,7 +113,7 @@
             event = self._talk.next_event()
             if event is not h11.NEED_DATA:
                 return event
-            data = await self._pipe.read(READ_SIZE)
+            data = await self._connection.read(READ_SIZE)
             if not data and self._talk.their_state is h11.SEND_RESPONSE:
                 raise Flaw(soundness.BROKE_OFF, True)
             try:
@@ -199,61 +199,69 @@
             raise
 
 
-async def prove(pipe: EndpointPipe, path: str, served_by: bytes = soundness.SERVED_BY) -> str | None:
+async def prove(
+    connection: EndpointConnection, path: str, served_by: bytes = soundness.SERVED_BY
+) -> str | None:
     """Probe on this very pipe; the reason it is not sound, or nothing."""
-    heads = [(b"host", pipe.spot.encode()), (b"user-agent", b"dykeswitch-probe"), (b"accept", b"*/*")]
-    head = await pipe.send("GET", path.encode(), heads, b"")
+    heads = [
+        (b"host", connection.address.encode()),
+        (b"user-agent", b"dykeswitch-probe"),
+        (b"accept", b"*/*"),
+    ]
+    head = await connection.send("GET", path.encode(), heads, b"")
     size = 0
-    async for part in pipe.parts():
+    async for part in connection.parts():
         size += len(part)
         if size > PROBE_MOST:
             return "answered too much on probe"
     if head.status != 200:
         return f"answered {head.status} on probe"
-    if (head.get(served_by) or b"").decode("latin-1") != pipe.endpoint:
+    if (head.get(served_by) or b"").decode("latin-1") != connection.endpoint:
         return soundness.WRONG_ID
     return None
 
 
-async def open_pipe(
-    net: ports.Network, clock: ports.Clock, endpoint: str, spot: str, dial_s: float, exchange: bytes = b""
-) -> EndpointPipe:
+async def open_connection(
+    net: ports.Network, clock: ports.Clock, endpoint: str, address: str, dial_s: float, exchange: bytes = b""
+) -> EndpointConnection:
     """A fresh pipe that has shown nothing yet but that somebody is there."""
     try:
-        raw = await net.dial(spot, dial_s)
+        raw = await net.dial(address, dial_s)
     except ConnectionRefusedError as flaw:
         raise Flaw(soundness.REFUSED, False) from flaw
     except (OSError, TimeoutError) as flaw:
         raise Flaw(soundness.NO_ROAD, False) from flaw
-    return EndpointPipe(endpoint, spot, raw, clock.now(), exchange)
+    return EndpointConnection(endpoint, address, raw, clock.now(), exchange)
 
 
 async def open_proven(
     net: ports.Network,
     clock: ports.Clock,
     endpoint: str,
-    spot: str,
+    address: str,
     path: str,
     dial_s: float,
     probe_s: float,
-    names: tongue.Heads | None = None,
-) -> EndpointPipe:
+    names: adapter.Heads | None = None,
+) -> EndpointConnection:
     """A fresh pipe that has shown it leads to the registered id."""
     served_by = names.served_by if names is not None else soundness.SERVED_BY
-    pipe = await open_pipe(net, clock, endpoint, spot, dial_s, names.exchange if names is not None else b"")
+    connection = await open_connection(
+        net, clock, endpoint, address, dial_s, names.exchange if names is not None else b""
+    )
     try:
         async with asyncio.timeout(probe_s):
-            reason = await prove(pipe, path, served_by)
+            reason = await prove(connection, path, served_by)
     except TimeoutError as flaw:
-        pipe.close()
+        connection.close()
         raise Flaw(soundness.PROBE_TIMED_OUT, False) from flaw
     except Flaw as flaw:
-        pipe.close()
+        connection.close()
         raise Flaw(f"{flaw.reason} on probe", False) from flaw
     except BaseException:
-        pipe.close()
+        connection.close()
         raise
-    if reason is not None or pipe.closed:
-        pipe.close()
+    if reason is not None or connection.closed:
+        connection.close()
         raise Flaw(reason or "broke off on probe", False)
-    return pipe
+    return connection
--- a/packages/standin/src/dykeswitch/standin/caller.py
+++ b/packages/standin/src/dykeswitch/standin/caller.py
@@ -32,7 +32,7 @@
     service: str
     writing: bool
     begun: float
-    spot: str = ""
+    address: str = ""
     ended: float = 0.0
     status: int = 0
     result: int = 0
@@ -150,7 +150,7 @@
         machine: ports.Machine,
         proxies: typing.Sequence[str],
         record: Record,
-        dice: random.Random,
+        rng: random.Random,
         expiry_s: float = 10.0,
         prefix: str = "",
     ) -> None:
@@ -160,7 +160,7 @@
         self._proxies = list(proxies)
         self.ready: set[str] = set()
         self._record = record
-        self._dice = dice
+        self._rng = rng
         self._expiry_s = expiry_s
         # Endpoints' books hold all that was sent to them: two runs of callers at the same
         # endpoints need names of their own, or one's asks pass for the other's.
@@ -179,23 +179,23 @@
         """Send no more; what is on its way is still waited for."""
         self._halted = True
 
-    def add(self, spot: str) -> None:
+    def add(self, address: str) -> None:
         """One more proxy to which the platform may send."""
-        self._proxies.append(spot)
+        self._proxies.append(address)
 
     async def watch(self) -> None:
         """The platform's part: ask each proxy every second whether it is ready."""
 
-        async def one(spot: str) -> None:
+        async def one(address: str) -> None:
             try:
-                reply = await self._web.ask("GET", spot, "/readyz", [], b"", 1.0)
+                reply = await self._web.ask("GET", address, "/readyz", [], b"", 1.0)
                 good = reply.status == 200
             except (OSError, TimeoutError):
                 good = False
-            (self.ready.add if good else self.ready.discard)(spot)
+            (self.ready.add if good else self.ready.discard)(address)
 
         while True:
-            await asyncio.gather(*(one(spot) for spot in self._proxies))
+            await asyncio.gather(*(one(address) for address in self._proxies))
             await self._clock.sleep(1.0)
 
     async def drive(self, span: float, scale: float = 1.0) -> None:
@@ -210,7 +210,7 @@
     ) -> None:
         due = self._clock.now()
         while True:
-            due += self._dice.expovariate(rate)
+            due += self._rng.expovariate(rate)
             if due >= end:
                 return
             await self._clock.sleep(max(0.0, due - self._clock.now()))
@@ -222,7 +222,7 @@
         """So many at once, or spread by lot over a span; returns when every answer is in."""
 
         async def one() -> Wish:
-            await self._clock.sleep(self._dice.uniform(0.0, span))
+            await self._clock.sleep(self._rng.uniform(0.0, span))
             return await self.wish(service)
 
         return list(await asyncio.gather(*(one() for _ in range(many))))
@@ -234,13 +234,13 @@
         wish = Wish(service.name, service.writing, self._clock.now())
         self._record.wishes.append(wish)
         end = wish.begun + expiry_s
-        spots: set[str] = set()
+        addresses: set[str] = set()
         while True:
             left = end - self._clock.now()
-            ask = await self.ask(service, "", more, left, manners.tries > 0, spots)
+            ask = await self.ask(service, "", more, left, manners.tries > 0, addresses)
             wish.asks.append(ask)
             wish.ended = self._clock.now()
-            spots.add(ask.spot)
+            addresses.add(ask.address)
             if len(wish.asks) > manners.tries or not _worth_another(ask):
                 return wish
             left = max(0.0, end - self._clock.now())
@@ -255,7 +255,7 @@
     async def ask(
         self,
         service: shapes.ServiceShape,
-        spot: str = "",
+        address: str = "",
         more: str = "",
         expiry_s: float | None = None,
         trusts: bool = False,
@@ -269,13 +269,13 @@
         self._record.asks[name] = ask
         kept = self._kept[service.name]
         if self.direct is not None:
-            spot = self.direct(service.name)
-        elif not spot and not but and kept and self._dice.random() < self.manners.kept_share:
+            address = self.direct(service.name)
+        elif not address and not but and kept and self._rng.random() < self.manners.kept_share:
             # One exchange at a time: the pipe is ours until its answer is in.
-            spot = kept.pop(0)
+            address = kept.pop(0)
             ask.kept = True
-        spot = spot or self._pick(ask, but)
-        if not spot:
+        address = address or self._pick(ask, but)
+        if not address:
             return ask
 
         def heads() -> list[tuple[str, str]]:
@@ -289,15 +289,15 @@
 
         body = json.dumps({"ask": name}).encode() if service.writing else b""
         path = f"{service.path}/x?ask={name}{more}"
-        reply = await self._send(ask, service.method, spot, path, heads, body)
+        reply = await self._send(ask, service.method, address, path, heads, body)
         if ask.kept and ask.flaw.startswith("ConnectionRefused") and self.ready:
             # A kept pipe whose end was seen while it lay idle: another is opened instead.
-            ask.flaw, spot = "", self._pick(ask)
-            reply = await self._send(ask, service.method, spot, path, heads, body)
+            ask.flaw, address = "", self._pick(ask)
+            reply = await self._send(ask, service.method, address, path, heads, body)
         if ask.kept:
             # A pipe that broke, or whose end was announced, is not kept on.
             over = reply is None or (reply.head("connection") or "").lower() == "close"
-            kept.append("" if over else spot)
+            kept.append("" if over else address)
         if reply is not None and reply.status == 200 and not ask.wrong:
             ask.wrong = self._wrong(reply, name, service.name)
         return ask
@@ -305,28 +305,28 @@
     def _pick(self, ask: Ask, but: typing.Container[str] = ()) -> str:
         """A proxy that said it was ready when the platform last asked."""
         if self.ready:
-            spots = sorted(self.ready)
-            spots = [spot for spot in spots if spot not in but] or spots
+            addresses = sorted(self.ready)
+            addresses = [address for address in addresses if address not in but] or addresses
             if not self.manners.uneven:
-                return self._dice.choice(spots)
-            return self._dice.choices(spots, [self._weight(spot) for spot in spots])[0]
+                return self._rng.choice(addresses)
+            return self._rng.choices(addresses, [self._weight(address) for address in addresses])[0]
         ask.flaw = "no proxy is ready"
         ask.ended = self._clock.now()
         return ""
 
-    def _weight(self, spot: str) -> float:
-        if spot not in self._weights:
-            self._weights[spot] = self._dice.lognormvariate(0.0, self.manners.uneven)
-        return self._weights[spot]
+    def _weight(self, address: str) -> float:
+        if address not in self._weights:
+            self._weights[address] = self._rng.lognormvariate(0.0, self.manners.uneven)
+        return self._weights[address]
 
     async def _send(
-        self, ask: Ask, method: str, spot: str, path: str, heads: ports.Fields, body: bytes
+        self, ask: Ask, method: str, address: str, path: str, heads: ports.Fields, body: bytes
     ) -> ports.Reply | None:
-        ask.spot = spot
+        ask.address = address
         ask.said = words(method, path, body)
         wait = (ask.expiry_s or self._expiry_s) + 1
         try:
-            reply = await self._web.ask(method, spot, path, heads, body, wait)
+            reply = await self._web.ask(method, address, path, heads, body, wait)
         except (OSError, TimeoutError) as flaw:
             ask.flaw = f"{type(flaw).__name__}: {flaw}"[:120]
             return None
@@ -342,24 +342,24 @@
         ask.wrong = _unsealed(reply)
         return reply
 
-    async def rove(self, spot: str = "") -> Ask:
+    async def rove(self, address: str = "") -> Ask:
         """One request that each layout sends elsewhere."""
         self._count += 1
         name = f"{self._prefix}rove-{self._count}"
-        method, host, path = self._dice.choice(shapes.ROVES)
+        method, host, path = self._rng.choice(shapes.ROVES)
         ask = Ask(name, "", False, self._clock.now(), method=method, host=host, path=path)
         self._record.roves[name] = ask
-        spot = spot or self._pick(ask)
-        if spot:
+        address = address or self._pick(ask)
+        if address:
             heads = [("x-ask", name), *([("host", host)] if host else [])]
-            await self._send(ask, method, spot, f"{path}?ask={name}", heads, b"")
+            await self._send(ask, method, address, f"{path}?ask={name}", heads, b"")
         return ask
 
     async def rove_for_ever(self, rate: float) -> None:
         """Such requests at a rate, until all is halted."""
         async with asyncio.TaskGroup() as group:
             while not self._halted:
-                await self._clock.sleep(self._dice.expovariate(rate))
+                await self._clock.sleep(self._rng.expovariate(rate))
                 group.create_task(self.rove())
 
     def _wrong(self, reply: ports.Reply, name: str, service: str) -> str:
@@ -378,8 +378,8 @@
 async def direct(
     shape: shapes.Shape,
     machine: ports.Machine,
-    spots: typing.Mapping[str, typing.Sequence[str]],
-    dice: random.Random,
+    addresses: typing.Mapping[str, typing.Sequence[str]],
+    rng: random.Random,
     span: float,
     scale: float = 1.0,
 ) -> Record:
@@ -388,8 +388,8 @@
     The spots go by service, the span is in seconds, the scale multiplies the shape's rates.
     """
     record = Record(machine.clock)
-    straight = Callers(shape, machine, [], record, dice, prefix="direct-")
-    straight.direct = lambda service: dice.choice(spots[service])
+    straight = Callers(shape, machine, [], record, rng, prefix="direct-")
+    straight.direct = lambda service: rng.choice(addresses[service])
     await straight.drive(span, scale)
     return record
 
--- a/packages/standin/src/dykeswitch/standin/endpoint.py
+++ b/packages/standin/src/dykeswitch/standin/endpoint.py
@@ -25,7 +25,7 @@
 ASK: typing.Final = "x-ask"
 # By which a caller knows a whole reply: its status, its length and its sum.
 SEAL: typing.Final = "x-seal"
-BURDEN: typing.Final = "dykeswitch-burden"
+LOAD: typing.Final = "dykeswitch-burden"
 EXPIRY: typing.Final = "dykeswitch-expiry-ms"
 NOT_RUN: typing.Final = ("dykeswitch-promise", "not-run")
 PROBE: typing.Final = "/healthz"
@@ -47,11 +47,11 @@
         self,
         name: str,
         service: str,
-        spot: str,
+        address: str,
         zone: str,
         machine: ports.Machine,
         registries: typing.Callable[[], typing.Sequence[str]],
-        dice: random.Random,
+        rng: random.Random,
         work_s: float = 0.02,
         interval_s: float = 1.0,
         ran: Ran | None = None,
@@ -62,12 +62,12 @@
     ) -> None:
         self.name = name
         self.service = service
-        self.spot = spot
+        self.address = address
         self.zone = zone
         self._machine = machine
         self._clock = machine.clock
         self._registries = registries
-        self._dice = dice
+        self._rng = rng
         self.work_s = work_s
         self.interval_s = interval_s
         # Told when work is done, when a request arrives, when its work begins, and when it
@@ -87,7 +87,7 @@
         self.draining = False
         self.refused = ""
         self._beats = 0
-        self._pipes: dict[ports.Pipe, None] = {}
+        self._connections: dict[ports.Connection, None] = {}
         self._since = 0.0
         self._late: set[asyncio.Task[ports.Reply | None]] = set()
         self._ear: ports.Listener | None = None
@@ -115,11 +115,11 @@
         self.draining = False
         # What an earlier life had in hand went with it.
         self.slots = slots.Slots(self._nature.slots, self._nature.queue)
-        self._pipes = {}
+        self._connections = {}
 
     async def open(self) -> None:
         self._since = self._clock.now()
-        self._ear = await self._machine.net.listen(self.spot, self._serve)
+        self._ear = await self._machine.net.listen(self.address, self._serve)
 
     def close(self) -> None:
         """End at once, as a killed process does."""
@@ -130,13 +130,13 @@
     # Beats.
 
     async def beat_for_ever(self) -> None:
-        turn = self._dice.randrange(1000)
+        turn = self._rng.randrange(1000)
         while self.beating:
             span = self.interval_s
             nature = self._nature
-            if nature.late_share and self._dice.random() < nature.late_share:
+            if nature.late_share and self._rng.random() < nature.late_share:
                 # On its way for a while, during which later ones may overtake it.
-                page, wait = self.page(), self._dice.uniform(0.0, nature.late_s)
+                page, wait = self.page(), self._rng.uniform(0.0, nature.late_s)
                 task = asyncio.create_task(self._send_late(page, turn, wait))
                 self._late.add(task)
                 task.add_done_callback(self._late.discard)
@@ -155,7 +155,7 @@
         page: dict[str, typing.Any] = {
             "id": self.name,
             "service": self.service,
-            "address": self.spot,
+            "address": self.address,
             "zone": self.zone,
             "burden": round((self.slots.running + self.slots.waiting) / many, 3),
             "interval_s": self.interval_s,
@@ -171,11 +171,11 @@
 
     async def send(self, page: dict[str, typing.Any], turn: int) -> ports.Reply | None:
         """One beat to one registry; its answer, if there was any and the registry is at work."""
-        spots = self._registries()
+        addresses = self._registries()
         try:
             reply = await self._machine.web.ask(
                 "POST",
-                spots[turn % len(spots)],
+                addresses[turn % len(addresses)],
                 "/v1/beat",
                 [("content-type", "application/json")],
                 json.dumps(page).encode(),
@@ -187,9 +187,7 @@
             self.refused = json.loads(reply.body).get("why", "")
         return reply if reply.status < 500 else None
 
-    async def _send_late(
-        self, page: dict[str, typing.Any], turn: int, wait: float
-    ) -> ports.Reply | None:
+    async def _send_late(self, page: dict[str, typing.Any], turn: int, wait: float) -> ports.Reply | None:
         await self._clock.sleep(wait)
         return await self.send(page, turn)
 
@@ -218,19 +216,19 @@
 
     # Pipes.
 
-    async def _serve(self, pipe: ports.Pipe) -> None:
+    async def _serve(self, connection: ports.Connection) -> None:
         nature = self._nature
         most = nature.pipes_most
         if nature.pipes_pressed is not None and self.slots.waiting:
             most = nature.pipes_pressed
         self.counts["pipes"] += 1
-        if most is not None and len(self._pipes) >= most:
+        if most is not None and len(self._connections) >= most:
             self.counts["pipes_over"] += 1
-            talks.reset(pipe)
+            talks.reset(connection)
             return
-        held = self._pipes
-        held[pipe] = None
-        talk = talks.Talk(pipe, self._clock)
+        held = self._connections
+        held[connection] = None
+        talk = talks.Talk(connection, self._clock)
         try:
             if nature.hello_s:
                 await self._hello(nature.hello_s)
@@ -240,12 +238,12 @@
                     return
         except talks.Forgotten:
             self.counts["forgotten"] += 1
-            talks.reset(pipe)
+            talks.reset(connection)
         except (OSError, h11.ProtocolError):
             return
         finally:
-            held.pop(pipe, None)
-            pipe.close()
+            held.pop(connection, None)
+            connection.close()
 
     async def _hello(self, span: float) -> None:
         """A fresh pipe is work too, for whichever slot takes it."""
@@ -259,7 +257,7 @@
     async def _end(self, talk: talks.Talk, end: faults.End) -> bool:
         """What becomes of the pipe; whether it may carry more."""
         if end is faults.End.RESET:
-            talks.reset(talk.pipe)
+            talks.reset(talk.connection)
         elif end is faults.End.HANG:
             await talk.mute()
         return end is faults.End.KEEP
@@ -276,8 +274,8 @@
             self.counts["turned"] += 1
             if self._turned is not None and not probe:
                 self._turned(self, method, target)
-            return await self._say(talk, talk.pipe, 421, b"not me", [NOT_RUN, *self._id()], ask)
-        fault = self.plan.draw(self._dice, probe)
+            return await self._say(talk, talk.connection, 421, b"not me", [NOT_RUN, *self._id()], ask)
+        fault = self.plan.draw(self._rng, probe)
         if probe:
             self.counts["probes"] += 1
         else:
@@ -285,12 +283,12 @@
             self.counts["unnamed"] += EXPECTED not in heads
             if self._hit is not None:
                 self._hit(self, method, target)
-        return await self._act(talk, talk.pipe, ask, target, body, fault, probe)
+        return await self._act(talk, talk.connection, ask, target, body, fault, probe)
 
     async def _act(
         self,
         talk: talks.Talk,
-        pipe: ports.Pipe,
+        connection: ports.Connection,
         ask: h11.Request,
         target: str,
         body: bytes,
@@ -298,16 +296,16 @@
         probe: bool,
     ) -> bool:
         if fault == "promise":
-            return await self._say(talk, pipe, 503, b"no", [NOT_RUN], ask)
+            return await self._say(talk, connection, 503, b"no", [NOT_RUN], ask)
         if fault.startswith("status_"):
-            return await self._say(talk, pipe, int(fault[7:]), b"failed", [], ask)
+            return await self._say(talk, connection, int(fault[7:]), b"failed", [], ask)
         if fault == "reset":
             return await self._end(talk, faults.End.RESET)
         if fault == "hang":
             await self._clock.sleep(120)
             return False
         if probe and self.draining:
-            return await self._say(talk, pipe, 503, b"leaving", None, ask)
+            return await self._say(talk, connection, 503, b"leaving", None, ask)
         # The very slots of this life: a later one has its own.
         held = self.slots
         if held.full:
@@ -322,7 +320,7 @@
                     self.counts[f"{came}_in_queue"] += 1
                     if came == "gone":
                         return False
-                    return await self._say(talk, pipe, 503, b"too late", [NOT_RUN, *self._id()], ask)
+                    return await self._say(talk, connection, 503, b"too late", [NOT_RUN, *self._id()], ask)
             worked = await self._work(talk, ask, target, body, fault, probe, end)
         finally:
             held.drop(ticket)
@@ -330,8 +328,8 @@
             self.counts[f"{worked}_at_work"] += 1
             if worked == "gone":
                 return False
-            return await self._say(talk, pipe, 504, b"out of time", None, ask)
-        return await self._answer(talk, pipe, ask, target, fault, probe)
+            return await self._say(talk, connection, 504, b"out of time", None, ask)
+        return await self._answer(talk, connection, ask, target, fault, probe)
 
     async def _turn_away(self, talk: talks.Talk, ask: h11.Request) -> bool:
         """Full: what it does with one that it can't even queue."""
@@ -340,7 +338,7 @@
             return await self._end(talk, faults.End.RESET)
         if self._nature.full == natures.HANG:
             return await self._end(talk, faults.End.HANG)
-        return await self._say(talk, talk.pipe, 503, b"full", [NOT_RUN, *self._id()], ask)
+        return await self._say(talk, talk.connection, 503, b"full", [NOT_RUN, *self._id()], ask)
 
     async def _work(
         self,
@@ -360,7 +358,7 @@
             return "done"
         if self._began is not None:
             self._began(self, ask.method.decode(), target, body)
-        span = nature.span(self.work_s, self._dice) * (faults.SLOW if fault == "slow" else 1)
+        span = nature.span(self.work_s, self._rng) * (faults.SLOW if fault == "slow" else 1)
         span *= nature.drag(self.slots.running, self._clock.now() - self._since)
         if "work=" in target:
             span = float(target.split("work=")[1].split("&")[0])
@@ -382,7 +380,13 @@
         return "done"
 
     async def _answer(
-        self, talk: talks.Talk, pipe: ports.Pipe, ask: h11.Request, target: str, fault: str, probe: bool
+        self,
+        talk: talks.Talk,
+        connection: ports.Connection,
+        ask: h11.Request,
+        target: str,
+        fault: str,
+        probe: bool,
     ) -> bool:
         """The reply to work that is done, or what is made of it."""
         if fault in faults.LOST:
@@ -390,7 +394,7 @@
         if fault.startswith("run_then_") and not probe:
             # It did the work, and all the same bids the caller come again.
             return await self._say(
-                talk, pipe, int(fault[9:]), b"busy", [("retry-after", "1"), *self._id()], ask
+                talk, connection, int(fault[9:]), b"busy", [("retry-after", "1"), *self._id()], ask
             )
         page = {
             "by": self.name,
@@ -404,11 +408,11 @@
             data += b" " * max(0, size - len(data))
         by = [("dykeswitch-served-by", "somebody-else")] if fault == "wrong_id" else None
         if fault not in (*faults.BROKEN, *faults.SURPLUS):
-            return await self._say(talk, pipe, 200, data, by, ask)
-        said = faults.said(fault, self._whole(talk, 200, data, by, ask), self._dice)
+            return await self._say(talk, connection, 200, data, by, ask)
+        said = faults.said(fault, self._whole(talk, 200, data, by, ask), self._rng)
         await talk.write(said.data)
         if said.soon:
-            await self._clock.sleep(self._dice.uniform(0.0, faults.SOON_S))
+            await self._clock.sleep(self._rng.uniform(0.0, faults.SOON_S))
             await talk.write(said.soon)
         talk.late = said.late
         return await self._end(talk, said.end)
@@ -426,17 +430,17 @@
         heads += [(name, asked[name]) for name in (EXCHANGE, ASK) if name in asked]
         if nature.tells:
             told = (self.slots.running, self.slots.waiting, nature.slots or 0)
-            heads.append((BURDEN, ",".join(map(str, told))))
+            heads.append((LOAD, ",".join(map(str, told))))
         if nature.idle_s is not None:
             heads.append(("keep-alive", f"timeout={int(nature.idle_s)}"))
-        if self.draining or (nature.close_share and self._dice.random() < nature.close_share):
+        if self.draining or (nature.close_share and self._rng.random() < nature.close_share):
             heads.append(("connection", "close"))
         return talk.whole(status, heads, b"" if ask.method == b"HEAD" else data)
 
     async def _say(
         self,
         talk: talks.Talk,
-        pipe: ports.Pipe,
+        connection: ports.Connection,
         status: int,
         data: bytes,
         extra: Heads | None,
--- a/packages/standin/src/dykeswitch/standin/faults.py
+++ b/packages/standin/src/dykeswitch/standin/faults.py
@@ -73,9 +73,9 @@
     probe_too: bool = False
     probe_only: bool = False
 
-    def draw(self, dice: random.Random, probe: bool) -> str:
+    def draw(self, rng: random.Random, probe: bool) -> str:
         """What happens to one request, or probe."""
-        fault = self.fault if dice.random() < self.share else "none"
+        fault = self.fault if rng.random() < self.share else "none"
         spared = not self.probe_too if probe else self.probe_only
         return "none" if spared else fault
 
@@ -105,7 +105,7 @@
     return {"lose": End.CLOSE, "lose_silent": End.HANG, "lose_reset": End.RESET}[fault]
 
 
-def said(fault: str, whole: bytes, dice: random.Random) -> Said:
+def said(fault: str, whole: bytes, rng: random.Random) -> Said:
     """What is sent in place of a whole reply, or after it."""
     head, gap, body = whole.partition(b"\r\n\r\n")
     # The same once more: a repeat of a reply belongs to nobody.
@@ -120,11 +120,11 @@
     if fault == "garbage":
         return Said(NOT_HTTP, End.CLOSE)
     if fault == "garbage_any":
-        return Said(dice.choice(ODD), dice.choice((End.CLOSE, End.HANG)))
+        return Said(rng.choice(ODD), rng.choice((End.CLOSE, End.HANG)))
     if fault == "unsigned":
-        return Said(dice.choice(UNSIGNED), End.CLOSE)
+        return Said(rng.choice(UNSIGNED), End.CLOSE)
     if fault == "cut_head":
-        return Said(head[: dice.randrange(1, len(head))], End.CLOSE)
+        return Said(head[: rng.randrange(1, len(head))], End.CLOSE)
     if fault == "cut_chunks":
         fields = [f for f in head.split(b"\r\n") if not f.lower().startswith(b"content-length:")]
         fields.append(b"transfer-encoding: chunked")
--- a/packages/standin/src/dykeswitch/standin/fleet.py
+++ b/packages/standin/src/dykeswitch/standin/fleet.py
@@ -20,7 +20,7 @@
 
 import dykeswitch.ports as ports
 import dykeswitch.ports.real as real
-import dykeswitch.soundness.pipe as pipes
+import dykeswitch.soundness.connection as connections
 import dykeswitch.standin.caller as callers
 import dykeswitch.standin.relay as relays
 import dykeswitch.standin.shape as shapes
@@ -45,12 +45,12 @@
     def __init__(self, net: ports.Network) -> None:
         super().__init__()
         self._net = net
-        self._idle: dict[str, list[pipes.EndpointPipe]] = {}
+        self._idle: dict[str, list[connections.EndpointConnection]] = {}
 
     async def ask(
         self,
         method: str,
-        spot: str,
+        address: str,
         path: str,
         heads: ports.Fields,
         body: bytes,
@@ -58,36 +58,36 @@
     ) -> ports.Reply:
         try:
             async with asyncio.timeout(wait):
-                return await self._ask(method, spot, path, heads, body, wait)
-        except pipes.Flaw as flaw:
+                return await self._ask(method, address, path, heads, body, wait)
+        except connections.Flaw as flaw:
             raise OSError(flaw.reason) from flaw
 
     async def _ask(
-        self, method: str, spot: str, path: str, heads: ports.Fields, body: bytes, wait: float
+        self, method: str, address: str, path: str, heads: ports.Fields, body: bytes, wait: float
     ) -> ports.Reply:
-        idle = self._idle.setdefault(spot, [])
-        pipe: pipes.EndpointPipe | None = None
-        while idle and pipe is None:
+        idle = self._idle.setdefault(address, [])
+        connection: connections.EndpointConnection | None = None
+        while idle and connection is None:
             held = idle.pop()
             if held.usable():
-                pipe = held
+                connection = held
             else:
                 held.close()
-        if pipe is None:
-            pipe = pipes.EndpointPipe("", spot, await self._net.dial(spot, wait), 0.0)
+        if connection is None:
+            connection = connections.EndpointConnection("", address, await self._net.dial(address, wait), 0.0)
         try:
             raw = [(k.encode(), v.encode()) for k, v in ports.made(heads)]
         except TimeoutError:
-            pipe.close()
+            connection.close()
             raise
         if not any(k == b"host" for k, _ in raw):
-            raw.insert(0, (b"host", spot.encode()))
+            raw.insert(0, (b"host", address.encode()))
         if body:
             raw.append((b"content-length", str(len(body)).encode()))
-        head = await pipe.send(method, path.encode(), raw, body)
-        data = b"".join([part async for part in pipe.parts()])
-        if pipe.usable():
-            idle.append(pipe)
+        head = await connection.send(method, path.encode(), raw, body)
+        data = b"".join([part async for part in connection.parts()])
+        if connection.usable():
+            idle.append(connection)
         found = [(k.decode("latin-1").lower(), v.decode("latin-1")) for k, v in head.heads]
         return ports.Reply(head.status, found, data)
 
@@ -171,14 +171,12 @@
 class Fleet:
     """Processes, stand-in endpoints and stand-in callers of one shape."""
 
-    def __init__(
-        self, shape: shapes.Shape, folder: pathlib.Path, seed: int, roving: bool = False
-    ) -> None:
+    def __init__(self, shape: shapes.Shape, folder: pathlib.Path, seed: int, roving: bool = False) -> None:
         self.shape = shape
         # Whether requests are sent that each layout moves to another service.
         self.slots = shapes.SLOTS if roving else ()
         self.folder = folder
-        self.dice = random.Random(seed)
+        self.rng = random.Random(seed)
         self.machine: ports.Machine = real.machine()
         self.machine = self.machine._replace(web=LightWeb(self.machine.net))
         self.record = callers.Record(self.machine.clock)
@@ -193,7 +191,7 @@
         self._ears: dict[str, tuple[str, str]] = {}
         self._build()
         self.callers = callers.Callers(
-            shape, self.machine, [p.web for p in self.proxies], self.record, self.dice
+            shape, self.machine, [p.web for p in self.proxies], self.record, self.rng
         )
 
     def _build(self) -> None:
@@ -246,23 +244,21 @@
             flags["ear"] = next(self._spare)
             self._ears[flags["name"]] = (flags["member"], flags["ear"])
 
-    def spot(self) -> str:
+    def address(self) -> str:
         return next(self._spare)
 
-    def host(
-        self, name: str, service: shapes.ServiceShape, n: int, spot: str, **more: typing.Any
-    ) -> Host:
+    def host(self, name: str, service: shapes.ServiceShape, n: int, address: str, **more: typing.Any) -> Host:
         """One more stand-in endpoint, not yet started."""
         spec = {
             "service": service.name,
-            "spot": spot,
+            "spot": address,
             "zone": self.shape.zones[n % len(self.shape.zones)],
             "registries": [registry.web for registry, _ in self.cores],
             "work_s": service.work_s,
             **more,
         }
         if service.nature is not None:
-            spec["nature"] = dataclasses.asdict(service.nature.drawn(self.dice))
+            spec["nature"] = dataclasses.asdict(service.nature.drawn(self.rng))
         made = Host(name, spec, self.folder)
         self.hosts.append(made)
         return made
@@ -295,8 +291,8 @@
     async def start(self) -> float:
         """Start all, send the layout, and wait until every proxy is ready."""
         begun = self.machine.clock.now()
-        for name, (spot, ear) in self._ears.items():
-            await self.relay.open(name, spot, ear)
+        for name, (address, ear) in self._ears.items():
+            await self.relay.open(name, address, ear)
         for process in self.processes():
             process.start()
         self.spawn(self.callers.watch())
@@ -385,10 +381,10 @@
     """Start a fleet, send its traffic for a span, and return the figures."""
     async with running(shapes.SHAPES[name], seed) as fleet:
         up = await fleet.start()
-        spots: dict[str, list[str]] = {}
+        addresses: dict[str, list[str]] = {}
         for host in fleet.hosts:
-            spots.setdefault(str(host.spec["service"]), []).append(str(host.spec["spot"]))
-        straight = await callers.direct(fleet.shape, fleet.machine, spots, fleet.dice, span / 2, scale)
+            addresses.setdefault(str(host.spec["service"]), []).append(str(host.spec["spot"]))
+        straight = await callers.direct(fleet.shape, fleet.machine, addresses, fleet.rng, span / 2, scale)
         base = callers.tally(straight, 10.0)
         await fleet.callers.drive(span, scale)
         fleet.gather()
--- a/packages/standin/src/dykeswitch/standin/nature.py
+++ b/packages/standin/src/dykeswitch/standin/nature.py
@@ -59,16 +59,16 @@
     # Whether beats tell `slots`, `count`, `warm_s` and `draining`.
     tells_more: bool = False
 
-    def drawn(self, dice: random.Random) -> "Nature":
+    def drawn(self, rng: random.Random) -> "Nature":
         """The same with a pace of its own, as the endpoints of one service have."""
-        return dataclasses.replace(self, pace=self.pace * dice.uniform(*PACES))
+        return dataclasses.replace(self, pace=self.pace * rng.uniform(*PACES))
 
-    def span(self, work_s: float, dice: random.Random) -> float:
+    def span(self, work_s: float, rng: random.Random) -> float:
         """How long one piece of work takes that takes `work_s` in the mean."""
         if not self.spread:
-            return work_s * self.pace * (0.5 + dice.random())
+            return work_s * self.pace * (0.5 + rng.random())
         # The mean stays where it was, however far the work spreads.
-        draw = math.exp(self.spread * dice.gauss(0.0, 1.0) - self.spread**2 / 2)
+        draw = math.exp(self.spread * rng.gauss(0.0, 1.0) - self.spread**2 / 2)
         return work_s * self.pace * min(self.tail, draw)
 
     def drag(self, running: int, age: float) -> float:
--- a/packages/standin/src/dykeswitch/standin/relay.py
+++ b/packages/standin/src/dykeswitch/standin/relay.py
@@ -26,7 +26,7 @@
         self._servers: list[asyncio.Server] = []
         self.held = 0
 
-    async def open(self, name: str, spot: str, ear: str) -> None:
+    async def open(self, name: str, address: str, ear: str) -> None:
         """Take pipes at a process's address and bring them to where it listens."""
 
         async def taken(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -37,7 +37,7 @@
             finally:
                 writer.close()
 
-        host, port = real.split_spot(spot)
+        host, port = real.split_address(address)
         self._servers.append(await asyncio.start_server(taken, host, port))
 
     def close(self) -> None:
@@ -71,7 +71,7 @@
         # A paper is asked for by its own name, and by the member's under another.
         caller = str(body.get("name_of") or body.get("name") or "")
         await self._passes(caller, name)
-        host, port = real.split_spot(ear)
+        host, port = real.split_address(ear)
         there, back = await asyncio.open_connection(host, port)
         back.write(head + data)
         try:
--- a/packages/standin/src/dykeswitch/standin/talk.py
+++ b/packages/standin/src/dykeswitch/standin/talk.py
@@ -18,12 +18,12 @@
     def reset(self) -> None: ...
 
 
-def reset(pipe: ports.Pipe) -> None:
+def reset(connection: ports.Connection) -> None:
     """End a pipe the hard way, where it knows one."""
-    if isinstance(pipe, Abrupt):
-        pipe.reset()
+    if isinstance(connection, Abrupt):
+        connection.reset()
     else:
-        pipe.close()
+        connection.close()
 
 
 class Forgotten(Exception):
@@ -33,8 +33,8 @@
 class Talk:
     """Requests on one pipe, one at a time."""
 
-    def __init__(self, pipe: ports.Pipe, clock: ports.Clock) -> None:
-        self.pipe = pipe
+    def __init__(self, connection: ports.Connection, clock: ports.Clock) -> None:
+        self.connection = connection
         self._clock = clock
         self._http = h11.Connection(h11.SERVER)
         # What came while a request was at work.
@@ -73,7 +73,7 @@
 
     async def _read(self) -> bytes:
         held, self._held = self._held, b""
-        return held or await self.pipe.read(READ_SIZE)
+        return held or await self.connection.read(READ_SIZE)
 
     async def unless_gone(self, work: asyncio.Future[None], span: float | None) -> str:
         """Wait for some work: "done", "late" after a span, or "gone" once the caller closed the pipe."""
@@ -91,7 +91,7 @@
     async def _gone(self) -> None:
         """Return once the other end is closed; what it sends meanwhile is kept for later."""
         with contextlib.suppress(OSError):
-            while part := await self.pipe.read(READ_SIZE):
+            while part := await self.connection.read(READ_SIZE):
                 self._held += part
 
     def whole(self, status: int, heads: list[tuple[str, str]], data: bytes) -> bytes:
@@ -103,7 +103,7 @@
 
     async def write(self, data: bytes) -> None:
         late, self.late = self.late, b""
-        await self.pipe.write(late + data)
+        await self.connection.write(late + data)
 
     def again(self) -> bool:
         """Whether another request may come on this pipe."""
--- a/packages/store/src/dykeswitch/store/program.py
+++ b/packages/store/src/dykeswitch/store/program.py
@@ -3,12 +3,12 @@
 import asyncio
 import random
 
+import dykeswitch.adapter.page as pages
 import dykeswitch.frames as frames
 import dykeswitch.logs as logs
 import dykeswitch.ports as ports
 import dykeswitch.register.voter as voters
 import dykeswitch.settings as settings
-import dykeswitch.tongue.page as pages
 
 
 class Store:
@@ -20,12 +20,12 @@
         machine: ports.Machine,
         disk: ports.Disk,
         log: logs.Log,
-        dice: random.Random,
+        rng: random.Random,
     ) -> None:
         self.bounds = bounds
         self.machine = machine
         self.log = log
-        self.voter = voters.Voter(disk, machine.points, dice)
+        self.voter = voters.Voter(disk, machine.points, rng)
         self.meter = frames.Tally()
         self._stop = asyncio.Event()
         self.stopping = False
--- a/packages/timeline/src/dykeswitch/timeline/__init__.py
+++ b/packages/timeline/src/dykeswitch/timeline/__init__.py
@@ -22,8 +22,8 @@
 FENCE: typing.Final = "fence"
 CORE: typing.Final = "core"
 PROXY: typing.Final = "proxy"
-PAPER: typing.Final = "paper"
-KINDS: typing.Final = (ENDPOINT, MARK, FENCE, CORE, PROXY, PAPER)
+DOCUMENT: typing.Final = "paper"
+KINDS: typing.Final = (ENDPOINT, MARK, FENCE, CORE, PROXY, DOCUMENT)
 
 # The states of an endpoint. An id that left or was displaced never comes back.
 UP: typing.Final = "up"
@@ -58,7 +58,7 @@
         return (entry.fields["state"] in STICKY, "remembered" not in entry.fields, entry.stamp)
     if entry.kind == FENCE:
         return (int(entry.fields["fence"]), entry.stamp)
-    if entry.kind == PAPER:
+    if entry.kind == DOCUMENT:
         return (int(entry.fields["version"]), entry.stamp)
     return (entry.stamp,)
 
@@ -238,9 +238,9 @@
         """Drop entries that ended so long ago that no copy of them can be on its way."""
         now = self._clock.now()
         linger = self.forget_s * LINGER
-        for spot, entry in list(self._book.items()):
+        for address, entry in list(self._book.items()):
             if entry.expiry + linger <= now:
-                del self._book[spot]
+                del self._book[address]
                 if self._by_kind[entry.kind].pop(entry.key, None) is not None and entry.kind == ENDPOINT:
                     self._left(entry)
 
--- a/packages/timeline/src/dykeswitch/timeline/entries.py
+++ b/packages/timeline/src/dykeswitch/timeline/entries.py
@@ -27,13 +27,13 @@
     return isinstance(raw, bool)
 
 
-def _spot(raw: object) -> bool:
-    return isinstance(raw, str) and ports.spot_fault(raw) is None
+def _address(raw: object) -> bool:
+    return isinstance(raw, str) and ports.address_fault(raw) is None
 
 
-def _address(raw: object) -> bool:
+def _address_or_none(raw: object) -> bool:
     # Who leaves before we ever heard of it said no address.
-    return raw == "" or _spot(raw)
+    return raw == "" or _address(raw)
 
 
 def _state(raw: object) -> bool:
@@ -46,11 +46,11 @@
 
 # For each kind, the fields it must have, and what may stand beside them.
 MUST: typing.Final[dict[str, dict[str, Test]]] = {
-    "endpoint": {"service": _text, "address": _address, "state": _state, "born": _stamp},
+    "endpoint": {"service": _text, "address": _address_or_none, "state": _state, "born": _stamp},
     "mark": {"reason": _text, "clear": _flag, "by": _text},
     "fence": {"owner": _text, "fence": _count},
-    "core": {"spot": _spot, "web": _spot, "store": _spot, "zone": _text, "boot": _text},
-    "proxy": {"zone": _text, "web": _spot, "layout": _count, "ready": _flag},
+    "core": {"spot": _address, "web": _address, "store": _address, "zone": _text, "boot": _text},
+    "proxy": {"zone": _text, "web": _address, "layout": _count, "ready": _flag},
     "paper": {"version": _count},
 }
 MAY: typing.Final[dict[str, dict[str, Test]]] = {
@@ -63,7 +63,7 @@
         "remembered": _flag,
     },
     "mark": {"slot": _count, "fence": _count},
-    "proxy": {"extra": _text, "spot": _spot},
+    "proxy": {"extra": _text, "spot": _address},
     "fence": {},
     "core": {},
     "paper": {},
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -77,9 +77,7 @@
     assert "601 bad_settings" in err
 
 
-def test_unknown_keys_and_flags_over_file(
-    tmp_path: pathlib.Path, capsys: pytest.CaptureFixture[str]
-) -> None:
+def test_unknown_keys_and_flags_over_file(tmp_path: pathlib.Path, capsys: pytest.CaptureFixture[str]) -> None:
     text = 'name = "s"\nstore = "127.0.0.1:1"\nweb = "127.0.0.1:2"\ndata = "/"\n'
     assert cli.main(["check", "store", _file(tmp_path, text, "good.toml")]) == 0
     assert cli.main(["check", "store", _file(tmp_path, text + "colour = 1\n", "bad.toml")]) == 2
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -6,12 +6,12 @@
 
 import pytest
 
+import dykeswitch.adapter as adapters
 import dykeswitch.proxy.selection as selection
 import dykeswitch.settings as settings
 import dykeswitch.soundness as soundness
-import dykeswitch.soundness.pipe as pipes
+import dykeswitch.soundness.connection as connections
 import dykeswitch.timeline as timeline
-import dykeswitch.tongue as tongues
 
 ID: typing.Final = b"dykeswitch-exchange"
 
@@ -42,25 +42,25 @@
     return (head + body).encode()
 
 
-async def _ask(pipe: pipes.EndpointPipe, name: str) -> tuple[int, bytes]:
+async def _ask(connection: connections.EndpointConnection, name: str) -> tuple[int, bytes]:
     heads = [(b"host", b"a"), (ID, name.encode())]
-    head = await pipe.send("POST", b"/x", [*heads, (b"content-length", b"2")], b"hi")
-    return head.status, b"".join([part async for part in pipe.parts()])
+    head = await connection.send("POST", b"/x", [*heads, (b"content-length", b"2")], b"hi")
+    return head.status, b"".join([part async for part in connection.parts()])
 
 
-def _pipe(script: Script) -> pipes.EndpointPipe:
-    return pipes.EndpointPipe("e", "10.0.0.1:1", script, 0.0, ID)
+def _connection(script: Script) -> connections.EndpointConnection:
+    return connections.EndpointConnection("e", "10.0.0.1:1", script, 0.0, ID)
 
 
 def test_a_second_reply_to_an_earlier_exchange_is_passed_over() -> None:
     async def main() -> None:
         script = Script(_reply("one", "1"), _reply("one", "again") + _reply("two", "2"))
-        pipe = _pipe(script)
-        assert await _ask(pipe, "one") == (200, b"1")
-        assert await _ask(pipe, "two") == (200, b"2")
+        connection = _connection(script)
+        assert await _ask(connection, "one") == (200, b"1")
+        assert await _ask(connection, "two") == (200, b"2")
         # Each request went out once, in one piece.
         assert [part.count(b"POST") for part in script.wrote] == [1, 1]
-        assert pipe.usable()
+        assert connection.usable()
 
     asyncio.run(main())
 
@@ -69,29 +69,29 @@
 def test_a_second_reply_may_come_in_pieces(cut: int) -> None:
     async def main() -> None:
         late = _reply("one", "again") + _reply("two", "2")
-        pipe = _pipe(Script(_reply("one", "1"), late[:cut], late[cut:]))
-        assert await _ask(pipe, "one") == (200, b"1")
-        assert await _ask(pipe, "two") == (200, b"2")
+        connection = _connection(Script(_reply("one", "1"), late[:cut], late[cut:]))
+        assert await _ask(connection, "one") == (200, b"1")
+        assert await _ask(connection, "two") == (200, b"2")
 
     asyncio.run(main())
 
 
 def test_a_reply_to_an_exchange_that_was_never_here_is_not_ours() -> None:
     async def main() -> None:
-        pipe = _pipe(Script(_reply("strange", "1")))
-        with pytest.raises(pipes.Flaw) as flaw:
-            await _ask(pipe, "one")
+        connection = _connection(Script(_reply("strange", "1")))
+        with pytest.raises(connections.Flaw) as flaw:
+            await _ask(connection, "one")
         assert flaw.value.reason == soundness.OTHERS_REPLY and flaw.value.sent
-        assert not pipe.usable()
+        assert not connection.usable()
 
     asyncio.run(main())
 
 
 def test_bytes_behind_a_whole_reply_end_the_pipe() -> None:
     async def main() -> None:
-        pipe = _pipe(Script(_reply("one", "1") + _reply("one", "again")))
-        assert await _ask(pipe, "one") == (200, b"1")
-        assert not pipe.usable()
+        connection = _connection(Script(_reply("one", "1") + _reply("one", "again")))
+        assert await _ask(connection, "one") == (200, b"1")
+        assert not connection.usable()
 
     asyncio.run(main())
 
@@ -107,29 +107,29 @@
 )
 def test_what_is_no_whole_reply_is_never_one(data: bytes, reason: str) -> None:
     async def main() -> None:
-        pipe = _pipe(Script(data))
-        with pytest.raises(pipes.Flaw) as flaw:
-            await _ask(pipe, "one")
+        connection = _connection(Script(data))
+        with pytest.raises(connections.Flaw) as flaw:
+            await _ask(connection, "one")
         assert (flaw.value.reason, flaw.value.sent) == (reason, True)
-        assert not pipe.usable()
+        assert not connection.usable()
 
     asyncio.run(main())
 
 
 def test_an_endpoints_word_on_idle_pipes_is_learnt() -> None:
     async def main() -> None:
-        pipe = _pipe(Script(_reply("one", "1", more="Keep-Alive: timeout=7, max=9\r\n")))
-        await _ask(pipe, "one")
-        assert pipe.idle_s == 7.0
+        connection = _connection(Script(_reply("one", "1", more="Keep-Alive: timeout=7, max=9\r\n")))
+        await _ask(connection, "one")
+        assert connection.idle_s == 7.0
 
     asyncio.run(main())
 
 
 def test_a_parting_reply_ends_the_pipe() -> None:
     async def main() -> None:
-        pipe = _pipe(Script(_reply("one", "1", more="Connection: close\r\n")))
-        assert await _ask(pipe, "one") == (200, b"1")
-        assert not pipe.usable()
+        connection = _connection(Script(_reply("one", "1", more="Connection: close\r\n")))
+        assert await _ask(connection, "one") == (200, b"1")
+        assert not connection.usable()
 
     asyncio.run(main())
 
@@ -165,10 +165,10 @@
 def test_one_in_forty_lost_marks_as_good_as_never() -> None:
     strikes = soundness.Strikes(5.0)
     fault = soundness.flaw_fault(soundness.BROKE_OFF)
-    dice = random.Random(3)
+    rng = random.Random(3)
     marks = 0
     for n in range(20000):
-        if dice.random() < 0.025:
+        if rng.random() < 0.025:
             marks += strikes.strike("e", fault, n * 0.06)
         else:
             strikes.sound("e", n * 0.06)
@@ -206,7 +206,7 @@
     made = selection.Selector(line, timeline.Marks(line, 5.0), bounds, random.Random(1))
     for n, (name, zone) in enumerate(zones.items()):
         fields: timeline.Fields = {"service": "s", "address": f"10.0.0.{n + 1}:1", "zone": zone}
-        fields.update(state="up", born=[n, "r"], slots=2, burden=0.0)
+        fields.update(state="up", born=[n, "r"], slots=2, load=0.0)
         line.write(timeline.ENDPOINT, name, fields, 900.0, urgent=False)
     return made, clock, line
 
@@ -230,7 +230,7 @@
     selector, _, line = _selector({"a": "near", "b": "far"})
     for name in ("a", "b"):
         for _ in range(50):
-            selector.learn(_get(line, name), 0.06, 0.0, tongues.Burden(0, 0, 2))
+            selector.learn(_get(line, name), 0.06, 0.0, adapters.Load(0, 0, 2))
     assert set(_picked(selector)) == {"a"}
     for _ in range(8):
         selector.begun("a")
@@ -240,8 +240,8 @@
 def test_the_faster_of_two_gets_more() -> None:
     selector, _, line = _selector({"a": "near", "b": "near"})
     for _ in range(60):
-        selector.learn(_get(line, "a"), 0.03, 0.0, tongues.Burden(0, 0, 2))
-        selector.learn(_get(line, "b"), 0.09, 0.0, tongues.Burden(0, 0, 2))
+        selector.learn(_get(line, "a"), 0.03, 0.0, adapters.Load(0, 0, 2))
+        selector.learn(_get(line, "b"), 0.09, 0.0, adapters.Load(0, 0, 2))
     found = _picked(selector)
     assert found.get("a", 0) > 190
 
@@ -250,9 +250,9 @@
     selector, clock, line = _selector({"a": "near", "b": "near"})
     for name in ("a", "b"):
         for _ in range(60):
-            selector.learn(_get(line, name), 0.06, 0.0, tongues.Burden(0, 0, 2))
+            selector.learn(_get(line, name), 0.06, 0.0, adapters.Load(0, 0, 2))
     selector.begun("a")
-    selector.learn(_get(line, "a"), 0.06, 0.0, tongues.Burden(2, 6, 2))
+    selector.learn(_get(line, "a"), 0.06, 0.0, adapters.Load(2, 6, 2))
     selector.ended("a")
     assert set(_picked(selector)) == {"b"}
     clock.at += 1.0
@@ -263,7 +263,7 @@
     selector, clock, line = _selector({"a": "near", "b": "near"})
     for name in ("a", "b"):
         for _ in range(60):
-            selector.learn(_get(line, name), 0.06, 0.0, tongues.Burden(0, 0, 2))
+            selector.learn(_get(line, name), 0.06, 0.0, adapters.Load(0, 0, 2))
     selector.full("a")
     assert set(_picked(selector)) == {"b"}
     clock.at += 1.0
--- a/tests/test_garbage.py
+++ b/tests/test_garbage.py
@@ -47,7 +47,12 @@
 
 
 BEAT: typing.Final = {
-    "id": "a", "service": "s", "address": "10.0.0.1:80", "zone": "z", "burden": 0.5, "interval_s": 1.0,
+    "id": "a",
+    "service": "s",
+    "address": "10.0.0.1:80",
+    "zone": "z",
+    "burden": 0.5,
+    "interval_s": 1.0,
     "leaving": False,
 }
 
@@ -59,7 +64,7 @@
     if isinstance(result, outcome.Good):
         beat = result.value
         assert 0 < len(beat.name) <= endpoints.NAME_MOST
-        assert 0 <= beat.burden < 1e9
+        assert 0 <= beat.load < 1e9
         assert endpoints.INTERVAL_LEAST <= beat.interval_s <= 60
     else:
         assert result.code.tag == "bad_beat"
@@ -72,11 +77,35 @@
 @hypothesis.example('pause x for 999999999999999d because "why"')
 @hypothesis.example('pause x for 1h in 999999999999999d because "why"')
 @hypothesis.example('pause x for 0s because "why"')
-@hypothesis.given(some.text(max_size=80) | some.lists(
-    some.sampled_from(["who", "is", "paused", "pause", "x-1", "for", "1h", "9" * 30 + "d", "in", "because",
-                       '"why"', "show", "history", "service", "end", "explain", "GET", "/a", "shop.example"]),
-    max_size=9,
-).map(" ".join))
+@hypothesis.given(
+    some.text(max_size=80)
+    | some.lists(
+        some.sampled_from(
+            [
+                "who",
+                "is",
+                "paused",
+                "pause",
+                "x-1",
+                "for",
+                "1h",
+                "9" * 30 + "d",
+                "in",
+                "because",
+                '"why"',
+                "show",
+                "history",
+                "service",
+                "end",
+                "explain",
+                "GET",
+                "/a",
+                "shop.example",
+            ]
+        ),
+        max_size=9,
+    ).map(" ".join)
+)
 def test_sentences(text: str) -> None:
     result = language.parse(text)
     if isinstance(result, outcome.Good):
@@ -146,11 +175,11 @@
 )
 def test_frames(data: bytes) -> None:
     async def main() -> None:
-        pipe = _Bytes(data)
+        connection = _Bytes(data)
         ear = frames.Ear({}, lambda event, what: None)
-        await ear.serve(typing.cast(ports.Pipe, pipe))
-        if pipe.out:
-            said = cbor2.loads(bytes(pipe.out[frames.HEAD.size :]))
+        await ear.serve(typing.cast(ports.Connection, connection))
+        if connection.out:
+            said = cbor2.loads(bytes(connection.out[frames.HEAD.size :]))
             assert said["kind"] == "bad"
 
     asyncio.run(main())
@@ -166,46 +195,69 @@
 
 # For each kind of call, a body in good order: what is sent is that but for a field or two.
 ENTRIES: typing.Final[list[list[typing.Any]]] = [
-    ["endpoint", "e", 5, "r", {**{k: BEAT[k] for k in ("service", "address", "zone", "burden")},
-                               "interval": 1.0, "state": "up", "born": [1, "r"]}, 5.0],
+    [
+        "endpoint",
+        "e",
+        5,
+        "r",
+        {
+            **{k: BEAT[k] for k in ("service", "address", "zone", "burden")},
+            "interval": 1.0,
+            "state": "up",
+            "born": [1, "r"],
+        },
+        5.0,
+    ],
     ["mark", "down:e", 5, "r", {"reason": "x", "by": "r", "clear": False, "slot": 1, "fence": 2}, 5.0],
     ["fence", "1", 5, "r", {"owner": "o/1", "fence": 3}, 5.0],
-    ["core", "c", 5, "r", {"spot": "10.0.0.1:1", "web": "10.0.0.1:2", "store": "10.0.0.1:3", "zone": "z",
-                           "boot": "b"}, 5.0],
-    ["proxy", "p", 5, "r", {"zone": "z", "web": "10.0.0.1:2", "layout": 1, "ready": True,
-                            "since": [1, "p"], "extra": "shares"}, 5.0],
+    [
+        "core",
+        "c",
+        5,
+        "r",
+        {"spot": "10.0.0.1:1", "web": "10.0.0.1:2", "store": "10.0.0.1:3", "zone": "z", "boot": "b"},
+        5.0,
+    ],
+    [
+        "proxy",
+        "p",
+        5,
+        "r",
+        {"zone": "z", "web": "10.0.0.1:2", "layout": 1, "ready": True, "since": [1, "p"], "extra": "shares"},
+        5.0,
+    ],
     ["paper", "layout", 5, "r", {"version": 1}, 5.0],
 ]
 
 
-def _entries(dice: random.Random) -> list[typing.Any]:
+def _entries(rng: random.Random) -> list[typing.Any]:
     """Timeline entries of which some field is odd."""
     found = []
     for _ in range(3):
-        kind, key, count, name, fields, left = dice.choice(ENTRIES)
+        kind, key, count, name, fields, left = rng.choice(ENTRIES)
         fields = dict(fields)
-        where = dice.randrange(4)
+        where = rng.randrange(4)
         if where == 0:
-            fields[dice.choice(list(fields))] = _odd(dice)
+            fields[rng.choice(list(fields))] = _odd(rng)
         elif where == 1:
-            del fields[dice.choice(list(fields))]
-        entry = [kind, f"{key}{dice.randrange(99)}", count, name, fields, left]
+            del fields[rng.choice(list(fields))]
+        entry = [kind, f"{key}{rng.randrange(99)}", count, name, fields, left]
         if where == 2:
-            entry[dice.randrange(6)] = _odd(dice)
+            entry[rng.randrange(6)] = _odd(rng)
         elif where == 3:
-            entry = entry[: dice.randrange(6)]
+            entry = entry[: rng.randrange(6)]
         found.append(entry)
     return found
 
 
-def _odd(dice: random.Random) -> typing.Any:
-    return dice.choice(
+def _odd(rng: random.Random) -> typing.Any:
+    return rng.choice(
         [math.nan, math.inf, -1, 2**70, "", "x" * 300, "1.2.3.4:99999", "a:b", True, None, [], {}, b"x", 1.5]
     )
 
 
-def _calls(dice: random.Random) -> list[dict[str, typing.Any]]:
-    head = {"name": "m", "boot": "b", "seq": 3, "wall": 1.8e9, "items": _entries(dice)}
+def _calls(rng: random.Random) -> list[dict[str, typing.Any]]:
+    head = {"name": "m", "boot": "b", "seq": 3, "wall": 1.8e9, "items": _entries(rng)}
     view = [["m", "proxy", "10.9.9.9:1", 0], ["n", "registry", "10.9.9.8:1", 2]]
     # A ballot below every proposer's: one in good order and higher is taken at its word.
     ballot, value = [1, "-"], [1, b"body", [["op", 1]]]
@@ -223,13 +275,13 @@
         {"kind": "state"},
     ]
     for call in calls:
-        for _ in range(dice.randrange(3)):
-            field = dice.choice([f for f in call if f != "kind"] or ["kind"])
-            spot = call[field]
-            if isinstance(spot, list) and spot and dice.random() < 0.7:
-                call[field] = [*spot[:-1], _odd(dice)]
+        for _ in range(rng.randrange(3)):
+            field = rng.choice([f for f in call if f != "kind"] or ["kind"])
+            address = call[field]
+            if isinstance(address, list) and address and rng.random() < 0.7:
+                call[field] = [*address[:-1], _odd(rng)]
             else:
-                call[field] = _odd(dice)
+                call[field] = _odd(rng)
     return calls
 
 
@@ -256,22 +308,22 @@
         fleet = fleets.SimFleet(SMALL, 5, tmp_path)
         await fleet.start()
         version = fleet.puts[-1].version
-        dice = random.Random(6)
+        rng = random.Random(6)
         caller = frames.Caller(fleet.outside.net)
-        members = [c.member for c in fleet.cores] + list(fleet.store_spots)
+        members = [c.member for c in fleet.cores] + list(fleet.store_addresses)
         members.append(fleet.edges[0].node.daemon.bounds.member)
         voters = [c.store.daemon.voter for c in fleet.cores]
         tags = set()
         for _ in range(60):
-            for spot in members:
-                for call in _calls(dice):
+            for address in members:
+                for call in _calls(rng):
                     # A disk's own id, so that a refusal is for the oddness alone; but a set that
                     # is in good order would be taken at its word, as any member's is.
-                    if call.get("disk") == "d" and call["kind"] != "install" and dice.random() < 0.7:
+                    if call.get("disk") == "d" and call["kind"] != "install" and rng.random() < 0.7:
                         call["disk"] = next((v.disk_id for v in voters), "")
                     if not _can(call):
                         continue
-                    result = await caller.ask(spot, str(call["kind"]), call, 3.0)
+                    result = await caller.ask(address, str(call["kind"]), call, 3.0)
                     if isinstance(result, outcome.Bad):
                         tags.add(result.code.tag)
             await asyncio.sleep(1.0)
@@ -296,23 +348,23 @@
 )
 
 
-def _reply(dice: random.Random) -> bytes:
+def _reply(rng: random.Random) -> bytes:
     """A reply with some bytes changed, cut out, doubled, or put in from elsewhere."""
     data = bytearray(REPLY)
-    for _ in range(dice.randrange(1, 4)):
-        at = dice.randrange(len(data)) if data else 0
-        kind = dice.randrange(5)
+    for _ in range(rng.randrange(1, 4)):
+        at = rng.randrange(len(data)) if data else 0
+        kind = rng.randrange(5)
         if kind == 0 and data:
-            data[at] = dice.randrange(256)
+            data[at] = rng.randrange(256)
         elif kind == 1:
-            del data[at : at + dice.randrange(1, 20)]
+            del data[at : at + rng.randrange(1, 20)]
         elif kind == 2:
-            data[at:at] = data[at : at + dice.randrange(1, 30)]
+            data[at:at] = data[at : at + rng.randrange(1, 30)]
         elif kind == 3:
             odd = [b"\r\n", b"transfer-encoding: chunked\r\n", b"content-length: 9\r\n", b"\x00", b"\xff" * 9]
-            data[at:at] = dice.choice(odd)
+            data[at:at] = rng.choice(odd)
         else:
-            data += b"X" * dice.randrange(1, 200000)
+            data += b"X" * rng.randrange(1, 200000)
     return bytes(data)
 
 
@@ -322,13 +374,13 @@
     async def main() -> None:
         fleet = fleets.SimFleet(SMALL, 5, tmp_path)
         await fleet.start()
-        dice = random.Random(7)
+        rng = random.Random(7)
         said = b""
 
-        async def act(talk: typing.Any, pipe: ports.Pipe, *rest: typing.Any) -> bool:
+        async def act(talk: typing.Any, connection: ports.Connection, *rest: typing.Any) -> bool:
             if rest[-1]:
-                return bool(await whole(talk, pipe, *rest))
-            await pipe.write(said)
+                return bool(await whole(talk, connection, *rest))
+            await connection.write(said)
             return False
 
         for endpoint in fleet.endpoints.values():
@@ -336,7 +388,7 @@
             endpoint._act = act  # type: ignore[assignment]
         seen = set()
         for _ in range(250):
-            said = _reply(dice)
+            said = _reply(rng)
             # Marks would keep the odd ones away.
             for name in fleet.endpoints:
                 fleet.edges[0].node.daemon.marks.clear(name, "test")
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -8,8 +8,9 @@
 
 import pytest
 
+import dykeswitch.adapter as adapters
 import dykeswitch.layout as layouts
-import dykeswitch.layout.papers as papers
+import dykeswitch.layout.documents as documents
 import dykeswitch.membership as membership
 import dykeswitch.outcome as outcome
 import dykeswitch.proxy.budget as budgets
@@ -17,26 +18,25 @@
 import dykeswitch.proxy.exchange as exchanges
 import dykeswitch.proxy.program as proxies
 import dykeswitch.proxy.selection as selection
-import dykeswitch.register.shelf as shelf
+import dykeswitch.register.storage as storage
 import dykeswitch.registry.lender as lenders
 import dykeswitch.registry.prober as probers
 import dykeswitch.registry.program as registries
 import dykeswitch.simulator.trial as trials
-import dykeswitch.soundness.pipe as pipes
+import dykeswitch.soundness.connection as connections
 import dykeswitch.timeline as timeline
-import dykeswitch.tongue as tongues
 
 Wreck = typing.Callable[[pytest.MonkeyPatch], None]
 
 
 def _no_proof(patch: pytest.MonkeyPatch) -> None:
-    async def proven(pipe: pipes.EndpointPipe, path: str, served_by: bytes) -> None:
+    async def proven(connection: connections.EndpointConnection, path: str, served_by: bytes) -> None:
         return None
 
-    patch.setattr(pipes, "prove", proven)
+    patch.setattr(connections, "prove", proven)
     # A request names the endpoint that it is for, and any other refuses it: with that guard
     # alone the address holds too, so both are taken away.
-    patch.setattr(tongues.Own, "heads", tongues.Heads(expected=b"x-nobody"))
+    patch.setattr(adapters.Own, "heads", adapters.Heads(expected=b"x-nobody"))
 
 
 def _always_retry(patch: pytest.MonkeyPatch) -> None:
@@ -55,16 +55,16 @@
 
 
 def _cut_passes(patch: pytest.MonkeyPatch) -> None:
-    whole = pipes.EndpointPipe.parts
+    whole = connections.EndpointConnection.parts
 
-    async def parts(self: pipes.EndpointPipe) -> typing.AsyncIterator[bytes]:
+    async def parts(self: connections.EndpointConnection) -> typing.AsyncIterator[bytes]:
         try:
             async for part in whole(self):
                 yield part
-        except pipes.Flaw:
+        except connections.Flaw:
             return
 
-    patch.setattr(pipes.EndpointPipe, "parts", parts)
+    patch.setattr(connections.EndpointConnection, "parts", parts)
 
 
 def _always_hint(patch: pytest.MonkeyPatch) -> None:
@@ -77,14 +77,14 @@
     patch.setattr(carriers.Carrier, "refuse", hinted)
 
 
-def _forgetful_shelf(patch: pytest.MonkeyPatch) -> None:
-    put = shelf.Shelf.put
+def _forgetful_storage(patch: pytest.MonkeyPatch) -> None:
+    put = storage.Storage.put
 
-    def forget(self: shelf.Shelf, key: str, record: typing.Any) -> None:
+    def forget(self: storage.Storage, key: str, record: typing.Any) -> None:
         if key.startswith("@"):
             put(self, key, record)
 
-    patch.setattr(shelf.Shelf, "put", forget)
+    patch.setattr(storage.Storage, "put", forget)
 
 
 def _rude_stop(patch: pytest.MonkeyPatch) -> None:
@@ -144,12 +144,12 @@
     async def read(self: registries.Registry) -> None:
         return None
 
-    async def caught_up(self: papers.Papers, spots: typing.Sequence[str]) -> bool:
-        await catch_up(self, spots)
+    async def caught_up(self: documents.Documents, addresses: typing.Sequence[str]) -> bool:
+        await catch_up(self, addresses)
         return True
 
-    catch_up = papers.Papers.catch_up
-    reading = registries.Registry._read_papers
+    catch_up = documents.Documents.catch_up
+    reading = registries.Registry._read_documents
 
     async def keep(self: registries.Registry) -> None:
         while True:
@@ -158,16 +158,16 @@
 
     patch.setattr(registries.Registry, "_read_papers", read)
     patch.setattr(registries.Registry, "_keep_reading", keep)
-    patch.setattr(papers.Papers, "catch_up", caught_up)
+    patch.setattr(documents.Documents, "catch_up", caught_up)
 
 
 def _slips_back(patch: pytest.MonkeyPatch) -> None:
     reads = proxies.Proxy._reads
 
-    async def slip(self: proxies.Proxy, name: str, version: int, data: bytes) -> papers.Take | None:
+    async def slip(self: proxies.Proxy, name: str, version: int, data: bytes) -> documents.Take | None:
         old = self.carrier.layout
         take = await reads(self, name, version, data)
-        if take is None or name != papers.LAYOUT or old is None:
+        if take is None or name != documents.LAYOUT or old is None:
             return take
 
         def back() -> None:
@@ -190,7 +190,7 @@
     async def keep(self: proxies.Proxy) -> None:
         while True:
             await asyncio.sleep(5.0)
-            await self.papers.catch_up(self._spots())
+            await self.documents.catch_up(self._addresses())
 
     patch.setattr(proxies.Proxy, "_keep_papers", keep)
 
@@ -201,7 +201,7 @@
     (_no_budget, "fail_service", "extra_bound"),
     (_cut_passes, "cut_bodies", "whole_replies"),
     (_always_hint, "lose_replies", "told_not_done"),
-    (_forgetful_shelf, "restart_all_cores", "register_holds"),
+    (_forgetful_storage, "restart_all_cores", "register_holds"),
     (_rude_stop, "restart_in_turn", "not_dropped"),
     (_deaf_to_leaving, "roll_endpoints", "not_after_leaving"),
     (_slow_news, "burst_layouts", "layout_in_time"),
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -58,7 +58,7 @@
     )
     # The older layout shows for a while by another proxy, and not after by the same.
     _rove(story, 95.2, "b2")
-    _rove(story, 95.3, "b1", spot="q")
+    _rove(story, 95.3, "b1", address="q")
     return story
 
 
@@ -146,7 +146,7 @@
     story.puts.append(_put(0, 99.0, body=_doc("x"), status=412, match=2))
 
 
-def _pipe_broke(story: histories.History) -> None:
+def _connection_broke(story: histories.History) -> None:
     story.asks.append(_ask("b", status=0, flaw="ConnectionResetError"))
 
 
@@ -250,7 +250,7 @@
     "layout_by_traffic": [_old_rule, _no_rule_ever, _rule_denied],
     "layout_order_by_traffic": [_rule_slips],
     "refused_rightly": [_phantom_race],
-    "broken_explained": [_pipe_broke],
+    "broken_explained": [_connection_broke],
     "excuses_bounded": [_all_excused],
     "nothing_leaked": [_leak],
     "register_holds": [_stale_read, _none_read, _lost_layout, _refused_stands],
@@ -284,9 +284,7 @@
 @pytest.mark.parametrize(
     ("name", "wreck"), [(name, wreck) for name, wrecks in BREAKS.items() for wreck in wrecks]
 )
-def test_a_broken_history_is_found_out(
-    name: str, wreck: typing.Callable[[histories.History], None]
-) -> None:
+def test_a_broken_history_is_found_out(name: str, wreck: typing.Callable[[histories.History], None]) -> None:
     story = sound()
     wreck(story)
     assert name in histories.judge(story)
--- a/tests/test_hollow.py
+++ b/tests/test_hollow.py
@@ -90,13 +90,13 @@
         self._ear = ear
         self._tasks: set[asyncio.Task[None]] = set()
 
-    async def dial(self, spot: str, wait: float) -> ports.Pipe:
+    async def dial(self, address: str, wait: float) -> ports.Connection:
         one, two = _End(), _End()
         one.other, two.other = two, one
         self._tasks.add(asyncio.create_task(self._ear.serve(two)))
         return one
 
-    async def listen(self, spot: str, serve: ports.Serve) -> ports.Listener:
+    async def listen(self, address: str, serve: ports.Serve) -> ports.Listener:
         raise NotImplementedError
 
 
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -9,7 +9,7 @@
 
 import dykeswitch.frames as frames
 import dykeswitch.layout as layouts
-import dykeswitch.layout.papers as papers
+import dykeswitch.layout.documents as documents
 import dykeswitch.outcome as outcome
 import dykeswitch.simulator.loop as loops
 import dykeswitch.simulator.world as worlds
@@ -54,19 +54,21 @@
         line = timeline.Timeline("p", worlds.SimClock(loop), 900.0)
         took: list[int] = []
 
-        async def reads(name: str, version: int, data: bytes) -> papers.Take | None:
+        async def reads(name: str, version: int, data: bytes) -> documents.Take | None:
             await asyncio.sleep(float(data))
             return lambda: took.append(version)
 
         caller = frames.Caller(typing.cast(typing.Any, None))
-        held = papers.Papers(line, caller, 1.0, reads)
+        held = documents.Documents(line, caller, 1.0, reads)
         done = await asyncio.gather(
-            held.take(papers.LAYOUT, 3, b"0.1"), held.take(papers.LAYOUT, 2, b"5"),
-            held.take(papers.LAYOUT, 4, b"1"), held.take(papers.LAYOUT, 4, b"1"),
+            held.take(documents.LAYOUT, 3, b"0.1"),
+            held.take(documents.LAYOUT, 2, b"5"),
+            held.take(documents.LAYOUT, 4, b"1"),
+            held.take(documents.LAYOUT, 4, b"1"),
         )
         assert list(done) == [True, False, True, False]
         assert took == [3, 4]
-        assert held.version(papers.LAYOUT) == 4
+        assert held.version(documents.LAYOUT) == 4
 
     loops.run(main())
 
@@ -82,8 +84,8 @@
     assert isinstance(result, outcome.Good)
     [rule] = result.value.rules
     assert rule.services() == ("a", "b")
-    dice = random.Random(1)
-    drawn = [rule.draw(dice) for _ in range(2000)]
+    rng = random.Random(1)
+    drawn = [rule.draw(rng) for _ in range(2000)]
     assert set(drawn) == {"a", "b"} and 130 < drawn.count("b") < 270
 
 
--- a/tests/test_lending.py
+++ b/tests/test_lending.py
@@ -45,42 +45,44 @@
 class _Hand:
     """One registry's way to the register."""
 
-    def __init__(self, stone: _Stone, name: str, clock: typing.Any, dice: random.Random) -> None:
+    def __init__(self, stone: _Stone, name: str, clock: typing.Any, rng: random.Random) -> None:
         self._stone = stone
         self._name = name
         self._clock = clock
-        self._dice = dice
+        self._rng = rng
 
     async def read(self, key: str) -> outcome.Good[register.Value] | outcome.Bad:
         return await self.change(key, lambda now: now)
 
     async def change(self, key: str, step: typing.Any) -> outcome.Good[register.Value] | outcome.Bad:
-        await self._clock.sleep(self._dice.uniform(0.001, 0.2))
+        await self._clock.sleep(self._rng.uniform(0.001, 0.2))
         if self._name in self._stone.apart:
             await self._clock.sleep(1.0)
             return outcome.bad("no_majority")
         self._stone.value = seen = step(self._stone.value)
-        await self._clock.sleep(self._dice.uniform(0.001, 0.2))
+        await self._clock.sleep(self._rng.uniform(0.001, 0.2))
         return outcome.Good(seen)
 
 
 class _Registry:
     """A registry with nothing but its duties and its lending."""
 
-    def __init__(self, town: "Town", name: str, spot: str, machine: typing.Any, dice: random.Random) -> None:
+    def __init__(
+        self, town: "Town", name: str, address: str, machine: typing.Any, rng: random.Random
+    ) -> None:
         self._town = town
-        self._spot = spot
+        self._address = address
         self._machine = machine
         self.name = name
-        self.boot = f"{dice.getrandbits(32):08x}"
+        self.boot = f"{rng.getrandbits(32):08x}"
         self.line = timeline.Timeline(name, machine.clock, BOUNDS.forget_s)
-        hand: typing.Any = _Hand(town.stone, name, machine.clock, dice)
+        hand: typing.Any = _Hand(town.stone, name, machine.clock, rng)
         self.duties = duties.Duties(name, self.boot, BOUNDS, self.line, hand)
         self.lender = lenders.Lender(BOUNDS, machine.clock, self.duties)
 
     async def run(self) -> None:
         ear = frames.Ear(self.lender.kinds(), lambda event, what: None)
-        await self._machine.net.listen(self._spot, ear.serve)
+        await self._machine.net.listen(self._address, ear.serve)
         async with asyncio.TaskGroup() as group:
             group.create_task(self._beat())
             while True:
@@ -89,7 +91,7 @@
                 self.lender.tidy()
 
     async def _beat(self) -> None:
-        fields = dict.fromkeys(("spot", "web", "store"), self._spot) | {"zone": "z", "boot": self.boot}
+        fields = dict.fromkeys(("spot", "web", "store"), self._address) | {"zone": "z", "boot": self.boot}
         while True:
             self.line.write(timeline.CORE, self.name, dict(fields), BOUNDS.dead_s)
             await self._machine.clock.sleep(BOUNDS.dead_s / 6)
@@ -101,16 +103,16 @@
 class _Proxy:
     """A proxy that spends whatever it is let, and has requests as the town has."""
 
-    def __init__(self, town: "Town", name: str, machine: typing.Any, dice: random.Random) -> None:
+    def __init__(self, town: "Town", name: str, machine: typing.Any, rng: random.Random) -> None:
         self._town = town
         self._clock = machine.clock
-        self._dice = dice
+        self._rng = rng
         self._over = asyncio.Event()
         self.line = timeline.Timeline(name, machine.clock, BOUNDS.forget_s)
         self.budgets: dict[str, budgets.Budget] = {}
         self.borrower = borrowers.Borrower(
             name,
-            f"{dice.getrandbits(48):012x}",
+            f"{rng.getrandbits(48):012x}",
             BOUNDS,
             self.line,
             frames.Caller(machine.net),
@@ -129,10 +131,10 @@
 
     async def _live(self, budget: budgets.Budget) -> None:
         while True:
-            await self._clock.sleep(self._dice.uniform(0.0, 0.2))
+            await self._clock.sleep(self._rng.uniform(0.0, 0.2))
             now = self._clock.now()
             # Few, lest what requests earn hides what is spent beyond the loans.
-            if self._town.asking and self._dice.random() < 0.1:
+            if self._town.asking and self._rng.random() < 0.1:
                 self._town.asked.append(now)
                 budget.request()
             while self._town.pressed and budget.take(now):
@@ -161,14 +163,14 @@
         self.pressed = True
 
     def _add(self, n: int) -> worlds.Node:
-        name, spot = f"core{n}", self.world.spot()
+        name, address = f"core{n}", self.world.address()
         return self.world.add(
-            "registry", name, lambda machine, log, dice: _Registry(self, name, spot, machine, dice)
+            "registry", name, lambda machine, log, rng: _Registry(self, name, address, machine, rng)
         )
 
     def _proxy(self, n: int) -> worlds.Node:
         return self.world.add(
-            "proxy", f"proxy{n}", lambda machine, log, dice: _Proxy(self, f"proxy{n}", machine, dice)
+            "proxy", f"proxy{n}", lambda machine, log, rng: _Proxy(self, f"proxy{n}", machine, rng)
         )
 
     def start(self) -> None:
@@ -272,8 +274,8 @@
 
     def undo() -> None:
         town.world.wires.cuts -= {(one, two), (two, one)}
-        for pipe in list(town.world.wires.pipes):
-            pipe.pump()
+        for connection in list(town.world.wires.connections):
+            connection.pump()
 
     return undo
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -194,8 +194,8 @@
 
 
 def test_a_refusal_that_ran_is_no_promise(folder: tuple[typing.Any, typing.Any]) -> None:
-    tongue = folder[0].Platform(1.5)
-    assert tongue.promised(503, [(b"Dykeswitch-Not-Executed", b"1")])
-    assert tongue.promised(421, [])
-    assert not tongue.promised(503, [(b"Retry-After", b"1")])
-    assert not tongue.promised(500, [])
+    adapter = folder[0].Platform(1.5)
+    assert adapter.promised(503, [(b"Dykeswitch-Not-Executed", b"1")])
+    assert adapter.promised(421, [])
+    assert not adapter.promised(503, [(b"Retry-After", b"1")])
+    assert not adapter.promised(500, [])
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -40,8 +40,8 @@
 
 
 async def _many(fleet: fleets.SimFleet, service: shapes.ServiceShape, many: int) -> list[callers.Ask]:
-    spot = fleet.edges[0].web
-    return list(await asyncio.gather(*(fleet.callers.ask(service, spot) for _ in range(many))))
+    address = fleet.edges[0].web
+    return list(await asyncio.gather(*(fleet.callers.ask(service, address) for _ in range(many))))
 
 
 def test_overload_is_answered_at_once(tmp_path: pathlib.Path) -> None:
@@ -204,7 +204,7 @@
     """Behind a kept pipe someone else serves by now, and nobody has said so yet."""
     if not guarded:
 
-        async def proven(self: carriers.Carrier, pipe: object, probe: str, left: float) -> bool:
+        async def proven(self: carriers.Carrier, connection: object, probe: str, left: float) -> bool:
             return True
 
         monkeypatch.setattr(carriers.Carrier, "_still_proven", proven)
@@ -292,12 +292,13 @@
     """The books hold the direct run too: its namesakes are no second run, and no run of who was refused."""
 
     async def work(fleet: fleets.SimFleet) -> None:
-        spots = {
-            s.name: [e.spot for e in fleet.endpoints.values() if e.service == s.name] for s in SMALL.services
+        addresses = {
+            s.name: [e.address for e in fleet.endpoints.values() if e.service == s.name]
+            for s in SMALL.services
         }
         # Endpoints speak over pipes, as real ones do.
         machine = fleet.outside._replace(web=standins.LightWeb(fleet.outside.net))
-        base = await callers.direct(SMALL, machine, spots, fleet.dice, 5.0)
+        base = await callers.direct(SMALL, machine, addresses, fleet.rng, 5.0)
         assert all(len(fleet.record.runs[a.name]) == 1 for a in base.asks.values())
         await fleet.callers.drive(5.0)
         await _many(fleet, EXPORTS, 30)
@@ -333,7 +334,7 @@
         await asyncio.sleep(1.0)
         node.thaw()
         span = 10.0 if by_rule else 0.3
-        hurried = callers.Callers(SMALL, fleet.outside, [], fleet.record, fleet.dice, span, "hurried-")
+        hurried = callers.Callers(SMALL, fleet.outside, [], fleet.record, fleet.rng, span, "hurried-")
         asks = await asyncio.gather(*(hurried.ask(s, fleet.edges[0].web) for s in (PAGES, EXPORTS) * 3))
         assert {(a.status, a.result, a.retry_after) for a in asks} == {(504, 112, True)}
         assert max(a.ended - a.begun for a in asks) < 0.31
@@ -372,7 +373,7 @@
 
     async def work(fleet: fleets.SimFleet) -> None:
         edge = fleet.edges[0]
-        hurried = callers.Callers(SMALL, fleet.outside, [], fleet.record, fleet.dice, 0.002, "hurried-")
+        hurried = callers.Callers(SMALL, fleet.outside, [], fleet.record, fleet.rng, 0.002, "hurried-")
         for _ in range(5):
             asks = await asyncio.gather(*(hurried.ask(PAGES, edge.web) for _ in range(10)))
             assert {a.status for a in asks} == {504}
@@ -396,7 +397,7 @@
         for endpoint in fleet.endpoints.values():
             endpoint.plan.probe_too = True
         fleet.world.wires.slow.update(dict.fromkeys(fleet.endpoints, 0.2))
-        hurried = callers.Callers(SMALL, fleet.outside, [], fleet.record, fleet.dice, 0.5, "hurried-")
+        hurried = callers.Callers(SMALL, fleet.outside, [], fleet.record, fleet.rng, 0.5, "hurried-")
         asks = await asyncio.gather(*(hurried.ask(PAGES, fleet.edges[0].web) for _ in range(10)))
         assert {(a.status, a.result, a.retry_after) for a in asks} == {(504, 112, True)}
         assert max(a.ended - a.begun for a in asks) < 0.51
--- a/tests/test_real.py
+++ b/tests/test_real.py
@@ -26,9 +26,9 @@
 )
 
 
-def _raw(spot: str, data: bytes) -> bytes:
+def _raw(address: str, data: bytes) -> bytes:
     """Bytes in, bytes out, until the other side ends the pipe."""
-    host, _, port = spot.rpartition(":")
+    host, _, port = address.rpartition(":")
     with socket.create_connection((host, int(port)), timeout=10) as sock:
         sock.sendall(data)
         parts = []
@@ -64,17 +64,17 @@
 
 
 async def _refusals(fleet: fleets.Fleet) -> None:
-    spot = fleet.proxies[0].web
+    address = fleet.proxies[0].web
     missing = await _ask(fleet, "GET", "/nowhere")
     assert (missing.status, missing.head("dykeswitch-result")) == (404, "101")
     hurried = await _ask(fleet, "GET", "/pages/x", heads=[("dykeswitch-expiry-ms", "soon")])
     assert (hurried.status, hurried.head("dykeswitch-result")) == (400, "107")
     large = await _ask(fleet, "POST", "/exports/x", body=b"x" * (9 * 1024 * 1024))
     assert (large.status, large.head("dykeswitch-result")) == (413, "105")
-    garbage = await asyncio.to_thread(_raw, spot, b"\x00\xff nonsense\r\n\r\n")
+    garbage = await asyncio.to_thread(_raw, address, b"\x00\xff nonsense\r\n\r\n")
     assert b"400" in garbage.split(b"\r\n")[0]
     long = b"GET /pages/x HTTP/1.1\r\nhost: a\r\nconnection: close\r\nx-long: " + b"y" * 100000 + b"\r\n\r\n"
-    assert b" 4" in (await asyncio.to_thread(_raw, spot, long)).split(b"\r\n")[0]
+    assert b" 4" in (await asyncio.to_thread(_raw, address, long)).split(b"\r\n")[0]
     # Garbage on the members' own port: refused, and the process lives on.
     member = fleet.proxies[0].flags["member"]
     assert b"bad_frame" in await asyncio.to_thread(_raw, member, b"GET / HTTP/1.1\r\n\r\n")
@@ -86,40 +86,40 @@
 
 
 async def _beats(fleet: fleets.Fleet) -> None:
-    web, spot = fleet.machine.web, fleet.cores[0][0].web
+    web, address = fleet.machine.web, fleet.cores[0][0].web
     for body, code in ((b"{", 304), (b"[]", 201), (b'{"id": "x"}', 201), (b"x" * 20000, 306)):
-        reply = await web.ask("POST", spot, "/v1/beat", [], body, 5)
+        reply = await web.ask("POST", address, "/v1/beat", [], body, 5)
         assert json.loads(reply.body)["code"] == code
     assert await fleet.known() == 4
 
 
-async def _put(fleet: fleets.Fleet, spot: str, match: int, data: bytes) -> typing.Any:
+async def _put(fleet: fleets.Fleet, address: str, match: int, data: bytes) -> typing.Any:
     """A conditional change, repeated while we are told to come back or that it is unknown."""
     end = fleet.machine.clock.now() + 40
     while True:
         heads = [("if-match", f'"{match}"')]
-        reply = await fleet.machine.web.ask("PUT", spot, "/v1/layout", heads, data, 10)
+        reply = await fleet.machine.web.ask("PUT", address, "/v1/layout", heads, data, 10)
         # A busy disk may keep a majority from syncing in time: that is said, not hidden.
         if reply.status not in (503, 504) or fleet.machine.clock.now() > end:
             return reply
 
 
 async def _operator(fleet: fleets.Fleet) -> None:
-    web, spot = fleet.machine.web, fleet.cores[1][0].web
-    got = await web.ask("GET", spot, "/v1/layout", [], b"", 5)
+    web, address = fleet.machine.web, fleet.cores[1][0].web
+    got = await web.ask("GET", address, "/v1/layout", [], b"", 5)
     version = int(got.head("dykeswitch-version") or 0)
     doc = {**SMALL.layout(), "services": {**SMALL.layout()["services"], "spare": {}}}
     data = json.dumps(doc).encode()
-    stale = await _put(fleet, spot, version + 5, data)
+    stale = await _put(fleet, address, version + 5, data)
     assert stale.status == 412, stale.body
-    good = await _put(fleet, spot, version, data)
+    good = await _put(fleet, address, version, data)
     assert good.status == 200, good.body
     assert json.loads(good.body)["version"] == version + 1
     # The same again, as after an unknown outcome: settled, and no new version.
-    again = await _put(fleet, spot, version, data)
+    again = await _put(fleet, address, version, data)
     assert json.loads(again.body)["version"] == version + 1
     ask = json.dumps({"text": "show proxies"}).encode()
-    page = json.loads((await web.ask("POST", spot, "/v1/query", [], ask, 5)).body)
+    page = json.loads((await web.ask("POST", address, "/v1/query", [], ask, 5)).body)
     assert {row[0] for row in page["rows"]} == {"proxy0", "proxy1"}
     assert page["fresh"]["majority"] is True
 
@@ -200,9 +200,9 @@
         taken = socket.socket()
         taken.bind(("127.0.0.1", 0))
         taken.listen()
-        spot = f"127.0.0.1:{taken.getsockname()[1]}"
+        address = f"127.0.0.1:{taken.getsockname()[1]}"
         [free] = fleets.free_ports(1)
-        flags = {"name": "s", "store": f"127.0.0.1:{free}", "web": spot, "data": str(tmp_path)}
+        flags = {"name": "s", "store": f"127.0.0.1:{free}", "web": address, "data": str(tmp_path)}
         process = fleets.Process("store", "s", flags, tmp_path)
         process.start()
         assert await process.gone(20) == 2
--- a/tests/test_recall.py
+++ b/tests/test_recall.py
@@ -18,9 +18,7 @@
 SMALL: typing.Final = shapes.Shape("small", 2, 3, ("z1", "z2"), (PAGES,))
 
 
-def _run(
-    scratch: pathlib.Path, work: typing.Callable[[fleets.SimFleet], typing.Awaitable[None]]
-) -> None:
+def _run(scratch: pathlib.Path, work: typing.Callable[[fleets.SimFleet], typing.Awaitable[None]]) -> None:
     async def main() -> None:
         fleet = fleets.SimFleet(SMALL, 7, scratch)
         await fleet.start()
@@ -179,9 +177,10 @@
     if not guarded:
 
         async def slow(self: seatings.Seating) -> None:
-            kept, self.states = self.states, {
-                d: {**s, "spot": "10.9.9.9:1"} if s["blank"] else s for d, s in self.states.items()
-            }
+            kept, self.states = (
+                self.states,
+                {d: {**s, "spot": "10.9.9.9:1"} if s["blank"] else s for d, s in self.states.items()},
+            )
             try:
                 await swap(self)
             finally:
--- a/tests/test_register.py
+++ b/tests/test_register.py
@@ -11,7 +11,7 @@
 import dykeswitch.outcome as outcome
 import dykeswitch.register as register
 import dykeswitch.register.proposer as proposers
-import dykeswitch.register.shelf as shelf
+import dykeswitch.register.storage as storage
 import dykeswitch.register.voter as voters
 import dykeswitch.registry.seating as seatings
 import dykeswitch.settings as settings
@@ -19,21 +19,23 @@
 import dykeswitch.simulator.loop as loops
 import dykeswitch.simulator.world as worlds
 
-POINTS: typing.Final = range(shelf.POINT_BEFORE, shelf.POINT_OLD_DROPPED + 1)
+POINTS: typing.Final = range(storage.POINT_BEFORE, storage.POINT_OLD_DROPPED + 1)
 
 
 class _Keeper:
     """A store with nothing round it: just the voter and its ear."""
 
-    def __init__(self, node_spot: str, disk: disks.SimDisk, machine: typing.Any, dice: random.Random) -> None:
-        self.voter = voters.Voter(disk, machine.points, dice)
-        self._spot = node_spot
+    def __init__(
+        self, node_address: str, disk: disks.SimDisk, machine: typing.Any, rng: random.Random
+    ) -> None:
+        self.voter = voters.Voter(disk, machine.points, rng)
+        self._address = node_address
         self._machine = machine
 
     async def run(self) -> None:
         await self.voter.open()
         ear = frames.Ear(self.voter.kinds(), lambda event, what: None)
-        await self._machine.net.listen(self._spot, ear.serve)
+        await self._machine.net.listen(self._address, ear.serve)
         await asyncio.Event().wait()
 
     def stop(self) -> None:
@@ -46,29 +48,29 @@
     def __init__(self, seed: int, scratch: pathlib.Path, stores: int = 3) -> None:
         self.world = worlds.World(seed, scratch)
         self.nodes: list[worlds.Node] = []
-        self.spots = [self.world.spot() for _ in range(stores)]
-        for n, spot in enumerate(self.spots):
-            self._add(n, spot)
+        self.addresses = [self.world.address() for _ in range(stores)]
+        for n, address in enumerate(self.addresses):
+            self._add(n, address)
         self.outside = self.world.machine_for("outside")
 
-    def _add(self, n: int, spot: str) -> None:
-        def build(machine: typing.Any, log: typing.Any, dice: random.Random) -> _Keeper:
+    def _add(self, n: int, address: str) -> None:
+        def build(machine: typing.Any, log: typing.Any, rng: random.Random) -> _Keeper:
             assert node.disk is not None
-            return _Keeper(spot, node.disk, machine, dice)
+            return _Keeper(address, node.disk, machine, rng)
 
         node = self.world.add("store", f"store{n}", build)
-        node.disk = disks.SimDisk(self.world.folder(), self.world.dice)
+        node.disk = disks.SimDisk(self.world.folder(), self.world.rng)
         self.nodes.append(node)
 
     async def start(self) -> register.MemberSet:
         for node in self.nodes:
             node.start()
         await asyncio.sleep(0.1)
-        pairs = tuple(sorted((n.daemon.voter.disk_id, s) for n, s in zip(self.nodes, self.spots)))
+        pairs = tuple(sorted((n.daemon.voter.disk_id, s) for n, s in zip(self.nodes, self.addresses)))
         members = register.MemberSet(1, (pairs,))
         caller = frames.Caller(self.outside.net)
-        for disk, spot in pairs:
-            await caller.ask(spot, "install", {"disk": disk, "set": members.wire()}, 1.0)
+        for disk, address in pairs:
+            await caller.ask(address, "install", {"disk": disk, "set": members.wire()}, 1.0)
         self.members = members
         return members
 
@@ -82,7 +84,7 @@
 
 
 def _seating(bench: Bench, name: str, proposer: proposers.Proposer) -> seatings.Seating:
-    bounds = settings.Settings(name=name, founders=tuple(bench.spots[:3]))
+    bounds = settings.Settings(name=name, founders=tuple(bench.addresses[:3]))
     caller = frames.Caller(bench.outside.net)
     return seatings.Seating(name, bounds, bench.outside, caller, proposer, lambda event, what: None)
 
@@ -125,9 +127,9 @@
         await asyncio.sleep(0.1)
         value = _good(await bench.proposer("b").read("k"))
         assert (value.version, value.body) in ((1, b"one"), (2, b"two"))
-        if point >= shelf.POINT_PARENT_SYNCED:
+        if point >= storage.POINT_PARENT_SYNCED:
             assert value.body == b"two"
-        if point <= shelf.POINT_FOLDER_SYNCED:
+        if point <= storage.POINT_FOLDER_SYNCED:
             assert value.body == b"one"
 
     loops.run(main())
@@ -346,7 +348,7 @@
     async def main() -> None:
         bench = Bench(seed, tmp_path)
         await bench.start()
-        dice = random.Random(seed)
+        rng = random.Random(seed)
         facts: list[tuple[float, float, int, bytes]] = []
         refused: set[bytes] = set()
 
@@ -354,7 +356,7 @@
             proposer = bench.proposer(f"p{n}")
             for turn in range(14):
                 begun = bench.world.loop.time()
-                if dice.random() < 0.5:
+                if rng.random() < 0.5:
                     body = f"{n}/{turn}".encode()
                     result = await proposer.change("k", put(body, body.decode()))
                     if isinstance(result, outcome.Bad) and result.code.tag != "unknown":
@@ -364,25 +366,25 @@
                 if isinstance(result, outcome.Good):
                     value = result.value
                     facts.append((begun, bench.world.loop.time(), value.version, value.body))
-                await asyncio.sleep(dice.uniform(0.0, 0.3))
+                await asyncio.sleep(rng.uniform(0.0, 0.3))
 
         async def wreck() -> None:
             for _ in range(10):
-                node = dice.choice(bench.nodes)
-                kind = dice.randrange(3)
+                node = rng.choice(bench.nodes)
+                kind = rng.randrange(3)
                 if kind == 0:
                     node.lose_power()
-                    await asyncio.sleep(dice.uniform(0.05, 0.6))
+                    await asyncio.sleep(rng.uniform(0.05, 0.6))
                     node.restart()
                 elif kind == 1:
                     node.freeze()
-                    await asyncio.sleep(dice.uniform(0.05, 1.0))
+                    await asyncio.sleep(rng.uniform(0.05, 1.0))
                     node.thaw()
                 else:
-                    bench.world.wires.cut(["outside"], [node.name], both=dice.random() < 0.5)
-                    await asyncio.sleep(dice.uniform(0.05, 1.0))
+                    bench.world.wires.cut(["outside"], [node.name], both=rng.random() < 0.5)
+                    await asyncio.sleep(rng.uniform(0.05, 1.0))
                     bench.world.wires.heal()
-                await asyncio.sleep(dice.uniform(0.0, 0.2))
+                await asyncio.sleep(rng.uniform(0.0, 0.2))
 
         async with asyncio.TaskGroup() as group:
             for n in range(4):
@@ -410,10 +412,10 @@
         self._ask = proposer._caller.ask
         proposer._caller.ask = self.ask  # type: ignore[method-assign]
 
-    async def ask(self, spot: str, kind: str, body: frames.Body, wait: float) -> frames.Result:
+    async def ask(self, address: str, kind: str, body: frames.Body, wait: float) -> frames.Result:
         if kind == "accept":
             self.asked.append((register.ballot_of(body["ballot"]), register.value_of(body["value"]).body))
-        result = await self._ask(spot, kind, body, wait)
+        result = await self._ask(address, kind, body, wait)
         if kind == "prepare" and isinstance(result, outcome.Good):
             self.promised.setdefault(register.ballot_of(body["ballot"]), set()).add(str(body["disk"]))
         return result
@@ -487,7 +489,7 @@
         seating, other = _seating(bench, "slow", slow), _seating(bench, "fast", fast)
         joint = register.MemberSet(2, (every[:3], every[1:]))
         for one in (seating, other):
-            await one._look(bench.spots)
+            await one._look(bench.addresses)
         assert await other._move(register.MemberSet(1, (every[:3],)), joint)
         for one, proposer in ((other, fast), (seating, slow)):
             proposer.adopt(joint)
@@ -551,7 +553,7 @@
         driver = bench.proposer("driver")
         seating = _seating(bench, "driver", driver)
         for _ in range(10):
-            await seating.tend(bench.spots, ["driver"])
+            await seating.tend(bench.addresses, ["driver"])
             await asyncio.sleep(0.6)
         assert spare.daemon.voter.seated()
         assert not driver.members.joint()
--- a/tests/test_repair.py
+++ b/tests/test_repair.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-import dykeswitch.register.shelf as shelf
+import dykeswitch.register.storage as storage
 import dykeswitch.registry.seating as seatings
 import dykeswitch.simulator.fleet as fleets
 import dykeswitch.simulator.loop as loops
@@ -94,7 +94,7 @@
         old = fleet.cores.pop(2)
         old.store.lose_power()
         old.registry.lose_power()
-        fresh = fleet.core("core-new", 2, fleet.world.spot(), fleet.world.spot())
+        fresh = fleet.core("core-new", 2, fleet.world.address(), fleet.world.address())
         fleet.cores.append(fresh)
         arm(fresh.registry)
         fresh.store.start()
@@ -154,7 +154,7 @@
     node.points.armed[point] = dark
 
 
-@pytest.mark.parametrize("point", range(shelf.POINT_BEFORE, shelf.POINT_OLD_DROPPED + 1))
+@pytest.mark.parametrize("point", range(storage.POINT_BEFORE, storage.POINT_OLD_DROPPED + 1))
 def test_power_lost_at_each_point_of_founding_and_sweeping(point: int, tmp_path: pathlib.Path) -> None:
     async def main() -> None:
         fleet = fleets.SimFleet(SMALL, 10 + point, tmp_path)
@@ -211,6 +211,6 @@
         fleet.world.wires.heal()
         while node.daemon.ready() is not None:  # noqa: ASYNC110
             await asyncio.sleep(0.0001)
-        assert node.daemon.papers.version("layout") == version
+        assert node.daemon.documents.version("layout") == version
 
     loops.run(main())
--- a/tests/test_standin.py
+++ b/tests/test_standin.py
@@ -21,7 +21,7 @@
 import dykeswitch.standin.nature as natures
 import dykeswitch.standin.shape as shapes
 
-SPOT: typing.Final = "10.0.0.9:80"
+ADDRESS: typing.Final = "10.0.0.9:80"
 WORK_S: typing.Final = 0.1
 # Every piece of work takes just as long.
 EVEN: typing.Final = natures.Nature(spread=1e-9)
@@ -39,15 +39,15 @@
 class Line:
     """A caller's pipe to the endpoint."""
 
-    def __init__(self, pipe: ports.Pipe, clock: ports.Clock) -> None:
-        self.pipe = pipe
+    def __init__(self, connection: ports.Connection, clock: ports.Clock) -> None:
+        self.connection = connection
         self._clock = clock
         self._http = h11.Connection(h11.CLIENT)
 
     async def send(self, path: str = "/x", method: str = "GET", **heads: str) -> None:
-        raw = [("host", SPOT), *((k.replace("_", "-"), v) for k, v in heads.items())]
+        raw = [("host", ADDRESS), *((k.replace("_", "-"), v) for k, v in heads.items())]
         out = self._http.send(h11.Request(method=method, target=path, headers=raw)) or b""
-        await self.pipe.write(out + (self._http.send(h11.EndOfMessage()) or b""))
+        await self.connection.write(out + (self._http.send(h11.EndOfMessage()) or b""))
 
     async def reply(self) -> Reply:
         """The next reply; raises where there is none, or no whole one."""
@@ -56,7 +56,7 @@
         while True:
             event = self._http.next_event()
             if event is h11.NEED_DATA:
-                self._http.receive_data(await self.pipe.read(65536))
+                self._http.receive_data(await self.connection.read(65536))
             elif isinstance(event, h11.Response):
                 head = event
             elif isinstance(event, h11.Data):
@@ -86,7 +86,7 @@
         self.endpoint = endpoints.Endpoint(
             "e-1",
             "e",
-            SPOT,
+            ADDRESS,
             "z1",
             world.machine_for("e-1"),
             lambda: ["10.0.0.1:80"],
@@ -100,7 +100,7 @@
         )
 
     async def line(self) -> Line:
-        return Line(await self.world.machine_for("caller").net.dial(SPOT, 1.0), self.clock)
+        return Line(await self.world.machine_for("caller").net.dial(ADDRESS, 1.0), self.clock)
 
     async def ask(self, path: str = "/x", method: str = "GET", **heads: str) -> Reply:
         return await (await self.line()).ask(path, method, **heads)
@@ -150,7 +150,7 @@
         for n, line in enumerate(lines):
             await line.send(f"/x?ask={n}")
             await asyncio.sleep(0.01)
-        lines[1].pipe.close()
+        lines[1].connection.close()
         last = await lines[2].reply()
         assert last.status == 200
         assert bench.began() == {"0", "2"}
@@ -189,7 +189,7 @@
         line = await bench.line()
         await line.send("/x?ask=0")
         await asyncio.sleep(0.02)
-        line.pipe.close()
+        line.connection.close()
         await asyncio.sleep(0.02)
         assert bench.endpoint.busy == 0
         assert bench.began() == {"0"} and not bench.record.runs
@@ -221,7 +221,7 @@
             async with asyncio.timeout(60):
                 await line.reply()
         # Whoever asks again there is not heard either.
-        await line.pipe.write(b"GET /x?ask=2 HTTP/1.1\r\nhost: e\r\n\r\n")
+        await line.connection.write(b"GET /x?ask=2 HTTP/1.1\r\nhost: e\r\n\r\n")
         await asyncio.sleep(1.0)
         assert bench.began() == {"0"}
 
@@ -245,12 +245,12 @@
 
 
 def test_work_spreads_round_its_mean_within_a_bounded_tail() -> None:
-    dice = random.Random(1)
+    rng = random.Random(1)
     nature = natures.Nature(spread=0.5, tail=3.0, pace=1.5)
-    spans = [nature.span(0.1, dice) for _ in range(20000)]
+    spans = [nature.span(0.1, rng) for _ in range(20000)]
     assert statistics.mean(spans) == pytest.approx(0.15, rel=0.02)
     assert max(spans) == pytest.approx(0.45)
-    paces = [natures.PLAIN.drawn(dice).pace for _ in range(1000)]
+    paces = [natures.PLAIN.drawn(rng).pace for _ in range(1000)]
     assert 0.5 <= min(paces) < 0.55 and 1.55 < max(paces) <= 1.6
 
 
@@ -315,7 +315,7 @@
         third = await bench.line()
         with pytest.raises(ConnectionResetError):
             await third.ask()
-        first.pipe.close()
+        first.connection.close()
         await asyncio.sleep(0.01)
         assert (await bench.ask()).status == 200
 
@@ -352,10 +352,10 @@
         line = await bench.line()
         assert (await line.ask()).heads["keep-alive"] == "timeout=2"
         await asyncio.sleep(1.9)
-        assert not line.pipe.ended()
+        assert not line.connection.ended()
         assert (await line.ask()).status == 200
         await asyncio.sleep(2.1)
-        assert await line.pipe.read(1) == b""
+        assert await line.connection.read(1) == b""
 
     _with(tmp_path, work, idle_s=2.0)
 
@@ -367,7 +367,7 @@
         await asyncio.sleep(0.2)
         assert (await line.ask("/x?ask=1")).status == 200
         await asyncio.sleep(0.4)
-        assert not line.pipe.ended()
+        assert not line.connection.ended()
         with pytest.raises(ConnectionResetError):
             await line.ask("/x?ask=2")
         assert bench.began() == {"0", "1"}
@@ -379,7 +379,7 @@
     async def work(bench: Bench) -> None:
         line = await bench.line()
         assert (await line.ask()).heads["connection"] == "close"
-        assert await line.pipe.read(1) == b""
+        assert await line.connection.read(1) == b""
 
     _with(tmp_path, work, close_share=1.0)
 
@@ -426,7 +426,7 @@
         line = await bench.line()
         assert (await line.ask(x_ask="0")).heads["x-ask"] == "0"
         await asyncio.sleep(0.1)
-        assert line.pipe.ended() or fault == "surplus"
+        assert line.connection.ended() or fault == "surplus"
         # Read as the reply to the next request, it is the one before.
         _spoilt(bench, "none")
         assert (await line.ask(x_ask="1")).heads["x-ask"] == "0"
@@ -441,7 +441,7 @@
         assert (await line.ask(x_ask="0")).heads["x-ask"] == "0"
         _spoilt(bench, "none")
         await asyncio.sleep(1.0)
-        assert not line.pipe.ended()
+        assert not line.connection.ended()
         assert (await line.ask(x_ask="1")).heads["x-ask"] == "0"
         # Its own comes right behind it, one place too late.
         assert b"x-ask: 1" in line._http.trailing_data[0]
@@ -477,11 +477,11 @@
         self.asks: list[tuple[float, str, str]] = []
         self.replies: list[ports.Reply | OSError] = []
 
-    async def serve(self, spot: str, app: ports.App) -> ports.WebServer:
+    async def serve(self, address: str, app: ports.App) -> ports.WebServer:
         raise NotImplementedError
 
     async def ask(
-        self, method: str, spot: str, path: str, heads: ports.Fields, body: bytes, wait: float
+        self, method: str, address: str, path: str, heads: ports.Fields, body: bytes, wait: float
     ) -> ports.Reply:
         await self._clock.sleep(0.01)
         if path == "/v1/beat":
@@ -489,7 +489,7 @@
             return ports.Reply(200, [], b"{}")
         if path == "/readyz":
             return ports.Reply(200, [], b"{}")
-        self.asks.append((self._clock.now(), spot, dict(ports.made(heads))["x-ask"]))
+        self.asks.append((self._clock.now(), address, dict(ports.made(heads))["x-ask"]))
         reply = self.replies.pop(0)
         if isinstance(reply, OSError):
             raise reply
@@ -564,16 +564,16 @@
         wish = await some.wish(service)
         ats = [at for at, _, _ in web.asks]
         assert len({name for _, _, name in web.asks}) == len(ats) == len(wish.asks)
-        return wish, [two - one for one, two in zip(ats, ats[1:])], [spot for _, spot, _ in web.asks]
+        return wish, [two - one for one, two in zip(ats, ats[1:])], [address for _, address, _ in web.asks]
 
     found: tuple[callers.Wish, list[float], list[str]] = loops.run(main())
     return found
 
 
 def test_a_caller_tries_again_by_another_proxy_after_the_time_it_was_told(tmp_path: pathlib.Path) -> None:
-    wish, waits, spots = _wish(tmp_path, WRITE, [REFUSED, REFUSED, REFUSED], tries=2)
+    wish, waits, addresses = _wish(tmp_path, WRITE, [REFUSED, REFUSED, REFUSED], tries=2)
     assert [round(w, 2) for w in waits] == [0.51, 0.51]
-    assert len(set(spots)) == 3
+    assert len(set(addresses)) == 3
     assert not wish.granted and all(ask.trusts for ask in wish.asks)
 
 
@@ -622,18 +622,18 @@
     async def main() -> None:
         net = real.RealNetwork()
 
-        async def serve(pipe: ports.Pipe) -> None:
-            await pipe.read(10)
-            assert isinstance(pipe, real.RealPipe)
-            pipe.reset()
+        async def serve(connection: ports.Connection) -> None:
+            await connection.read(10)
+            assert isinstance(connection, real.RealConnection)
+            connection.reset()
 
         ear = await net.listen("127.0.0.1:0", serve)
         assert isinstance(ear, real.RealListener) and ear.server is not None
         port = ear.server.sockets[0].getsockname()[1]
-        pipe = await net.dial(f"127.0.0.1:{port}", 5.0)
-        await pipe.write(b"x")
+        connection = await net.dial(f"127.0.0.1:{port}", 5.0)
+        await connection.write(b"x")
         with pytest.raises(ConnectionResetError):
-            await pipe.read(10)
+            await connection.read(10)
         ear.close()
 
     asyncio.run(main())
