A proxy polls a majority of the cores, its zone's first; storms go into few answers

Cause: every proxy polled every core and every core answered every poll with each entry by itself, so that one mark was told five times to each of ninety proxies, mostly across zones.

Also mended: cores that were cut off for longer than their entries last never found the others again. A shuffle now names the cores it knows.

Ruled out: one or two polls with quick fail-over, since a core that is cut off from a majority answers well and a frozen one has to be waited for; a majority of polls needs neither. Polling less often: a storm costs by its news, not by its holds.

Conclusion: the cost of a storm no longer grows with the cores that tell of it; a drain and a layout are known in time whichever two of five are killed, frozen or cut off (tests).

--- a/packages/membership/src/dykeswitch/membership/__init__.py
+++ b/packages/membership/src/dykeswitch/membership/__init__.py
@@ -1,8 +1,8 @@
 """How members know each other: partial views shuffled between neighbours.
 
 Over the same neighbours the timeline spreads: at once when news is urgent, and with
-every shuffle for the rest. Cores are known to all by entries of their own, since
-every proxy polls every core.
+every shuffle for the rest. Cores are known to all by entries of their own. A proxy
+polls a majority of them: whichever majority decides something, one that it polls was there.
 """
 
 import asyncio
@@ -12,6 +12,7 @@
 import math
 import random
 import typing
+import zlib
 
 import dykeswitch.frames as frames
 import dykeswitch.outcome as outcome
@@ -30,6 +31,17 @@
 ALIVE_HOLDS: typing.Final = 3
 # While cores answer, polls carry the news: neighbours trade so many times more slowly.
 CALM: typing.Final = 4
+# For which part of a hold a core may hold the poll of a proxy: the first one's is answered sooner
+# than the others', so that a proxy hears somebody well within a hold.
+FIRST_HOLD: typing.Final = 0.7
+OTHER_HOLD: typing.Final = 0.9
+# For which part of a hold news is left to gather before the next poll or push: the first poll's,
+# the others', and a push's.
+FIRST_PACE: typing.Final = 0.1
+OTHER_PACE: typing.Final = 0.2
+PUSH_PACE: typing.Final = 0.02
+# For how many holds a core whose poll failed is passed over while others can be polled.
+PASSED_OVER_HOLDS: typing.Final = 10
 
 
 @dataclasses.dataclass(slots=True)
@@ -54,6 +66,13 @@
     ours: int = 0
 
 
+@dataclasses.dataclass(slots=True)
+class PollCursor(Cursor):
+    """How far a proxy and a core that it polls know each other; marks are told by the first core alone."""
+
+    marks: int = 0
+
+
 class Spread:
     """One member's part in the shuffle and in the spreading of the timeline."""
 
@@ -69,8 +88,10 @@
         hold_s: float,
         seeds: typing.Sequence[str],
         note: typing.Callable[[str, str], None],
+        zone: str = "",
     ) -> None:
         self.me = me
+        self._zone = zone
         self.boot = f"{rng.getrandbits(48):012x}"
         self.line = line
         self._clock = machine.clock
@@ -88,6 +109,14 @@
         # When each member was heard last, by its name.
         self._last: dict[str, float] = {}
         self._tasks: dict[tuple[str, str], asyncio.Task[None]] = {}
+        # The addresses of the cores that we poll, the first one first, and how far we are with each.
+        self._polled: list[str] = []
+        self._poll_cursors: dict[str, PollCursor] = {}
+        # When a core last failed to answer a poll, or had no majority behind it, by its address.
+        self._failed: dict[str, float] = {}
+        self._choose_again = asyncio.Event()
+        # Whether a majority stands behind what we tell; a registry that is cut off says that it is.
+        self.backed: typing.Callable[[], bool] = lambda: True
         # Where members were heard to be, and when last: also those that fell silent.
         self._book: collections.OrderedDict[str, float] = collections.OrderedDict()
         self._knock: asyncio.Task[bool] | None = None
@@ -133,9 +162,22 @@
         self.line.merge(body["items"])
         # Who hears no core yet, or no more, is told all the same.
         tells = self._tells() or bool(body.get("alone", True))
-        items = self._fresh_for(body) if tells else []
+        items = self._fresh_for(body) if tells else self._unknown_cores(body)
         return outcome.Good({**self.head(), "view": sample, "items": items, "told": tells})
 
+    def _unknown_cores(self, body: frames.Body) -> list[timeline.Wire]:
+        """The entries of the cores that a caller does not name.
+
+        Cores that were cut off for longer than their entries last have forgotten the others, and
+        hear each other: nothing else would bring them and the rest together again.
+        """
+        named = body.get("cores")
+        if not isinstance(named, (list, tuple)):
+            return []
+        now = self._clock.now()
+        entries = self.line.all(timeline.CORE)
+        return [entry.wire(now) for entry in entries if entry.key not in named]
+
     async def _on_tell(self, body: frames.Body) -> frames.Result:
         self._heard(body)
         self.line.merge(body["items"])
@@ -146,26 +188,34 @@
         self.line.merge(body["items"])
         boot, seq = body["cursor"]
         seq = int(seq) if boot == self.boot else 0
-        if boot == self.boot and self.line.urgent <= seq:
+        # Each proxy has marks told by one core; what must reach it in any case by all that it polls.
+        marks = bool(body.get("marks", True))
+        if boot == self.boot and self._newest(marks) <= seq:
             # No news: hold the answer until there is some or the hold is over.
             async with self.line.news:
                 await ports.wait_for(
                     # In this order, so that what is no number holds it no longer either.
                     self.line.news,
-                    lambda: self.line.urgent > seq,
+                    lambda: self._newest(marks) > seq,
                     min(self._hold_s, float(body["hold"])),
                 )
         head = self.head()
-        # What each proxy says of itself it says to every core; no other proxy needs it.
-        return outcome.Good({**head, "items": self.line.wire_since(seq, but=timeline.PROXY)})
+        # What each proxy says of itself is for the cores; no other proxy needs it.
+        but = (timeline.PROXY,) if marks else (timeline.PROXY, timeline.MARK)
+        items = self.line.wire_since(seq, but=but)
+        return outcome.Good({**head, "items": items, "backed": self.backed()})
+
+    def _newest(self, marks: bool) -> int:
+        """Where the newest urgent entry stands, marks counted or not."""
+        return self.line.urgent if marks else self.line.urgent_besides_marks
 
     def _tells(self) -> bool:
         """Whether neighbours trade entries: while a core is heard, it is told and tells all."""
-        return not self.cores()
+        return not self._heard_cores()
 
     def _fresh_for(self, body: frames.Body) -> list[timeline.Wire]:
         boot, seq = body["cursor"]
-        return self.line.wire_since(int(seq) if boot == self.boot else 0, but=timeline.PROXY)
+        return self.line.wire_since(int(seq) if boot == self.boot else 0, but=(timeline.PROXY,))
 
     # The view.
 
@@ -212,6 +262,53 @@
         return {e.key: str(e.fields["spot"]) for e in self.line.all(timeline.CORE) if e.key != self.me.name}
 
     def cores(self) -> dict[str, str]:
+        """Every registry that is taken to be alive, by name, with its address.
+
+        One that we do not poll tells us nothing: it counts unless its last poll failed.
+        """
+        heard = self._heard_cores()
+        if self.me.kind != "proxy":
+            return heard
+        known = self.known_cores()
+        return {
+            name: address
+            for name, address in known.items()
+            if name in heard or address not in self._polled and not self._passed_over(address)
+        }
+
+    def near_cores(self) -> list[str]:
+        """The addresses of the living cores, in the order in which it is best to ask them."""
+        alive = set(self.cores().values())
+        return [address for address in self._ranked() if address in alive]
+
+    def _passed_over(self, address: str) -> bool:
+        """Whether this core failed of late to answer a poll, or had no majority behind it."""
+        since = self._clock.now() - self._failed.get(address, -math.inf)
+        return since < self._hold_s * PASSED_OVER_HOLDS
+
+    def polled(self) -> list[str]:
+        """The addresses of the cores that we poll; the first one tells us of marks too."""
+        return list(self._polled)
+
+    def _pass_over(self, address: str) -> None:
+        """Poll another core in place of this one, if there is one that answers."""
+        known = self._passed_over(address)
+        self._failed[address] = self._clock.now()
+        if not known:
+            self._choose_again.set()
+
+    def _ranked(self) -> list[str]:
+        """The addresses of all known cores: those that answer first, then those of our own zone."""
+
+        def rank(entry: timeline.Entry) -> tuple[bool, bool, int]:
+            # By a hash, so that the proxies of one zone part among equal cores, and stay there.
+            part = zlib.crc32(f"{self.me.name}/{entry.key}".encode())
+            return (self._passed_over(str(entry.fields["spot"])), entry.fields["zone"] != self._zone, part)
+
+        entries = [e for e in self.line.all(timeline.CORE) if e.key != self.me.name]
+        return [str(entry.fields["spot"]) for entry in sorted(entries, key=rank)]
+
+    def _heard_cores(self) -> dict[str, str]:
         """Every registry heard of late: by us, or by whoever told us of it for the first time."""
         edge = self._clock.now() - self._hold_s * ALIVE_HOLDS
         known = self.known_cores()
@@ -224,6 +321,7 @@
     async def run(self) -> None:
         """Shuffle for ever, and keep one task for each member we push to or poll."""
         async with asyncio.TaskGroup() as group:
+            group.create_task(self._keep_choosing(group))
             turn = 0
             while True:
                 await self._shuffle(turn, group)
@@ -237,7 +335,7 @@
                 self.line.tidy()
                 turn += 1
                 # A short first while: a new member should be known soon.
-                span = self._shuffle_s * (0.2 if turn < 5 else CALM if self.cores() else 1.0)
+                span = self._shuffle_s * (0.2 if turn < 5 else CALM if self._heard_cores() else 1.0)
                 await self._clock.sleep(span * (0.75 + self._rng.random() / 2))
 
     async def _shuffle(self, turn: int, group: asyncio.TaskGroup) -> None:
@@ -266,9 +364,10 @@
         body = {
             **self.head(),
             "view": self._sample(name),
-            "items": self.line.wire_since(cursor.ours, but=timeline.PROXY) if tells else [],
+            "items": self.line.wire_since(cursor.ours, but=(timeline.PROXY,)) if tells else [],
             "cursor": [cursor.boot, cursor.theirs],
             "alone": tells,
+            "cores": sorted({*self.known_cores(), self.me.name}),
         }
         # No longer than to the next turn: one neighbour that is gone must not keep us from
         # the others for longer than it takes to seem cut off.
@@ -305,18 +404,38 @@
             self._note("reply refused", f"{address}: {type(flaw).__name__}: {flaw}")
             return None
 
+    async def _keep_choosing(self, group: asyncio.TaskGroup) -> None:
+        """Poll another core as soon as a poll failed."""
+        while True:
+            await self._choose_again.wait()
+            self._choose_again.clear()
+            self._tend(group)
+
+    def _told(self) -> list[str]:
+        """Whom we push urgent news to."""
+        known = list(self.known_cores().values())
+        if not self._heard_cores():
+            # Only while no core is heard do neighbours tell each other.
+            return [*known, *(m.address for m in self.view.values())]
+        # Cores tell each other, and each tells the proxies that poll it; a proxy tells one core,
+        # and the others that it polls with its next poll.
+        return known if self.me.kind == "registry" else self._polled[:1]
+
     def _tend(self, group: asyncio.TaskGroup) -> None:
-        known = self.known_cores()
-        near = [m.address for m in self.view.values()]
-        # Every proxy polls every core, so news told to the cores is told to all. Only while no
-        # core is heard do neighbours tell each other.
-        told = list(known.values()) if self.cores() else [*known.values(), *near]
+        if self.me.kind == "proxy":
+            ranked = self._ranked()
+            # A majority of all there are: it has a member in common with every other majority, so
+            # one that is polled knows whatever a majority decided.
+            self._polled = ranked[: len(ranked) // 2 + 1]
+            self._poll_cursors = {a: c for a, c in self._poll_cursors.items() if a in ranked}
+            self._failed = {a: at for a, at in self._failed.items() if a in ranked}
+        told = self._told()
         wanted: dict[tuple[str, str], typing.Callable[[str], typing.Awaitable[None]]] = {}
         for address in told:
             if address != self.me.address:
                 wanted[("push", address)] = self._push
         if self.me.kind == "proxy":
-            for address in known.values():
+            for address in self._polled:
                 wanted[("pull", address)] = self._pull
         for key, task in list(self._tasks.items()):
             if key not in wanted:
@@ -331,8 +450,10 @@
 
     async def _push(self, address: str) -> None:
         """Tell one member of urgent news as it comes."""
-        sent = self.line.seq if address in self._cursors else 0
         core = self.me.kind == "registry"
+        # Another core that is new to us, or that had been forgotten, is told all that we hold.
+        told_before = address in self._cursors and not core
+        sent = self.line.seq if told_before else 0
         while True:
             async with self.line.news:
                 # Cores show each other that they are there; a proxy speaks when it has news.
@@ -340,9 +461,10 @@
                 await ports.wait_for(self.line.news, functools.partial(self._news, sent), wait)
             upto = self.line.seq
             # What a proxy heard from others they tell the cores themselves.
-            own = not core and bool(self.cores())
+            own = not core and bool(self._heard_cores())
             news = core or self.line.urgent > sent
-            items = self.line.wire_since(sent, own, timeline.PROXY if core else "") if news else []
+            but = (timeline.PROXY,) if core else ()
+            items = self.line.wire_since(sent, own, but) if news else []
             if not core and not items:
                 sent = upto
                 continue
@@ -354,28 +476,51 @@
             self._heard(result.value)
             if items:
                 sent = upto
+                # What comes right after goes together.
+                await self._clock.sleep(self._hold_s * PUSH_PACE)
 
     async def _pull(self, address: str) -> None:
         """Ask one core with what we have; it answers when there is news."""
-        cursor = Cursor()
         while True:
-            seq = self.line.seq
-            body = {
-                **self.head(),
-                # A core that started anew is told all; else each tells of its own.
-                "items": self.line.wire_since(cursor.ours, own=cursor.ours > 0),
-                "cursor": [cursor.boot, cursor.theirs],
-                "hold": self._hold_s,
-            }
-            result = await self._caller.ask(address, "poll", body, self._hold_s + self._call_s)
-            if isinstance(result, outcome.Bad):
-                cursor = Cursor()
-                await self._clock.sleep(self._shuffle_s)
-                continue
-            fresh = self._take(result.value, cursor, seq, address)
-            if fresh is None:
+            # The first one tells us of all; the others of all but marks.
+            first = address == self._polled[0]
+            items = await self._poll(address, first)
+            if items is None:
                 await self._clock.sleep(self._shuffle_s)
-            cursor = fresh or Cursor()
+            elif items:
+                # News that comes in a storm goes into few answers.
+                await self._clock.sleep(self._hold_s * (FIRST_PACE if first else OTHER_PACE))
+
+    async def _poll(self, address: str, first: bool) -> int | None:
+        """One poll; how many entries the answer held, or nothing if none came."""
+        cursor = self._poll_cursors.get(address) or PollCursor()
+        seq = self.line.seq
+        hold = self._hold_s * (FIRST_HOLD if first else OTHER_HOLD)
+        body = {
+            **self.head(),
+            # A core that started anew is told all; else each tells of its own.
+            "items": self.line.wire_since(cursor.ours, own=cursor.ours > 0),
+            "cursor": [cursor.boot, min(cursor.marks, cursor.theirs) if first else cursor.theirs],
+            "hold": hold,
+            "marks": first,
+        }
+        result = await self._caller.ask(address, "poll", body, hold + self._call_s)
+        if isinstance(result, outcome.Bad):
+            self._pass_over(address)
+            return None
+        fresh = self._take(result.value, cursor, seq, address)
+        if fresh is None:
+            self._poll_cursors.pop(address, None)
+            return None
+        if result.value.get("backed", True):
+            self._failed.pop(address, None)
+        else:
+            # It is cut off from the other cores: it knows nothing new.
+            self._pass_over(address)
+        known = cursor.marks if fresh.boot == cursor.boot else 0
+        marks = fresh.theirs if first else known
+        self._poll_cursors[address] = PollCursor(fresh.boot, fresh.theirs, fresh.ours, marks)
+        return len(result.value["items"])
 
 
 def _median(spans: list[float]) -> float:
--- a/packages/proxy/src/dykeswitch/proxy/program.py
+++ b/packages/proxy/src/dykeswitch/proxy/program.py
@@ -57,6 +57,7 @@
             bounds.hold_s,
             bounds.seeds,
             log.note,
+            bounds.zone,
         )
         self.documents = documents.Documents(self.line, self.caller, bounds.call_s, self._reads)
         self.carrier = carrier.Carrier(bounds, machine, self.line, self.marks, log, rng, self, self.adapter)
@@ -223,7 +224,7 @@
         return True
 
     def _addresses(self) -> list[str]:
-        cores = list(self.spread.cores().values())
+        cores = self.spread.near_cores()
         return cores + [m.address for m in self.spread.view.values() if m.address not in cores]
 
     # Soundness of the proxy itself.
--- a/packages/registry/src/dykeswitch/registry/program.py
+++ b/packages/registry/src/dykeswitch/registry/program.py
@@ -86,7 +86,9 @@
             bounds.hold_s,
             bounds.seeds,
             log.note,
+            bounds.zone,
         )
+        self.spread.backed = lambda: self.ready() is None
         self._boot = f"{rng.getrandbits(32):08x}"
         self.proposer = proposers.Proposer(
             f"{bounds.name}/{self._boot}", self.caller, self.clock, machine.points, bounds.call_s, rng
--- a/packages/timeline/src/dykeswitch/timeline/__init__.py
+++ b/packages/timeline/src/dykeswitch/timeline/__init__.py
@@ -82,6 +82,8 @@
         self._count = 0
         self.seq = 0
         self.urgent = 0
+        # The newest urgent entry that is no mark: what must reach every proxy by two ways.
+        self.urgent_besides_marks = 0
         self.news = asyncio.Condition()
         self._tells: set[asyncio.Task[None]] = set()
         self._wakers: list[typing.Callable[[Entry], None]] = []
@@ -166,6 +168,8 @@
         self._book.move_to_end((entry.kind, entry.key))
         if urgent:
             self.urgent = self.seq
+            if entry.kind != MARK:
+                self.urgent_besides_marks = self.seq
             self._wake()
         for call in self._wakers:
             call(entry)
@@ -222,16 +226,16 @@
         fresh.reverse()
         return fresh
 
-    def wire_since(self, seq: int, own: bool = False, but: str = "") -> list[Wire]:
+    def wire_since(self, seq: int, own: bool = False, but: typing.Container[str] = ()) -> list[Wire]:
         """What was taken up after a point, for the wire.
 
-        `own` leaves out what others wrote, `but` names a kind that is left out.
+        `own` leaves out what others wrote, `but` names kinds that are left out.
         """
         now = self._clock.now()
         return [
             entry.wire(now)
             for entry in self.since(seq)
-            if (not own or entry.stamp[1] == self.name) and entry.kind != but
+            if (not own or entry.stamp[1] == self.name) and entry.kind not in but
         ]
 
     def tidy(self) -> None:
--- /dev/null
+++ b/tests/test_control.py
@@ -0,0 +1,241 @@
+"""Control traffic: what a proxy spends on it, and that news reaches it by the cores it polls."""
+
+import asyncio
+import collections
+import pathlib
+import typing
+
+import pytest
+
+import dykeswitch.layout.documents as documents
+import dykeswitch.membership as membership
+import dykeswitch.proxy.program as proxies
+import dykeswitch.simulator.fleet as fleets
+import dykeswitch.simulator.loop as loops
+import dykeswitch.standin.shape as shapes
+import dykeswitch.timeline as timeline
+
+SERVICE: typing.Final = shapes.ServiceShape("pages", 6, 20, "/pages", "GET", 0.05)
+ZONES: typing.Final = ("z1", "z2", "z3", "z4")
+# Two cores of five may be lost at once; the first zone has two of them.
+BOUNDS: typing.Final[dict[str, typing.Any]] = {"cores_lost": 2}
+DRAIN_S: typing.Final = 2.0
+CONFIG_APPLY_S: typing.Final = 2.0
+# How long a fleet runs before it is looked at, and how long a cut lasts.
+SETTLED_S: typing.Final = 12.0
+CUT_S: typing.Final = 20.0
+# Within which time cores that were cut off and the others are one again.
+REJOINED_S: typing.Final = 6.0
+# A storm: so many marks a second, for so long.
+MARKS_A_SECOND: typing.Final = 20
+STORM_S: typing.Final = 5.0
+
+Work = typing.Callable[[fleets.SimFleet], typing.Awaitable[None]]
+
+
+def _run(scratch: pathlib.Path, work: Work, many: int = 4) -> None:
+    async def main() -> None:
+        shape = shapes.Shape("control", many, 5, ZONES, (SERVICE,))
+        fleet = fleets.SimFleet(shape, 7, scratch, bounds=BOUNDS)
+        await fleet.start()
+        await asyncio.sleep(SETTLED_S)
+        await work(fleet)
+
+    loops.run(main())
+
+
+def _proxies(fleet: fleets.SimFleet) -> list[proxies.Proxy]:
+    return [edge.node.daemon for edge in fleet.edges]
+
+
+def _spent(fleet: fleets.SimFleet) -> collections.Counter[str]:
+    """Calls and bytes of all proxies together."""
+    spent: collections.Counter[str] = collections.Counter()
+    for proxy in _proxies(fleet):
+        for name, count in proxy.meter.counts.items():
+            spent["calls" if name.endswith("_calls") else "bytes"] += count
+    return spent
+
+
+def _mark(proxy: proxies.Proxy, endpoint: str) -> None:
+    fields: timeline.Fields = {"reason": "timed out", "by": proxy.bounds.name, "clear": False}
+    proxy.line.write(timeline.MARK, timeline.down_key(endpoint), fields, proxy.bounds.mark_s)
+
+
+def _all_hold_layout(fleet: fleets.SimFleet, version: int) -> bool:
+    return all(proxy.documents.version(documents.LAYOUT) >= version for proxy in _proxies(fleet))
+
+
+def _all_know_left(fleet: fleets.SimFleet, name: str) -> bool:
+    entries = [proxy.line.get(timeline.ENDPOINT, name) for proxy in _proxies(fleet)]
+    return all(entry is not None and entry.fields["state"] == timeline.LEFT for entry in entries)
+
+
+def _layout(fleet: fleets.SimFleet, turn: int) -> dict[str, typing.Any]:
+    layout = fleet.shape.layout()
+    layout["rules"].append({**layout["rules"][0], "name": f"more-{turn}", "path": f"/more-{turn}"})
+    return layout
+
+
+async def _leave_at(fleet: fleets.SimFleet, core: fleets.Core, name: str) -> bool:
+    """An endpoint tells one core that it leaves; whether that was acknowledged."""
+    result = await core.registry.daemon.beat({"id": name, "leaving": True})
+    return not hasattr(result, "code")
+
+
+def test_a_proxy_polls_a_majority_of_the_cores_and_one_of_its_zone_first(tmp_path: pathlib.Path) -> None:
+    async def work(fleet: fleets.SimFleet) -> None:
+        zone_of = {core.member: core.zone for core in fleet.cores}
+        for proxy in _proxies(fleet):
+            polled = proxy.spread.polled()
+            assert len(polled) == 3
+            assert zone_of[polled[0]] == proxy.bounds.zone
+
+    _run(tmp_path, work)
+
+
+def test_a_storm_of_marks_goes_into_few_calls(tmp_path: pathlib.Path) -> None:
+    """Each mark was told by every core to every proxy by itself."""
+
+    async def work(fleet: fleets.SimFleet) -> None:
+        before = _spent(fleet)
+        all_of = _proxies(fleet)
+        for turn in range(round(MARKS_A_SECOND * STORM_S)):
+            _mark(all_of[turn % len(all_of)], f"pages-{turn}")
+            await asyncio.sleep(1 / MARKS_A_SECOND)
+        calls = (_spent(fleet) - before)["calls"] / len(all_of) / STORM_S
+        assert calls < MARKS_A_SECOND
+
+    _run(tmp_path, work)
+
+
+def test_a_storm_costs_a_proxy_the_same_in_a_larger_fleet(tmp_path: pathlib.Path) -> None:
+    found: dict[int, float] = {}
+    for many in (8, 32):
+
+        async def work(fleet: fleets.SimFleet, many: int = many) -> None:
+            before = _spent(fleet)
+            all_of = _proxies(fleet)
+            for turn in range(round(MARKS_A_SECOND * STORM_S)):
+                _mark(all_of[turn % len(all_of)], f"pages-{turn}")
+                await asyncio.sleep(1 / MARKS_A_SECOND)
+            found[many] = (_spent(fleet) - before)["bytes"] / len(all_of)
+
+        folder = tmp_path / str(many)
+        folder.mkdir()
+        _run(folder, work, many)
+    assert found[32] < found[8] * 1.2
+
+
+def test_a_mark_reaches_every_proxy_soon(tmp_path: pathlib.Path) -> None:
+    async def work(fleet: fleets.SimFleet) -> None:
+        _mark(_proxies(fleet)[0], "pages-0")
+        await asyncio.sleep(0.3)
+        assert all(proxy.marks.down("pages-0") is not None for proxy in _proxies(fleet))
+
+    _run(tmp_path, work)
+
+
+@pytest.mark.parametrize(
+    ("first", "loss"),
+    [(0, "kill"), (3, "kill"), (0, "freeze"), (3, "freeze"), *((n, "cut") for n in range(5))],
+)
+def test_two_cores_lost_right_after_an_acknowledgement_hide_nothing(
+    first: int, loss: str, tmp_path: pathlib.Path
+) -> None:
+    """Whichever two are lost, a drain and a layout that one of them acknowledged are in force in time."""
+
+    async def work(fleet: fleets.SimFleet) -> None:
+        lost = [fleet.cores[first], fleet.cores[(first + 1) % 5]]
+        assert await _leave_at(fleet, lost[0], "pages-0")
+        left_at = fleet.clock.now()
+        put = await fleet.put(_layout(fleet, 1), lost[0])
+        assert put.status == 200
+        for node in [node for core in lost for node in (core.registry, core.store)]:
+            if loss == "kill":
+                node.kill()
+            elif loss == "freeze":
+                node.freeze()
+        if loss == "cut":
+            # They and the proxies go on hearing each other: nothing tells a proxy but what they say.
+            ones = [name for core in lost for name in core.names()]
+            fleet.world.wires.cut(ones, [n for core in fleet.cores if core not in lost for n in core.names()])
+        await asyncio.sleep(left_at + DRAIN_S - fleet.clock.now())
+        assert _all_know_left(fleet, "pages-0")
+        await asyncio.sleep(max(0.0, put.ended + CONFIG_APPLY_S - fleet.clock.now()))
+        assert _all_hold_layout(fleet, put.version)
+
+    _run(tmp_path, work)
+
+
+@pytest.mark.parametrize("first", range(5))
+def test_two_cores_cut_off_from_the_others_hold_no_proxy_back(first: int, tmp_path: pathlib.Path) -> None:
+    """Those that polled them learn of drains and layouts from the majority, all the time of the cut."""
+
+    async def work(fleet: fleets.SimFleet) -> None:
+        lost = [fleet.cores[first], fleet.cores[(first + 2) % 5]]
+        rest = [core for core in fleet.cores if core not in lost]
+        ones = [name for core in lost for name in core.names()]
+        fleet.world.wires.cut(ones, [name for core in rest for name in core.names()])
+        end = fleet.clock.now() + CUT_S
+        turn = 0
+        while fleet.clock.now() < end:
+            core = rest[turn % len(rest)]
+            name = f"pages-{turn}"
+            turn += 1
+            if turn < SERVICE.endpoints:
+                assert await _leave_at(fleet, core, name)
+            put = await fleet.put(_layout(fleet, turn), core)
+            assert put.status == 200
+            await asyncio.sleep(CONFIG_APPLY_S)
+            assert _all_hold_layout(fleet, put.version)
+            assert turn >= SERVICE.endpoints or _all_know_left(fleet, name)
+        # And none goes by the word of those that are cut off any more.
+        cut_off = {core.member for core in lost}
+        for proxy in _proxies(fleet):
+            assert not cut_off & set(proxy.spread.polled())
+            assert proxy.ready() is None
+        fleet.world.wires.heal()
+        await asyncio.sleep(membership.PASSED_OVER_HOLDS * proxy.bounds.hold_s + 3.0)
+        for proxy in _proxies(fleet):
+            assert len(proxy.spread.polled()) == 3
+
+    _run(tmp_path, work)
+
+
+def test_a_proxy_is_ready_all_the_time_while_nothing_happens(tmp_path: pathlib.Path) -> None:
+    """Polls that end together left it without a word for as long as makes it seem cut off."""
+
+    async def work(fleet: fleets.SimFleet) -> None:
+        end = fleet.clock.now() + 10.0
+        unready = 0
+        while fleet.clock.now() < end:
+            unready += sum(proxy.ready() is not None for proxy in _proxies(fleet))
+            # One piece of news to all has all polls begin anew at the same moment.
+            if int(fleet.clock.now() * 100) % 300 == 0:
+                _mark(_proxies(fleet)[0], f"pages-{fleet.clock.now()}")
+            await asyncio.sleep(0.01)
+        assert unready == 0
+
+    _run(tmp_path, work)
+
+
+def test_cores_that_were_cut_off_for_long_find_the_others_again(tmp_path: pathlib.Path) -> None:
+    """Two of five had forgotten the others and been forgotten: both sides stayed apart for good."""
+
+    async def work(fleet: fleets.SimFleet) -> None:
+        lost, rest = fleet.cores[1::2], fleet.cores[::2]
+        ones = [name for core in lost for name in core.names()]
+        fleet.world.wires.cut(ones, [name for core in rest for name in core.names()])
+        await asyncio.sleep(CUT_S)
+        # What the majority decided meanwhile, the others learn too.
+        assert await _leave_at(fleet, rest[0], "pages-0")
+        fleet.world.wires.heal()
+        await asyncio.sleep(REJOINED_S)
+        for core in fleet.cores:
+            registry = core.registry.daemon
+            assert len(registry.live()) == 5
+            entry = registry.line.get(timeline.ENDPOINT, "pages-0")
+            assert entry is not None and entry.fields["state"] == timeline.LEFT
+
+    _run(tmp_path, work)
