A proxy that makes sure is told what it does not know, not the whole timeline

Cause: each of five cores answered each confirming call with all endpoints, marks and every proxy's own entry; at a slow proxy behind a narrow link that itself made the next gap in its clock, and so the next confirming.

Ruled out: asking fewer cores, which is a matter of how soon a proxy is sure again.

A confirming call now carries the position that the polls of that core have reached, and is answered with what came after it: fewer entries than there are cores in a calm fleet of 4 proxies and 6 endpoints (test; before, all of them and one for each proxy). Marks and what proxies say of themselves are left out; neither says who left or which layout stands.

Conclusion: what confirming costs grows with changes missed, not with machines and endpoints.

--- a/packages/membership/src/dykeswitch/membership/__init__.py
+++ b/packages/membership/src/dykeswitch/membership/__init__.py
@@ -186,8 +186,8 @@
     async def _on_poll(self, body: frames.Body) -> frames.Result:
         self._heard(body)
         self.line.merge(body["items"])
-        boot, seq = body["cursor"]
-        seq = int(seq) if boot == self.boot else 0
+        boot = body["cursor"][0]
+        seq = self.known_to(body)
         # Each proxy has marks told by one core; what must reach it in any case by all that it polls.
         marks = bool(body.get("marks", True))
         if boot == self.boot and self._newest(marks) <= seq:
@@ -201,10 +201,19 @@
                 )
         head = self.head()
         # What each proxy says of itself is for the cores; no other proxy needs it.
-        but = (timeline.PROXY,) if marks else (timeline.PROXY, timeline.MARK)
-        items = self.line.wire_since(seq, but=but)
+        items = self.news_for(seq, marks)
         return outcome.Good({**head, "items": items, "backed": self.backed()})
 
+    def known_to(self, body: frames.Body) -> int:
+        """How far the caller knows our timeline, by the cursor that it sent."""
+        boot, seq = body["cursor"]
+        return int(seq) if boot == self.boot else 0
+
+    def news_for(self, seq: int, marks: bool) -> list[timeline.Wire]:
+        """What a proxy needs of what came after a point; what others say of themselves it does not."""
+        but = (timeline.PROXY,) if marks else (timeline.PROXY, timeline.MARK)
+        return self.line.wire_since(seq, but=but)
+
     def _newest(self, marks: bool) -> int:
         """Where the newest urgent entry stands, marks counted or not."""
         return self.line.urgent if marks else self.line.urgent_besides_marks
@@ -214,8 +223,7 @@
         return not self._heard_cores()
 
     def _fresh_for(self, body: frames.Body) -> list[timeline.Wire]:
-        boot, seq = body["cursor"]
-        return self.line.wire_since(int(seq) if boot == self.boot else 0, but=(timeline.PROXY,))
+        return self.line.wire_since(self.known_to(body), but=(timeline.PROXY,))
 
     # The view.
 
@@ -290,6 +298,11 @@
         """The addresses of the cores that we poll; the first one tells us of marks too."""
         return list(self._polled)
 
+    def position(self, address: str) -> list[typing.Any]:
+        """How far we know a core's timeline, marks left aside: a boot and a place in it."""
+        cursor = self._poll_cursors.get(address) or PollCursor()
+        return [cursor.boot, cursor.theirs]
+
     def _pass_over(self, address: str) -> None:
         """Poll another core in place of this one, if there is one that answers."""
         known = self._passed_over(address)
--- a/packages/proxy/src/dykeswitch/proxy/program.py
+++ b/packages/proxy/src/dykeswitch/proxy/program.py
@@ -215,7 +215,9 @@
         return self.spread.heard > self._doubt_at + self.bounds.gap_s / 2
 
     async def _confirm_at(self, address: str) -> bool:
-        ask = {"name": self.bounds.name, "items": [], "cursor": ["", 0], "hold": 0.0}
+        # All that we knew of it is here still: only what came since need travel.
+        position = self.spread.position(address)
+        ask = {"name": self.bounds.name, "items": [], "cursor": position, "hold": 0.0}
         result = await self.caller.ask(address, "confirm", ask, self.bounds.call_s)
         if isinstance(result, outcome.Bad):
             return False
--- a/packages/registry/src/dykeswitch/registry/program.py
+++ b/packages/registry/src/dykeswitch/registry/program.py
@@ -284,7 +284,8 @@
         bad = await self._read_documents()
         if bad is not None:
             return bad
-        return outcome.Good({"items": self.line.wire_since(0)})
+        # Polls carry marks: whether one is sure of the layout and of who left does not hang on them.
+        return outcome.Good({"items": self.spread.news_for(self.spread.known_to(body), marks=False)})
 
     # The outside.
 
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -300,3 +300,22 @@
         assert proxy.documents.version(documents.LAYOUT) == held
 
     _run(tmp_path, work)
+
+
+def test_to_be_sure_again_a_proxy_is_not_told_the_whole_timeline(tmp_path: pathlib.Path) -> None:
+    """Each core told it all of every endpoint, proxy and mark: at a slow proxy this made the next gap."""
+
+    async def work(fleet: fleets.SimFleet) -> None:
+        proxy = _proxies(fleet)[0]
+        for address in proxy.spread.polled():
+            ask = {"cursor": proxy.spread.position(address)}
+            core = next(core for core in fleet.cores if core.member == address)
+            result = await core.registry.daemon._on_confirm(ask)
+            assert len(result.value["items"]) < len(fleet.cores)
+        # One that knows nothing of a core is told all, but for what proxies say of themselves.
+        result = await fleet.cores[0].registry.daemon._on_confirm({"cursor": ["", 0]})
+        kinds = {item[0] for item in result.value["items"]}
+        assert timeline.PROXY not in kinds
+        assert {timeline.ENDPOINT, timeline.CORE, timeline.DOCUMENT} <= kinds
+
+    _run(tmp_path, work)
--- a/tests/test_garbage.py
+++ b/tests/test_garbage.py
@@ -265,7 +265,7 @@
         {"kind": "shuffle", **head, "view": view, "cursor": ["", 0]},
         {"kind": "tell", **head},
         {"kind": "poll", **head, "cursor": ["", 0], "hold": 0.0},
-        {"kind": "confirm", "name": "m"},
+        {"kind": "confirm", "name": "m", "cursor": ["", 0]},
         {"kind": "paper", "name": "layout", "want": 1, "name_of": "m"},
         {"kind": "prepare", "key": "layout", "ballot": ballot, "epoch": 1, "disk": "d"},
         {"kind": "accept", "key": "layout", "ballot": ballot, "value": value, "epoch": 1, "disk": "d"},
