--- a/packages/layout/src/dykeswitch/layout/documents.py
+++ b/packages/layout/src/dykeswitch/layout/documents.py
@@ -33,7 +33,16 @@
 class Documents:
     """The newest confirmed papers this member holds."""
 
-    def __init__(self, line: timeline.Timeline, caller: frames.Caller, call_s: float, reads: Reads) -> None:
+    def __init__(
+        self,
+        line: timeline.Timeline,
+        caller: frames.Caller,
+        call_s: float,
+        reads: Reads,
+        proxy: str = "",
+    ) -> None:
+        # The proxy that holds them; none if it is a registry.
+        self._proxy = proxy
         self._line = line
         self._caller = caller
         self._call_s = call_s
@@ -118,16 +127,16 @@
             if e.key in NAMES and int(e.fields["version"]) > self.version(e.key)
         ]
 
-    async def catch_up(self, addresses: typing.Sequence[str], proxy: bool = True) -> bool:
-        """Fetch what we are behind on from the first member that has it, for a proxy or a registry."""
+    async def catch_up(self, addresses: typing.Sequence[str]) -> bool:
+        """Fetch what we are behind on from the first member that has it."""
         async with self._lock:
             for name, want in self.behind():
-                await self._fetch(name, want, addresses, self._line.name if proxy else "")
+                await self._fetch(name, want, addresses)
             return not self.behind()
 
-    async def _fetch(self, name: str, want: int, addresses: typing.Sequence[str], proxy: str) -> None:
+    async def _fetch(self, name: str, want: int, addresses: typing.Sequence[str]) -> None:
         """Ask one member, and soon another while the first is silent."""
-        ask = {"name": name, "want": want, "name_of": proxy, "packs": True}
+        ask = {"name": name, "want": want, "name_of": self._proxy, "packs": True}
         calls: set[asyncio.Task[frames.Result]] = set()
         left = list(addresses)
         try:
--- a/packages/proxy/src/dykeswitch/proxy/program.py
+++ b/packages/proxy/src/dykeswitch/proxy/program.py
@@ -59,7 +59,7 @@
             log.note,
             bounds.zone,
         )
-        self.documents = documents.Documents(self.line, self.caller, bounds.call_s, self._reads)
+        self.documents = documents.Documents(self.line, self.caller, bounds.call_s, self._reads, bounds.name)
         self.carrier = carrier.Carrier(bounds, machine, self.line, self.marks, log, rng, self, self.adapter)
         # The carrier has a budget for each service it carried; the borrower fills them.
         self.borrower = borrowers.Borrower(
--- a/packages/registry/src/dykeswitch/registry/program.py
+++ b/packages/registry/src/dykeswitch/registry/program.py
@@ -240,7 +240,7 @@
                 # Who named it has it for sure.
                 first = [cores[name] for name in names if name in cores]
                 addresses = list(dict.fromkeys([*first, *cores.values()]))
-                if not await self.documents.catch_up(addresses, proxy=False):
+                if not await self.documents.catch_up(addresses):
                     await self.clock.sleep(self.bounds.tick_s)
 
     async def _keep_telling(self) -> None:
