--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -156,7 +156,7 @@
             await reading(self)
             await asyncio.sleep(self.bounds.sweep_s)
 
-    patch.setattr(registries.Registry, "_read_papers", read)
+    patch.setattr(registries.Registry, "_read_documents", read)
     patch.setattr(registries.Registry, "_keep_reading", keep)
     patch.setattr(documents.Documents, "catch_up", caught_up)
 
@@ -192,7 +192,7 @@
             await asyncio.sleep(5.0)
             await self.documents.catch_up(self._addresses())
 
-    patch.setattr(proxies.Proxy, "_keep_papers", keep)
+    patch.setattr(proxies.Proxy, "_keep_documents", keep)
 
 
 GUARDS: typing.Final[list[tuple[Wreck, str, str]]] = [
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -11,7 +11,7 @@
 
 
 def _ask(name: str, **more: typing.Any) -> callers.Ask:
-    fields: dict[str, typing.Any] = {"spot": "p", "ended": 100.1, "status": 200, **more}
+    fields: dict[str, typing.Any] = {"address": "p", "ended": 100.1, "status": 200, **more}
     return callers.Ask(name, "exports", True, fields.pop("begun", 100.0), **fields)
 
 
@@ -32,7 +32,7 @@
 def _rove(story: histories.History, at: float, service: str, **more: typing.Any) -> None:
     """A request that rules move about, and the service that it reached."""
     name = f"rove-{len(story.roves)}"
-    fields = {"spot": "p", "ended": at, "status": 200, "method": "GET", "path": "/rove", **more}
+    fields = {"address": "p", "ended": at, "status": 200, "method": "GET", "path": "/rove", **more}
     story.roves[name] = callers.Ask(name, "", False, at, **fields)
     if service:
         story.hits.append((at, name, f"{service}-0"))
