The registry's calls, loops and pages each stand in a module named after them

registry/program.py held 776 lines: every HTTP call, every call of members, the operators' sentences, planned pauses and ten background loops. Behaviour is unchanged: the order in which parts draw from the random source and in which the loops start is kept.

Tests that patch internals patch them where they now are, as strictly as before.

--- /dev/null
+++ b/packages/registry/src/dykeswitch/registry/member_calls.py
@@ -0,0 +1,59 @@
+"""Calls between registries, and of proxies to them."""
+
+import asyncio
+
+import dykeswitch.frames as frames
+import dykeswitch.outcome as outcome
+import dykeswitch.registry.components as components
+
+
+class MemberCalls:
+    """Answers what other members ask, and asks the other registries."""
+
+    def __init__(self, parts: components.Components) -> None:
+        self._parts = parts
+
+    def kinds(self) -> dict[str, frames.Handle]:
+        """The calls a registry answers, by their kinds."""
+        parts = self._parts
+        return {
+            **parts.spread.kinds(),
+            **parts.publisher.documents.kinds(),
+            **parts.lender.kinds(),
+            "confirm": self._on_confirm,
+            "seen": self._on_seen,
+            "spans": self._on_spans,
+            "heard": self._on_heard,
+        }
+
+    async def ask_others(self, kind: str, body: frames.Body) -> list[frames.Body]:
+        """What the other registries answer, those that do in time."""
+        parts = self._parts
+        addresses = list(parts.spread.cores().values())
+        found = await asyncio.gather(
+            *(parts.caller.ask(address, kind, body, parts.bounds.call_s) for address in addresses)
+        )
+        return [result.value for result in found if isinstance(result, outcome.Good)]
+
+    async def _on_confirm(self, body: frames.Body) -> frames.Result:
+        """What a majority holds at this moment, not what we read a while ago."""
+        bad = await self._parts.publisher.read_documents()
+        if bad is not None:
+            return bad
+        return outcome.Good({"items": self._parts.line.wire_since(0)})
+
+    async def _on_seen(self, body: frames.Body) -> frames.Result:
+        """What our own probes found last, and how long ago: walls differ, spans do not."""
+        now = self._parts.clock.now()
+        seen = {name: [now - s.at, s.reason] for name, s in self._parts.prober.seen.items()}
+        return outcome.Good({"seen": seen})
+
+    async def _on_spans(self, body: frames.Body) -> frames.Result:
+        """What our own history holds of some endpoints."""
+        names = [str(name) for name in body["names"]]
+        return outcome.Good({"rows": self._parts.replies.spans.of(names)})
+
+    async def _on_heard(self, body: frames.Body) -> frames.Result:
+        """Another registry heard heartbeats of these."""
+        self._parts.endpoints.heard([str(name) for name in body["names"]])
+        return outcome.Good({})
--- /dev/null
+++ b/packages/registry/src/dykeswitch/registry/publisher.py
@@ -0,0 +1,101 @@
+"""The register's documents at one registry: read from a majority, named on the timeline."""
+
+import typing
+
+import dykeswitch.adapter as adapters
+import dykeswitch.frames as frames
+import dykeswitch.layout as layouts
+import dykeswitch.layout.documents as documents
+import dykeswitch.layout.pauses as pauses
+import dykeswitch.logs as logs
+import dykeswitch.outcome as outcome
+import dykeswitch.register as register
+import dykeswitch.register.proposer as proposers
+import dykeswitch.settings as settings
+import dykeswitch.timeline as timeline
+
+# How many proxies should hold a change before its operator is told.
+HANDED: typing.Final = 2
+# When no majority has been read yet.
+NEVER: typing.Final = -1e9
+
+
+class Publisher:
+    """Holds the newest confirmed documents and tells every proxy of them."""
+
+    def __init__(
+        self,
+        bounds: settings.Settings,
+        log: logs.Log,
+        adapter: adapters.Adapter,
+        line: timeline.Timeline,
+        caller: frames.Caller,
+        proposer: proposers.Proposer,
+    ) -> None:
+        self._bounds = bounds
+        self._log = log
+        self._adapter = adapter
+        self._line = line
+        self._clock = line.clock
+        self._proposer = proposer
+        self.documents = documents.Documents(line, caller, bounds.call_s, self._reads)
+        self.layout: layouts.Layout | None = None
+        self.pauses: list[pauses.Pause] = []
+        # When a majority was last read.
+        self.majority_at = NEVER
+
+    async def _reads(self, name: str, version: int, data: bytes) -> documents.Take | None:
+        """Read a document while calls go on; what is handed back takes it up at once."""
+        if name == documents.PAUSES:
+            planned = pauses.read(data)
+            return lambda: setattr(self, "pauses", planned)
+        raw = self._adapter.layout(data)
+        result = raw if isinstance(raw, outcome.Bad) else await layouts.check_gently(raw.value)
+        if isinstance(result, outcome.Bad):
+            self._log.error("layout refused", version=version, faults=result.faults[:5])
+            return None
+        layout = result.value
+
+        def take() -> None:
+            self.layout = layout
+            self._log.info("layout taken up", version=version, rules=len(layout.rules))
+
+        return take
+
+    def probe_path(self, service: str) -> str:
+        """Where a service's endpoints are probed, if the layout says so."""
+        if self.layout is None or service not in self.layout.services:
+            return ""
+        return self.layout.services[service].probe
+
+    async def publish(self, name: str, value: register.Value) -> None:
+        """Name a confirmed version on the timeline, so that every proxy fetches it."""
+        if not value.version:
+            return
+        await self.documents.take(name, value.version, value.body)
+        named = self._line.get(timeline.DOCUMENT, name)
+        forget_s = self._bounds.forget_s
+        if named is None or int(named.fields["version"]) < value.version:
+            self._line.write(timeline.DOCUMENT, name, {"version": value.version}, forget_s)
+        elif named.expiry - self._clock.now() < forget_s / 2:
+            self._line.write(timeline.DOCUMENT, name, dict(named.fields), forget_s, urgent=False)
+
+    async def read_documents(self) -> outcome.Bad | None:
+        """Read the newest documents from a majority and name them."""
+        for name in documents.NAMES:
+            result = await self._proposer.read(name)
+            if isinstance(result, outcome.Bad):
+                return result
+            await self.publish(name, result.value)
+        self.majority_at = self._clock.now()
+        return None
+
+    async def handed(self, name: str, version: int) -> None:
+        """Wait a moment until two proxies hold it, so that it spreads even if all cores go dark."""
+        proxies = len(self._line.all(timeline.PROXY))
+        end = self._clock.now() + self._bounds.gap_s
+        while self._clock.now() < end:
+            got = self.documents.handed.get((name, version), set())
+            if len(got) >= min(HANDED, proxies) or self.documents.version(name) > version:
+                return
+            await self._clock.sleep(self._bounds.gap_s / 100)
--- /dev/null
+++ b/packages/registry/src/dykeswitch/registry/standing.py
@@ -0,0 +1,35 @@
+"""Where a registry stands: stopping, and how long ago it read from a majority."""
+
+import typing
+
+import dykeswitch.registry.components as components
+
+
+class Standing:
+    """Tells whether this registry may speak for the fleet."""
+
+    def __init__(self, parts: components.Components) -> None:
+        self._parts = parts
+        self.stopping = False
+
+    def unready(self) -> str | None:
+        """Why this registry is not ready; nothing if it is."""
+        if self.stopping:
+            return "stopping"
+        if self._parts.clock.now() - self._parts.publisher.majority_at > self._parts.bounds.drain_s:
+            return "no majority of stores"
+        return None
+
+    def fresh(self) -> dict[str, typing.Any]:
+        """How old what we say may be, and whether we speak with a majority behind us."""
+        parts = self._parts
+        now = parts.clock.now()
+        majority_at = parts.publisher.majority_at
+        age = round(now - majority_at, 2) if majority_at > 0 else None
+        alone = now - parts.spread.heard > parts.bounds.drain_s
+        return {
+            "by": parts.bounds.name,
+            "majority": self.unready() is None,
+            "majority_read_s_ago": age,
+            "cut_off": alone,
+        }
--- /dev/null
+++ b/packages/registry/src/dykeswitch/registry/upkeep.py
@@ -0,0 +1,151 @@
+"""The registry's background loops: what it does without being called."""
+
+import typing
+
+import cbor2
+
+import dykeswitch.outcome as outcome
+import dykeswitch.register as register
+import dykeswitch.registry.components as components
+import dykeswitch.registry.duties as duties
+import dykeswitch.registry.member_calls as member_calls
+import dykeswitch.timeline as timeline
+
+# The register's key of the table of endpoints.
+TABLE: typing.Final = "endpoints"
+# The part of a sweep's span after which a start looks again for what it needs to begin.
+EAGER: typing.Final = 0.1
+
+Loop = typing.Coroutine[typing.Any, typing.Any, None]
+
+
+class Upkeep:
+    """Runs until cancelled: announces, seats, reads, remembers, lapses, mends."""
+
+    def __init__(self, parts: components.Components, members: member_calls.MemberCalls) -> None:
+        self._parts = parts
+        self._members = members
+        self._bounds = parts.bounds
+        self._clock = parts.clock
+        # The table of endpoints as we last wrote it to the register.
+        self._table: list[timeline.Fields] = []
+        self._table_writes = 0
+        self._tick = self._clock.now()
+
+    def loops(self) -> list[Loop]:
+        """Every loop, to be run side by side."""
+        return [
+            self._parts.spread.run(),
+            self._keep_announced(),
+            self._keep_seated(),
+            self._keep_reading(),
+            self._keep_table(),
+            self._keep_duties(),
+            self._keep_lapsing(),
+            self._keep_telling(),
+            self._keep_swept(),
+            self._parts.prober.run(),
+        ]
+
+    async def _keep_announced(self) -> None:
+        """Announce ourselves as a core, so that all know us and the store beside us."""
+        bounds = self._bounds
+        fields = {
+            "spot": bounds.member,
+            "web": bounds.web,
+            "store": bounds.store,
+            "zone": bounds.zone,
+            "boot": self._parts.boot,
+        }
+        while True:
+            fresh = self._parts.line.get(timeline.CORE, bounds.name) is None
+            # Whether we live is heard by calls; this says who and where we are.
+            self._parts.line.write(timeline.CORE, bounds.name, dict(fields), bounds.recover_s, fresh)
+            await self._clock.sleep(bounds.recover_s / 4)
+
+    async def _keep_seated(self) -> None:
+        """Keep the member set of the stores whole."""
+        parts = self._parts
+        while True:
+            stores = {str(e.fields["store"]) for e in parts.line.all(timeline.CORE)}
+            await parts.seating.tend(stores | {self._bounds.store}, parts.live())
+            span = self._bounds.sweep_s * (0.75 + 0.5 * parts.rng.random())
+            # Until a set is known nothing can be told to anybody: look again soon.
+            await self._clock.sleep(span if parts.proposer.members.groups else span * EAGER)
+
+    async def _keep_reading(self) -> None:
+        """Learn what others committed, also when they died before they could tell."""
+        publisher = self._parts.publisher
+        while True:
+            bad = await publisher.read_documents()
+            eager = bad is not None and publisher.majority_at < 0
+            await self._clock.sleep(self._bounds.sweep_s * (EAGER if eager else 1.0))
+
+    async def _keep_table(self) -> None:
+        """Have the register remember which endpoints there are, and begin with what it remembers."""
+        while not await self._recall():
+            await self._clock.sleep(self._bounds.sweep_s * EAGER)
+        while True:
+            await self._clock.sleep(self._bounds.sweep_s)
+            # One of the living registries writes it, and only when it has changed.
+            if duties.first_of(TABLE, self._parts.live()) != self._bounds.name:
+                continue
+            rows = self._parts.endpoints.table()
+            if rows and rows != self._table and await self._write_table(cbor2.dumps(rows)):
+                self._table = rows
+
+    async def _write_table(self, data: bytes) -> bool:
+        self._table_writes += 1
+        op = f"{self._bounds.name}/{self._parts.boot}/{TABLE}/{self._table_writes}"
+
+        def step(now: register.Value) -> register.Value:
+            return now if now.made(op) is not None or now.body == data else now.next(data, op)
+
+        return isinstance(await self._parts.proposer.change(TABLE, step), outcome.Good)
+
+    async def _recall(self) -> bool:
+        result = await self._parts.proposer.read(TABLE)
+        if isinstance(result, outcome.Bad):
+            return False
+        if result.value.body:
+            taken = self._parts.endpoints.remember(cbor2.loads(result.value.body))
+            self._parts.log.info("endpoints recalled", endpoints=taken)
+        return True
+
+    async def _keep_duties(self) -> None:
+        """Claim the duties that fall to us."""
+        while True:
+            # A first look around, lest each start takes every duty to itself.
+            await self._clock.sleep(self._bounds.dead_s / 2)
+            await self._parts.duties.tend(self._parts.live())
+            self._parts.lender.tidy()
+
+    async def _keep_lapsing(self) -> None:
+        """Take endpoints that fell silent for gone."""
+        parts = self._parts
+        while True:
+            now = self._clock.now()
+            if now - self._tick > self._bounds.gap_s + self._bounds.tick_s:
+                parts.endpoints.woke()
+                parts.log.warning("frozen", span_s=round(now - self._tick, 2))
+            self._tick = now
+            whole = parts.spread.cores().keys() == parts.spread.known_cores().keys()
+            for name in parts.endpoints.lapse(whole):
+                parts.log.warning("endpoint lapsed", endpoint=name)
+            await self._clock.sleep(self._bounds.tick_s)
+
+    async def _keep_telling(self) -> None:
+        """Tell the other registries whose beats we heard: who is silent for one is not for all."""
+        while True:
+            names = self._parts.endpoints.told()
+            if names:
+                await self._members.ask_others("heard", {"names": names})
+            await self._clock.sleep(self._bounds.dead_s / 3)
+
+    async def _keep_swept(self) -> None:
+        """Find the old copies that no read comes by."""
+        while True:
+            await self._clock.sleep(self._bounds.recover_s / 3)
+            mended = await self._parts.proposer.sweep_copies()
+            if mended:
+                self._parts.log.info("copies mended", keys=mended)
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -21,7 +21,8 @@
 import dykeswitch.register.storage as storage
 import dykeswitch.registry.lender as lenders
 import dykeswitch.registry.prober as probers
-import dykeswitch.registry.program as registries
+import dykeswitch.registry.publisher as publishers
+import dykeswitch.registry.upkeep as upkeeps
 import dykeswitch.simulator.trial as trials
 import dykeswitch.soundness.connection as connections
 import dykeswitch.timeline as timeline
@@ -141,7 +142,7 @@
 def _confirms_by_memory(patch: pytest.MonkeyPatch) -> None:
     # Asking a majority, and knowing of a newer layout without holding it, cover for each
     # other at a core that lags: both are taken away.
-    async def read(self: registries.Registry) -> None:
+    async def read(self: publishers.Publisher) -> None:
         return None
 
     async def caught_up(self: documents.Documents, addresses: typing.Sequence[str]) -> bool:
@@ -149,15 +150,15 @@
         return True
 
     catch_up = documents.Documents.catch_up
-    reading = registries.Registry._read_documents
+    reading = publishers.Publisher.read_documents
 
-    async def keep(self: registries.Registry) -> None:
+    async def keep(self: upkeeps.Upkeep) -> None:
         while True:
-            await reading(self)
-            await asyncio.sleep(self.bounds.sweep_s)
+            await reading(self._parts.publisher)
+            await asyncio.sleep(self._bounds.sweep_s)
 
-    patch.setattr(registries.Registry, "_read_documents", read)
-    patch.setattr(registries.Registry, "_keep_reading", keep)
+    patch.setattr(publishers.Publisher, "read_documents", read)
+    patch.setattr(upkeeps.Upkeep, "_keep_reading", keep)
     patch.setattr(documents.Documents, "catch_up", caught_up)
 
 
--- a/tests/test_recall.py
+++ b/tests/test_recall.py
@@ -7,8 +7,9 @@
 
 import pytest
 
-import dykeswitch.registry.program as registries
+import dykeswitch.registry.heartbeats as heartbeats
 import dykeswitch.registry.seating as seatings
+import dykeswitch.registry.upkeep as upkeeps
 import dykeswitch.simulator.fleet as fleets
 import dykeswitch.simulator.loop as loops
 import dykeswitch.standin.shape as shapes
@@ -67,7 +68,7 @@
         async def at_once(self: typing.Any, name: str, told: typing.Any) -> typing.Any:
             return told
 
-        monkeypatch.setattr(registries.Registry, "_leaving_held", at_once)
+        monkeypatch.setattr(heartbeats.Heartbeats, "_leaving_held", at_once)
 
     async def work(fleet: fleets.SimFleet) -> None:
         core = fleet.cores[0]
@@ -118,10 +119,10 @@
 ) -> None:
     if not guarded:
 
-        async def nothing(self: registries.Registry) -> bool:
+        async def nothing(self: upkeeps.Upkeep) -> bool:
             return True
 
-        monkeypatch.setattr(registries.Registry, "_recall", nothing)
+        monkeypatch.setattr(upkeeps.Upkeep, "_recall", nothing)
 
     async def work(fleet: fleets.SimFleet) -> None:
         await asyncio.sleep(2.0)
