--- a/tests/test_style.py
+++ b/tests/test_style.py
@@ -21,7 +21,6 @@
         "membership/__init__.py",
         "proxy/carrier.py",
         "proxy/program.py",
-        "registry/program.py",
         "simulator/faults/cores.py",
         "simulator/fleet.py",
         "simulator/history.py",
@@ -39,7 +38,6 @@
         "proxy/program.py:__init__",
         "register/proposer.py:change",
         "registry/endpoints.py:read_beat",
-        "registry/program.py:__init__",
         "simulator/realtrial.py:day",
         "simulator/scenario.py:day",
     }
