--- a/packages/registry/src/dykeswitch/registry/components.py
+++ b/packages/registry/src/dykeswitch/registry/components.py
@@ -72,6 +72,7 @@
             bounds.hold_s,
             bounds.seeds,
             self.log.note,
+            bounds.zone,
         )
 
     def _prober(self) -> probers.Prober:
--- a/packages/registry/src/dykeswitch/registry/program.py
+++ b/packages/registry/src/dykeswitch/registry/program.py
@@ -42,6 +42,7 @@
         self.duties = self.parts.duties
         self.documents = self.parts.publisher.documents
         self.standing = standing.Standing(self.parts)
+        self.spread.backed = lambda: self.standing.unready() is None
         self.heartbeats = heartbeats.Heartbeats(self.parts)
         self.orders = orders.Orders(self.parts)
         self.members = member_calls.MemberCalls(self.parts)
