A store syncs its folders before it reads them at a start

Cause: a process killed between the rename of a generation and the sync of its folder left a name that its successor read, answered from and dropped the older generation for. A loss of power could then keep the removal and lose the new name: a promise or an accepted value that had been told was gone. Folders made and not synced by a killed process, or by a write whose sync failed, were never synced at all. Ruled out: the files themselves (synced before the rename in every order); leftovers of writes. A write that failed before its rename is told apart (NotWritten). Conclusion: what a store answers from is durable at a start as after a write.

--- a/packages/register/src/dykeswitch/register/storage.py
+++ b/packages/register/src/dykeswitch/register/storage.py
@@ -1,8 +1,12 @@
-"""The shelf: what a store keeps on disk, by generations of `dbm.dumb`.
+"""What a store keeps on disk, by generations of `dbm.dumb`.
 
 `dbm.dumb` syncs nothing and overwrites in place, so no generation is ever changed:
 each write makes a fresh one beside the old, syncs its files and folder, renames it
 into place, syncs the parent, and only then drops the old one.
+
+A process may be killed between two of these steps and its successor see names that no
+folder sync has covered. `Storage.open` therefore syncs every folder before it reads: nothing
+is answered from, and no older generation dropped, that a loss of power could still undo.
 """
 
 import dbm.dumb
@@ -25,46 +29,62 @@
 
 FIELD: typing.Final = b"record"
 SEAL: typing.Final = b"seal"
+BASE_NAME: typing.Final = "register"
+GENERATION_PREFIX: typing.Final = "g"
+WORK_PREFIX: typing.Final = "tmp"
 
 
 class Damage(Exception):
     """A generation that was switched to can't be read: the disk itself is at fault."""
 
 
+class NotWritten(OSError):
+    """A write failed before its rename: the older record is in force, as if nothing was asked."""
+
+
 class Storage:
     """Records by key, each write synced before it returns."""
 
     def __init__(self, disk: ports.Disk, points: ports.Points) -> None:
         self._disk = disk
         self._points = points
-        self._base = disk.root / "register"
+        self._base = disk.root / BASE_NAME
         self._gens: dict[str, int] = {}
+        # Folders of keys whose names in the base are sure to last.
+        self._lasting: set[pathlib.Path] = set()
 
     def open(self) -> dict[str, typing.Any]:
-        """Every record on the shelf; a damaged one is raised, never skipped."""
-        fresh = not self._base.exists()
+        """Every record, made to last before it is told; a damaged one is raised, never skipped."""
         self._base.mkdir(parents=True, exist_ok=True)
-        if fresh:
-            self._disk.sync_folder(self._disk.root)
+        self._disk.sync_folder(self._disk.root)
+        self._disk.sync_folder(self._base)
         records: dict[str, typing.Any] = {}
+        self._gens = {}
         for folder in sorted(self._base.iterdir()):
-            if not folder.is_dir():
-                continue
+            if folder.is_dir():
+                self._open_key(folder, records)
+                self._lasting.add(folder)
+        return records
+
+    def _open_key(self, folder: pathlib.Path, records: dict[str, typing.Any]) -> None:
+        try:
             key = bytes.fromhex(folder.name).decode()
-            gens = sorted(p for p in folder.iterdir() if p.name.startswith("g"))
-            for path in folder.iterdir():
-                # What was never switched to was never acknowledged.
-                if path.name.startswith("tmp"):
-                    self._disk.drop(path)
-            if not gens:
-                continue
+        except ValueError as flaw:
+            raise Damage(f"{folder}: no folder of ours") from flaw
+        # The newest generation may have been renamed by a process that was killed before it
+        # synced the name. Older ones are dropped below, so the name must last first.
+        self._disk.sync_folder(folder)
+        names = sorted(path.name for path in folder.iterdir())
+        gens = [name for name in names if name.startswith(GENERATION_PREFIX)]
+        if gens:
             # The newest one was synced before its name existed: if it does not
             # check, older ones would be a promise taken back. Refuse instead.
-            records[key] = self._load(gens[-1])
-            self._gens[key] = int(gens[-1].name[1:])
-            for path in gens[:-1]:
-                self._disk.drop(path)
-        return records
+            records[key] = self._load(folder / gens[-1])
+            self._gens[key] = _number_of(folder / gens[-1])
+        for name in names:
+            # What was never switched to was never acknowledged.
+            if name.startswith(WORK_PREFIX) or name in gens[:-1]:
+                self._disk.drop(folder / name)
 
     def _load(self, path: pathlib.Path) -> typing.Any:
         try:
@@ -77,17 +97,37 @@
         return cbor2.loads(data)
 
     def put(self, key: str, record: typing.Any) -> None:
-        """Write one record and make it last before returning."""
-        self._points.hit(POINT_BEFORE)
+        """Write one record and make it last before returning.
+
+        Raises `NotWritten` if the older record is sure to be in force, and a plain `OSError`
+        if it is not known which of the two is.
+        """
         folder = self._base / key.encode().hex()
-        if not folder.exists():
-            folder.mkdir()
-            self._disk.sync_folder(self._base)
         gen = self._gens.get(key, 0) + 1
-        work = folder / f"tmp{gen}"
+        try:
+            work = self._prepare(folder, gen, cbor2.dumps(record))
+        except OSError as flaw:
+            raise NotWritten(str(flaw)) from flaw
+        self._disk.rename(work, _generation(folder, gen))
+        self._points.hit(POINT_RENAMED)
+        self._disk.sync_folder(folder)
+        self._points.hit(POINT_PARENT_SYNCED)
+        self._gens[key] = gen
+        if gen > 1:
+            self._disk.drop(_generation(folder, gen - 1))
+        self._points.hit(POINT_OLD_DROPPED)
+
+    def _prepare(self, folder: pathlib.Path, gen: int, data: bytes) -> pathlib.Path:
+        """A synced generation under a name that no reader looks at."""
+        self._points.hit(POINT_BEFORE)
+        if folder not in self._lasting:
+            # It may be there already, from a write that failed before its name was synced.
+            folder.mkdir(exist_ok=True)
+            self._disk.sync_folder(self._base)
+            self._lasting.add(folder)
+        work = folder / f"{WORK_PREFIX}{gen}"
         self._disk.drop(work)
         work.mkdir()
-        data = cbor2.dumps(record)
         with dbm.dumb.open(str(work / "db"), "n") as book:
             book[FIELD] = data
             book[SEAL] = hashlib.sha256(data).digest()
@@ -97,12 +137,15 @@
         self._points.hit(POINT_FILES_SYNCED)
         self._disk.sync_folder(work)
         self._points.hit(POINT_FOLDER_SYNCED)
-        final = folder / f"g{gen:012d}"
-        self._disk.rename(work, final)
-        self._points.hit(POINT_RENAMED)
-        self._disk.sync_folder(folder)
-        self._points.hit(POINT_PARENT_SYNCED)
-        if gen > 1:
-            self._disk.drop(folder / f"g{gen - 1:012d}")
-        self._gens[key] = gen
-        self._points.hit(POINT_OLD_DROPPED)
+        return work
+
+
+def _generation(folder: pathlib.Path, gen: int) -> pathlib.Path:
+    return folder / f"{GENERATION_PREFIX}{gen:012d}"
+
+
+def _number_of(path: pathlib.Path) -> int:
+    try:
+        return int(path.name[len(GENERATION_PREFIX) :])
+    except ValueError as flaw:
+        raise Damage(f"{path}: no generation of ours") from flaw
