A stalled or full disk holds nothing but its own vote; each answer belongs to its call

Cause: a read took the lock that a write holds over its syncs, so a stalled disk held reads of that key; votes queued behind it without bound and were all written, late, once it went on; threads of asyncio's pool kept a process from ending while its disk stalled; a disk that was full once was out until its process was started anew; one that refused at the start ended the process. Now reads are answered from what is durable (the value under way is told to nobody before its sync, so an answer without it is one from before it); votes are refused while a write takes over a second; a write that failed before its rename leaves the older record in force and the next may succeed; the disk's threads are daemons; a store that can't open its disk tries again. A proposer gives up as soon as no majority is possible, learns a newer member set from the first that has it, and takes a malformed answer for none (it raised). Each call has an id now: 8 random bytes of its process's start and a count, echoed and checked. Members that know no ids are served as before, one call at a time.

--- a/packages/frames/src/dykeswitch/frames/__init__.py
+++ b/packages/frames/src/dykeswitch/frames/__init__.py
@@ -1,7 +1,16 @@
-"""Frames between members: cbor2 with a length, a size cap and a version tag."""
+"""Frames between members: cbor2 with a length, a size cap and a version tag.
+
+Each call bears an id that no other call ever has: random bytes drawn by the caller's process
+at its start, and a count. The answer echoes it, and an answer that bears another one ends the
+connection instead of being taken for ours. Members of releases that know no ids are tolerated:
+for them one call at a time goes over a connection, and one that was not answered in time is
+never used again.
+"""
 
 import asyncio
 import collections
+import itertools
+import os
 import struct
 import typing
 
@@ -17,6 +26,11 @@
 READ_SIZE: typing.Final = 262144
 IDLE_MOST: typing.Final = 4
 
+# The field of a body that bears the id of its call, which handlers do not see.
+CALL_ID: typing.Final = "call"
+BOOT_SIZE: typing.Final = 8
+CALL_ID_MOST: typing.Final = 32
+
 Body = dict[str, typing.Any]
 Result = outcome.Good[Body] | outcome.Bad
 Handle = typing.Callable[[Body], typing.Awaitable[Result]]
@@ -64,6 +78,8 @@
         # Bytes of the last frame each way, heads included.
         self.got = 0
         self.sent = 0
+        # Whether the member at the other end has echoed an id: then each answer must bear one.
+        self.echoes = False
 
     async def _fill(self, size: int) -> bool:
         while len(self._held) < size:
@@ -123,6 +139,16 @@
     return outcome.Good(body)
 
 
+def _call_id_of(body: Body) -> Body:
+    """Take the id out of a call: what its answer is to bear, if it bears one itself."""
+    if CALL_ID not in body:
+        return {}
+    call_id = body.pop(CALL_ID)
+    if not isinstance(call_id, bytes) or len(call_id) > CALL_ID_MOST:
+        raise FrameFault(outcome.bad("bad_frame", "not a call id"))
+    return {CALL_ID: call_id}
+
+
 class Ear:
     """Serves calls: one task for each pipe, one call at a time on each."""
 
@@ -143,7 +169,8 @@
                 body = await frames.read()
                 if body is None:
                     return
-                await frames.write(await self._reply(body))
+                call_id = _call_id_of(body)
+                await frames.write({**await self._reply(body), **call_id})
                 # A kind that nobody knows is the sender's word: it gets no counter of its own.
                 kind = body["kind"] if body["kind"] in self._kinds else "other"
                 self._meter.call("heard", kind, frames.sent, frames.got)
@@ -171,14 +198,17 @@
 
 
 class Caller:
-    """Makes calls; idle pipes are kept for the next call to the same member."""
+    """Makes calls; idle connections are kept for the next call to the same member."""
 
     def __init__(self, net: ports.Network, meter: Meter | None = None) -> None:
         self._net = net
         self._meter = meter or NoMeter()
         self._idle: dict[str, collections.deque[FrameConnection]] = {}
+        self._boot = os.urandom(BOOT_SIZE)
+        self._calls = itertools.count(1)
 
     def close(self) -> None:
+        """Close the idle connections."""
         for connections in self._idle.values():
             for connection in connections:
                 connection.close()
@@ -204,22 +234,31 @@
                 connection.close()
                 continue
             result = await self._once(address, connection, body)
-            # A pipe kept idle may have died unseen: every call may be repeated
-            # safely, so a fresh pipe gets it once more.
+            # A connection kept idle may have died unseen: every call may be repeated
+            # safely, so a fresh connection gets it once more.
             if result is not None:
                 return result
         connection = FrameConnection(await self._net.dial(address, wait))
         result = await self._once(address, connection, body)
         return outcome.bad("no_reply", f"{address}: closed") if result is None else result
 
+    def _next_call_id(self) -> bytes:
+        return self._boot + next(self._calls).to_bytes(6, "big")
+
     async def _once(self, address: str, connection: FrameConnection, body: Body) -> Result | None:
         done = False
+        # Each try has an id of its own, so that a late answer to the first is none to the second.
+        call_id = self._next_call_id()
         try:
-            await connection.write(body)
+            await connection.write({**body, CALL_ID: call_id})
             reply = await connection.read()
             if reply is None:
                 return None
-            done = True
+            # After a frame that could not be read there is no id to echo, and no next call.
+            refused = reply["kind"] == "bad" and CALL_ID not in reply and connection.echoes
+            if not refused:
+                _check_call_id(connection, reply, call_id)
+            done = not refused
             self._meter.call("asked", body["kind"], connection.sent, connection.got)
             return _result(reply)
         except OSError:
@@ -230,3 +269,13 @@
                 idle.append(connection)
             else:
                 connection.close()
+
+
+def _check_call_id(connection: FrameConnection, reply: Body, call_id: bytes) -> None:
+    """Refuse an answer to another call, and one without an id from a member that echoes them."""
+    if CALL_ID in reply:
+        if reply.pop(CALL_ID) != call_id:
+            raise FrameFault(outcome.bad("bad_frame", "the answer to another call"))
+        connection.echoes = True
+    elif connection.echoes:
+        raise FrameFault(outcome.bad("bad_frame", "an answer without the id of its call"))
--- a/packages/ports/src/dykeswitch/ports/real.py
+++ b/packages/ports/src/dykeswitch/ports/real.py
@@ -12,6 +12,7 @@
 import typing
 
 import dykeswitch.ports as ports
+import dykeswitch.ports.threads as threads
 
 if typing.TYPE_CHECKING:
     import httpx
@@ -125,6 +126,7 @@
 
     def __init__(self, root: pathlib.Path) -> None:
         self._root = root
+        self._threads = threads.DaemonThreads()
 
     @property
     def root(self) -> pathlib.Path:
@@ -150,7 +152,7 @@
             path.unlink(missing_ok=True)
 
     async def run(self, work: typing.Callable[[], T]) -> T:
-        return await asyncio.to_thread(work)
+        return await self._threads.run(work)
 
 
 class RealWebServer:
--- a/packages/register/src/dykeswitch/register/proposer.py
+++ b/packages/register/src/dykeswitch/register/proposer.py
@@ -1,6 +1,8 @@
 """The proposer: prepares and accepts at a majority of every group of the member set."""
 
 import asyncio
+import contextlib
+import dataclasses
 import random
 import typing
 
@@ -10,6 +12,7 @@
 import dykeswitch.outcome as outcome
 import dykeswitch.ports as ports
 import dykeswitch.register as register
+import dykeswitch.register.messages as messages
 
 # Numbered points at which a test may inject a fault.
 POINT_BEFORE_PREPARE: typing.Final = 11
@@ -25,6 +28,11 @@
 Read = outcome.Good[register.Value] | outcome.Bad
 Step = typing.Callable[[register.Value], register.Value | outcome.Bad]
 Groups = tuple[tuple[tuple[str, str], ...], ...]
+Ask = messages.Prepare | messages.Accept | messages.Read | messages.Keys
+Answer = typing.TypeVar("Answer", bound=messages.Reply)
+
+# Stands in a message until it is addressed to one of the disks.
+ANY_DISK: typing.Final = ""
 
 
 class Proposer:
@@ -66,59 +74,96 @@
         self._count += 1
         return (self._count, self._name)
 
+    async def _ask(
+        self, disk: str, address: str, ask: Ask, answer: type[Answer]
+    ) -> outcome.Good[Answer] | outcome.Bad:
+        """Ask one disk; an answer that is malformed counts as none."""
+        body = messages.encode(dataclasses.replace(ask, disk=disk))
+        result = await self._caller.ask(address, ask.KIND, body, self._wait)
+        if isinstance(result, outcome.Bad):
+            return result
+        try:
+            return outcome.Good(messages.decode(answer, result.value))
+        except ValueError as flaw:
+            return outcome.bad("bad_frame", f"{address}: {flaw}")
+
     async def _all(
-        self, groups: Groups, kind: str, body: frames.Body
-    ) -> tuple[dict[str, frames.Body], list[outcome.Bad]]:
+        self, groups: Groups, ask: Ask, answer: type[Answer]
+    ) -> tuple[dict[str, Answer], list[outcome.Bad]]:
         """Ask every disk of the groups; return once each group has its majority or can't."""
         addresses = {disk: self.addresses.get(disk, address) for group in groups for disk, address in group}
-        yes: dict[str, frames.Body] = {}
-        no: list[outcome.Bad] = []
+        yes: dict[str, Answer] = {}
+        no: dict[str, outcome.Bad] = {}
         news = asyncio.Event()
 
         async def one(disk: str, address: str) -> None:
-            result = await self._caller.ask(address, kind, {**body, "disk": disk}, self._wait)
+            result = await self._ask(disk, address, ask, answer)
             if isinstance(result, outcome.Good):
                 yes[disk] = result.value
             else:
-                no.append(result)
+                no[disk] = result
             news.set()
 
+        def settled() -> bool:
+            possible = addresses.keys() - no.keys()
+            return register.carried(groups, yes) or not register.carried(groups, possible)
+
         tasks = [asyncio.create_task(one(disk, address)) for disk, address in addresses.items()]
         try:
-            while not register.carried(groups, yes) and len(yes) + len(no) < len(tasks):
+            while not settled():
                 news.clear()
                 await news.wait()
         finally:
             # A straggler's answer is no longer needed, but its vote still helps:
             # let calls that run end by themselves.
-            for task in tasks:
-                if not task.done():
-                    self._late.add(task)
-                    task.add_done_callback(self._late.discard)
-        return yes, no
+            self._leave(tasks)
+        return yes, list(no.values())
+
+    def _leave(self, tasks: typing.Iterable["asyncio.Task[None]"]) -> None:
+        """Hold calls that nobody waits for any more until they end."""
+        for task in tasks:
+            if not task.done():
+                self._late.add(task)
+                task.add_done_callback(self._late.discard)
 
     async def _refusals(self, no: list[outcome.Bad]) -> bool:
         """Learn from refusals; true if another try under new knowledge makes sense."""
         again = False
         for bad in no:
             if bad.code.tag == "outvoted":
-                self._count = max(self._count, int(bad.why))
-                again = True
+                again = self._outvoted(bad.why) or again
             elif bad.code.tag == "old_epoch":
                 again = await self.learn() or again
         return again
 
+    def _outvoted(self, why: str) -> bool:
+        """Take up the counter of a higher ballot, if it is one that a later ballot can pass."""
+        if not why.isascii() or not why.isdigit() or not register.whole(int(why) + 1):
+            return False
+        self._count = max(self._count, int(why))
+        return True
+
     async def learn(self, more: typing.Iterable[str] = ()) -> bool:
-        """Ask the stores we know of for a newer member set."""
+        """Ask the stores we know of for a newer member set; one that has it is enough."""
         addresses = {self.addresses.get(d, s) for d, s in self.members.disks().items()} | set(more)
-        results = await asyncio.gather(
-            *(self._caller.ask(s, "state", {}, self._wait) for s in sorted(addresses))
-        )
-        moved = False
-        for result in results:
+        before = self.members.epoch
+        news = asyncio.Event()
+
+        async def one(address: str) -> None:
+            result = await self._caller.ask(address, "state", {}, self._wait)
             if isinstance(result, outcome.Good):
-                moved = self.adopt(register.set_of(result.value["set"])) or moved
-        return moved
+                with contextlib.suppress(ValueError, TypeError, AttributeError, KeyError):
+                    self.adopt(register.set_of(result.value["set"]))
+            news.set()
+
+        tasks = [asyncio.create_task(one(address)) for address in sorted(addresses)]
+        try:
+            while self.members.epoch == before and not all(task.done() for task in tasks):
+                news.clear()
+                await news.wait()
+        finally:
+            self._leave(tasks)
+        return self.members.epoch > before
 
     def _groups_for(self, key: str, value: register.Value | None) -> Groups:
         groups = self.members.groups
@@ -145,8 +190,8 @@
             groups = self.members.groups
             ballot = self._ballot()
             self._points.hit(POINT_BEFORE_PREPARE)
-            ask: frames.Body = {"key": key, "ballot": list(ballot), "epoch": epoch}
-            yes, no = await self._all(groups, "prepare", ask)
+            ask = messages.Prepare(key, ballot, epoch, ANY_DISK)
+            yes, no = await self._all(groups, ask, messages.Promise)
             if not register.carried(groups, yes):
                 why = _reason(no)
                 await self._refusals(no)
@@ -165,7 +210,8 @@
                 # The accept goes out under this very ballot: the counter may be moved by
                 # another change of ours while we wait.
                 ballot = self._ballot()
-                more, no = await self._all(wide, "prepare", {**ask, "ballot": list(ballot)})
+                ask = dataclasses.replace(ask, ballot=ballot)
+                more, no = await self._all(wide, ask, messages.Promise)
                 if not register.carried(wide, more):
                     why = _reason(no)
                     await self._refusals(no)
@@ -176,13 +222,10 @@
                 continue
             self._points.hit(POINT_BEFORE_ACCEPT)
             sent = True
-            yes, no = await self._all(
-                wide,
-                "accept",
-                {"key": key, "ballot": list(ballot), "value": fresh.wire(), "epoch": epoch},
-            )
+            accept = messages.Accept(key, ballot, fresh, epoch, ANY_DISK)
+            accepted, no = await self._all(wide, accept, messages.Accepted)
             self._points.hit(POINT_AFTER_ACCEPT)
-            if register.carried(wide, yes):
+            if register.carried(wide, accepted):
                 if key not in self._held or self._held[key][0] < ballot:
                     self._held[key] = (ballot, fresh)
                 return refused if refused is not None else outcome.Good(fresh)
@@ -198,15 +241,13 @@
             if not groups:
                 return outcome.bad("no_majority", "no member set known")
             have = self._held.get(key)
-            ask: frames.Body = {"key": key, "epoch": self.members.epoch}
-            if have is not None:
-                ask["have"] = list(have[0])
-            yes, no = await self._all(groups, "read", ask)
+            ask = self._read_of(key, have)
+            yes, no = await self._all(groups, ask, messages.ReadReply)
             if not register.carried(groups, yes):
                 if await self._refusals(no):
                     continue
                 return _reason(no)
-            ballots = {register.ballot_of(body["ballot"]) for body in yes.values()}
+            ballots = {copy.ballot for copy in yes.values()}
             if len(ballots) == 1:
                 # Everyone in a majority holds this very ballot: it is the newest.
                 return outcome.Good(self._keep(key, ballots.pop(), yes, have))
@@ -218,51 +259,51 @@
             return await self.change(key, lambda now: now)
         return outcome.bad("no_majority")
 
+    def _read_of(self, key: str, have: tuple[register.Ballot, register.Value] | None) -> messages.Read:
+        return messages.Read(key, self.members.epoch, ANY_DISK, None if have is None else have[0])
+
     def _keep(
         self,
         key: str,
         ballot: register.Ballot,
-        yes: dict[str, frames.Body],
+        yes: dict[str, messages.ReadReply],
         have: tuple[register.Ballot, register.Value] | None,
     ) -> register.Value:
         """The value read; `have` is what we held when we asked, for whose sake it may be left out."""
         if have is not None and have[0] == ballot:
             return have[1]
-        raw = next((body["value"] for body in yes.values() if "value" in body), None)
-        value = register.BLANK if raw is None else register.value_of(raw)
+        value = next((copy.value for copy in yes.values() if copy.value is not None), register.BLANK)
         if key not in self._held or self._held[key][0] < ballot:
             self._held[key] = (ballot, value)
         return value
 
     async def keys(self) -> list[str] | None:
         """Every key ever accepted, or nothing when too few stores answer to be sure."""
-        yes, _ = await self._all(self.members.groups, "keys", {"epoch": self.members.epoch})
-        if not register.carried(self.members.groups, yes):
+        groups = self.members.groups
+        ask = messages.Keys(self.members.epoch, ANY_DISK)
+        yes, _ = await self._all(groups, ask, messages.KeysReply)
+        if not register.carried(groups, yes):
             return None
-        return sorted({k for body in yes.values() for k in body["keys"]})
+        return sorted({key for reply in yes.values() for key in reply.keys})
 
     async def sweep_copies(self) -> int:
         """Write every key again to all disks that hold an older copy of it."""
         before = self.mended
         for key in await self.keys() or []:
-            yes, _ = await self._everyone(key)
-            if len({register.ballot_of(body["ballot"]) for body in yes.values()}) > 1:
+            copies = await self._everyone(key)
+            if len({copy.ballot for copy in copies}) > 1:
                 self.mended += 1
                 await self.change(key, lambda now: now)
         return self.mended - before
 
-    async def _everyone(self, key: str) -> tuple[dict[str, frames.Body], int]:
-        """Each reachable disk's ballot for a key, waiting for all rather than a majority."""
+    async def _everyone(self, key: str) -> list[messages.ReadReply]:
+        """Each reachable disk's copy of a key, waiting for all rather than a majority."""
         addresses = {d: self.addresses.get(d, s) for d, s in self.members.disks().items()}
-        have = self._held.get(key)
-        ask: frames.Body = {"key": key, "epoch": self.members.epoch}
-        if have is not None:
-            ask["have"] = list(have[0])
+        ask = self._read_of(key, self._held.get(key))
         results = await asyncio.gather(
-            *(self._caller.ask(s, "read", {**ask, "disk": d}, self._wait) for d, s in addresses.items())
+            *(self._ask(disk, address, ask, messages.ReadReply) for disk, address in addresses.items())
         )
-        yes = {d: r.value for d, r in zip(addresses, results) if isinstance(r, outcome.Good)}
-        return yes, len(addresses)
+        return [result.value for result in results if isinstance(result, outcome.Good)]
 
 
 def decode_set(value: register.Value) -> register.MemberSet:
@@ -275,14 +316,11 @@
     return cbor2.dumps(members.wire())
 
 
-def _highest(yes: dict[str, frames.Body]) -> tuple[register.Ballot, register.Value]:
-    best = register.ZERO
-    value = register.BLANK
-    for body in yes.values():
-        ballot = register.ballot_of(body["ballot"])
-        if ballot > best:
-            best, value = ballot, register.value_of(body["value"])
-    return best, value
+def _highest(yes: dict[str, messages.Promise]) -> tuple[register.Ballot, register.Value]:
+    best = max(yes.values(), key=lambda promise: promise.ballot, default=None)
+    if best is None or best.ballot == register.ZERO:
+        return register.ZERO, register.BLANK
+    return best.ballot, best.value
 
 
 def _reason(no: list[outcome.Bad]) -> outcome.Bad:
--- a/packages/register/src/dykeswitch/register/voter.py
+++ b/packages/register/src/dykeswitch/register/voter.py
@@ -1,4 +1,10 @@
-"""The voter: one disk's part in the register. It promises, accepts and remembers."""
+"""The voter: one disk's part in the register. It promises, accepts and remembers.
+
+Every answer that binds the disk is synced first, one write of a key at a time. Nothing but a
+vote waits for the disk: what is read comes from memory, which moves only after a sync, so it
+is always durable. While a write takes longer than `STALL_S`, further votes are refused at once
+rather than queued behind it; a refusal binds nobody.
+"""
 
 import asyncio
 import dataclasses
@@ -9,26 +15,18 @@
 import dykeswitch.outcome as outcome
 import dykeswitch.ports as ports
 import dykeswitch.register as register
+import dykeswitch.register.messages as messages
 import dykeswitch.register.storage as storage
 
-DISK_KEY: typing.Final = "@disk"
-SET_KEY: typing.Final = "@set"
-KEY_MOST: typing.Final = 64
-
-
-def _key_of(body: frames.Body) -> str:
-    key = body["key"]
-    # Each key is a folder on the disk: only names that the register has are given one.
-    if not isinstance(key, str) or not 0 < len(key) <= KEY_MOST or not key.isascii():
-        raise ValueError("not a key")
-    if key in (DISK_KEY, SET_KEY):
-        raise ValueError("not a key of the register")
-    return key
+DISK_KEY: typing.Final = messages.DISK_KEY
+SET_KEY: typing.Final = messages.SET_KEY
+# How long a write may take before the disk counts as stalled.
+STALL_S: typing.Final = 1.0
 
 
 @dataclasses.dataclass(slots=True)
 class Seat:
-    """What the disk knows of one key."""
+    """What the disk knows of one key; changed only once it is durable."""
 
     promised: register.Ballot = register.ZERO
     ballot: register.Ballot = register.ZERO
@@ -36,9 +34,18 @@
     lock: asyncio.Lock = dataclasses.field(default_factory=asyncio.Lock)
 
     def record(self) -> list[typing.Any]:
+        """The seat as it stands on the disk."""
         return [list(self.promised), list(self.ballot), self.value.wire()]
 
 
+class _Refused(Exception):
+    """A vote that is not given."""
+
+    def __init__(self, bad: outcome.Bad) -> None:
+        super().__init__(bad.code.text)
+        self.bad = bad
+
+
 class Voter:
     """Votes for one disk; every answer that binds it is synced first."""
 
@@ -50,11 +57,19 @@
         self._set = register.NOBODY
         self._set_lock = asyncio.Lock()
         self.disk_id = ""
-        self.damaged = ""
+        # Writes under way, by key, with the time at which each began.
+        self._writing: dict[str, float] = {}
+        # What the last write failed with, and whether the disk's content is known after it.
+        self._write_fault = ""
+        self._content_known = True
 
     async def open(self) -> None:
-        """Read the disk; a disk never used before gets its random id."""
+        """Read the disk; a disk never used before gets its random id.
+
+        Raises `OSError` when the disk does not serve; it may then be called again.
+        """
         records = await self._disk.run(self._storage.open)
+        self._seats.clear()
         for key, record in records.items():
             if key == DISK_KEY:
                 self.disk_id = str(record)
@@ -75,9 +90,22 @@
 
     @property
     def members(self) -> register.MemberSet:
+        """The member set that is in force on this disk."""
         return self._set
 
+    @property
+    def damaged(self) -> str:
+        """Why this disk gives no vote at present, or nothing."""
+        if self._write_fault:
+            return self._write_fault
+        return "a write is stalled" if self.stalled() else ""
+
+    def stalled(self) -> bool:
+        """Whether a write has been under way for longer than a disk that serves would take."""
+        return bool(self._writing) and _now() - min(self._writing.values()) > STALL_S
+
     def seated(self) -> bool:
+        """Whether this disk is in the member set that it knows."""
         return self.disk_id in self._set.disks()
 
     def blank(self) -> bool:
@@ -90,36 +118,76 @@
         """The calls a store answers."""
         return {
             "state": self._state,
-            "prepare": self._prepare,
-            "accept": self._accept,
-            "read": self._read,
-            "keys": self._keys,
-            "install": self._install,
+            messages.Prepare.KIND: self._prepare,
+            messages.Accept.KIND: self._accept,
+            messages.Read.KIND: self._read,
+            messages.Keys.KIND: self._keys,
+            messages.Install.KIND: self._install,
         }
 
     async def _put(self, key: str, record: typing.Any) -> None:
-        # After a failed write the disk's content is not known: it votes no more.
-        if self.damaged:
-            raise OSError(self.damaged)
+        """Make a record durable; after an unclear failure the disk votes no more."""
+        if not self._content_known:
+            raise OSError(self._write_fault)
+        self._writing[key] = _now()
         try:
             await self._disk.run(lambda: self._storage.put(key, record))
+        except storage.NotWritten as flaw:
+            # The older record is in force: the next vote may find room again.
+            self._write_fault = str(flaw)
+            raise
         except OSError as flaw:
-            self.damaged = str(flaw)
+            self._write_fault = str(flaw)
+            self._content_known = False
+            raise
+        except asyncio.CancelledError:
+            # The disk may still be at it: nobody knows what it will hold.
+            self._write_fault = "a write was cut off"
+            self._content_known = False
             raise
+        finally:
+            self._writing.pop(key, None)
+        self._write_fault = ""
 
-    def _barred(self, body: frames.Body, key: str) -> outcome.Bad | None:
-        if self.damaged:
-            return outcome.bad("disk_fault", self.damaged)
-        if body["disk"] != self.disk_id:
+    async def _vote(self, key: str, record: typing.Any) -> None:
+        try:
+            await self._put(key, record)
+        except OSError as flaw:
+            raise _Refused(outcome.bad("disk_fault", str(flaw))) from flaw
+
+    async def _turn(self, lock: asyncio.Lock) -> None:
+        """Take a lock, or refuse: nothing is queued behind a stalled disk."""
+        if self.stalled():
+            raise _Refused(outcome.bad("disk_fault", self.damaged))
+        if not lock.locked():
+            await lock.acquire()
+            return
+        try:
+            async with asyncio.timeout(STALL_S):
+                await lock.acquire()
+        except TimeoutError:
+            raise _Refused(outcome.bad("disk_fault", "other votes are under way")) from None
+
+    def _barred(self, key: str, disk: str, epoch: int) -> outcome.Bad | None:
+        """Why this disk may not answer, if it may not."""
+        if not self._content_known:
+            return outcome.bad("disk_fault", self._write_fault)
+        if disk != self.disk_id:
             return outcome.bad("other_disk", self.disk_id)
         # Under an older set a majority might be counted that no longer is one.
-        if int(body["epoch"]) < self._set.epoch:
+        if epoch < self._set.epoch:
             return outcome.bad("old_epoch", str(self._set.epoch))
         # A new disk may take part only in the round that seats it.
         if key != register.MEMBERS and not self.seated():
             return outcome.bad("not_seated", self.disk_id)
         return None
 
+    def _check(self, key: str, disk: str, epoch: int) -> None:
+        """Refuse what this disk may not answer."""
+        barred = self._barred(key, disk, epoch)
+        if barred is not None:
+            raise _Refused(barred)
+
     async def _state(self, body: frames.Body) -> frames.Result:
         return outcome.Good(
             {
@@ -132,77 +200,103 @@
         )
 
     async def _prepare(self, body: frames.Body) -> frames.Result:
-        key = _key_of(body)
-        ballot = register.ballot_of(body["ballot"])
-        seat = self._seats.setdefault(key, Seat())
-        async with seat.lock:
-            barred = self._barred(body, key)
-            if barred is not None:
-                return barred
-            if ballot <= seat.promised:
-                return outcome.bad("outvoted", str(seat.promised[0]))
-            try:
-                await self._put(key, [list(ballot), list(seat.ballot), seat.value.wire()])
-            except OSError as flaw:
-                return outcome.bad("disk_fault", str(flaw))
-            seat.promised = ballot
+        ask = messages.decode(messages.Prepare, body)
+        try:
+            return _good(await self._promise(ask))
+        except _Refused as refusal:
+            return refusal.bad
+
+    async def _promise(self, ask: messages.Prepare) -> messages.Promise:
+        self._check(ask.key, ask.disk, ask.epoch)
+        seat = self._seats.setdefault(ask.key, Seat())
+        await self._turn(seat.lock)
+        try:
+            self._check(ask.key, ask.disk, ask.epoch)
+            if ask.ballot <= seat.promised:
+                raise _Refused(outcome.bad("outvoted", str(seat.promised[0])))
+            fresh = Seat(ask.ballot, seat.ballot, seat.value)
+            await self._vote(ask.key, fresh.record())
+            seat.promised = ask.ballot
             # The set may have moved while we synced: then this promise is void.
-            barred = self._barred(body, key)
-            if barred is not None:
-                return barred
-            return outcome.Good({"ballot": list(seat.ballot), "value": seat.value.wire()})
+            self._check(ask.key, ask.disk, ask.epoch)
+            return messages.Promise(seat.ballot, seat.value)
+        finally:
+            seat.lock.release()
 
     async def _accept(self, body: frames.Body) -> frames.Result:
-        key = _key_of(body)
-        ballot = register.ballot_of(body["ballot"])
-        value = register.value_of(body["value"])
-        seat = self._seats.setdefault(key, Seat())
-        async with seat.lock:
-            barred = self._barred(body, key)
-            if barred is not None:
-                return barred
-            if ballot < seat.promised:
-                return outcome.bad("outvoted", str(seat.promised[0]))
-            try:
-                await self._put(key, [list(ballot), list(ballot), value.wire()])
-            except OSError as flaw:
-                return outcome.bad("disk_fault", str(flaw))
-            seat.promised = seat.ballot = ballot
-            seat.value = value
-            barred = self._barred(body, key)
-            if barred is not None:
-                return barred
-            return outcome.Good({})
+        ask = messages.decode(messages.Accept, body)
+        try:
+            return _good(await self._take_up(ask))
+        except _Refused as refusal:
+            return refusal.bad
+
+    async def _take_up(self, ask: messages.Accept) -> messages.Accepted:
+        self._check(ask.key, ask.disk, ask.epoch)
+        seat = self._seats.setdefault(ask.key, Seat())
+        await self._turn(seat.lock)
+        try:
+            self._check(ask.key, ask.disk, ask.epoch)
+            if ask.ballot < seat.promised:
+                raise _Refused(outcome.bad("outvoted", str(seat.promised[0])))
+            fresh = Seat(ask.ballot, ask.ballot, ask.value)
+            await self._vote(ask.key, fresh.record())
+            seat.promised = seat.ballot = ask.ballot
+            seat.value = ask.value
+            # The set may have moved while we synced: then this vote is void.
+            self._check(ask.key, ask.disk, ask.epoch)
+            return messages.Accepted()
+        finally:
+            seat.lock.release()
 
     async def _read(self, body: frames.Body) -> frames.Result:
-        key = _key_of(body)
-        seat = self._seats.setdefault(key, Seat())
-        async with seat.lock:
-            barred = self._barred(body, key)
-            if barred is not None:
-                return barred
-            page: frames.Body = {"ballot": list(seat.ballot), "version": seat.value.version}
-            # A reader that holds this very ballot's value needs no second copy.
-            if list(seat.ballot) != body.get("have"):
-                page["value"] = seat.value.wire()
-            return outcome.Good(page)
+        """Answer from what is durable, also while a write of the key is under way.
+
+        That write is told to nobody before it is synced, so to answer without it is to answer
+        as if asked before it: no reader has seen it, and no proposer counts it.
+        """
+        ask = messages.decode(messages.Read, body)
+        try:
+            self._check(ask.key, ask.disk, ask.epoch)
+        except _Refused as refusal:
+            return refusal.bad
+        seat = self._seats.get(ask.key) or Seat()
+        # A reader that holds this very ballot's value needs no second copy.
+        value = None if seat.ballot == ask.have else seat.value
+        return _good(messages.ReadReply(seat.ballot, seat.value.version, value))
 
     async def _keys(self, body: frames.Body) -> frames.Result:
-        barred = self._barred(body, "")
-        if barred is not None:
-            return barred
-        return outcome.Good({"keys": sorted(k for k, s in self._seats.items() if s.ballot != register.ZERO)})
+        ask = messages.decode(messages.Keys, body)
+        try:
+            self._check("", ask.disk, ask.epoch)
+        except _Refused as refusal:
+            return refusal.bad
+        accepted = sorted(key for key, seat in self._seats.items() if seat.ballot != register.ZERO)
+        return _good(messages.KeysReply(tuple(accepted)))
 
     async def _install(self, body: frames.Body) -> frames.Result:
         """Take up a committed member set; only a higher epoch moves it."""
-        fresh = register.set_of(body["set"])
-        async with self._set_lock:
-            if body["disk"] != self.disk_id:
-                return outcome.bad("other_disk", self.disk_id)
-            if fresh.epoch > self._set.epoch:
-                try:
-                    await self._put(SET_KEY, fresh.wire())
-                except OSError as flaw:
-                    return outcome.bad("disk_fault", str(flaw))
-                self._set = fresh
-            return outcome.Good({"epoch": self._set.epoch})
+        ask = messages.decode(messages.Install, body)
+        try:
+            return _good(await self._move_to(ask))
+        except _Refused as refusal:
+            return refusal.bad
+
+    async def _move_to(self, ask: messages.Install) -> messages.Installed:
+        if ask.disk != self.disk_id:
+            raise _Refused(outcome.bad("other_disk", self.disk_id))
+        await self._turn(self._set_lock)
+        try:
+            if ask.members.epoch > self._set.epoch:
+                await self._vote(SET_KEY, ask.members.wire())
+                self._set = ask.members
+            return messages.Installed(self._set.epoch)
+        finally:
+            self._set_lock.release()
+
+
+def _good(reply: messages.Reply) -> frames.Result:
+    return outcome.Good(messages.encode(reply))
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- a/packages/store/src/dykeswitch/store/program.py
+++ b/packages/store/src/dykeswitch/store/program.py
@@ -46,7 +46,8 @@
 
     async def run(self) -> None:
         """Vote until told to stop."""
-        await self.voter.open()
+        if not await self._open():
+            return
         ear = frames.Ear(self.voter.kinds(), self.log.note, self.meter)
         listener = await self.machine.net.listen(self.bounds.store, ear.serve)
         server: ports.WebServer | None = None
@@ -64,6 +65,27 @@
             listener.close()
         self.log.info("stopped")
 
+    async def _open(self) -> bool:
+        """Read the disk, trying again while it does not serve; false if told to stop before."""
+        stopped = asyncio.create_task(self._stop.wait())
+        try:
+            while not self._stop.is_set():
+                opening = asyncio.create_task(self.voter.open())
+                # A disk that stalls must not hold up an orderly stop.
+                await asyncio.wait([opening, stopped], return_when=asyncio.FIRST_COMPLETED)
+                if not opening.done():
+                    opening.cancel()
+                    return False
+                try:
+                    await opening
+                    return True
+                except OSError as flaw:
+                    self.log.warning("disk does not open", why=str(flaw))
+                await self.machine.clock.sleep(self.bounds.gap_s)
+            return False
+        finally:
+            stopped.cancel()
+
     def stop(self) -> None:
         """Ask for an orderly stop."""
         self._stop.set()
--- a/tests/test_register.py
+++ b/tests/test_register.py
@@ -10,6 +10,7 @@
 import dykeswitch.frames as frames
 import dykeswitch.outcome as outcome
 import dykeswitch.register as register
+import dykeswitch.register.messages as messages
 import dykeswitch.register.proposer as proposers
 import dykeswitch.register.storage as storage
 import dykeswitch.register.voter as voters
@@ -298,8 +299,8 @@
     # The disk's id and its seat cover for each other: both are taken away.
     barred = voters.Voter._barred
 
-    def lax(self: voters.Voter, body: frames.Body, key: str) -> outcome.Bad | None:
-        return barred(self, {**body, "disk": self.disk_id}, register.MEMBERS)
+    def lax(self: voters.Voter, key: str, disk: str, epoch: int) -> outcome.Bad | None:
+        return barred(self, register.MEMBERS, self.disk_id, epoch)
 
     patch.setattr(voters.Voter, "_barred", lax)
 
@@ -464,9 +465,9 @@
         await asyncio.sleep(0.1)
         whole = proposer._all
 
-        async def slowly(groups: typing.Any, kind: str, body: frames.Body) -> typing.Any:
-            found = await whole(groups, kind, body)
-            if kind == "read":
+        async def slowly(groups: typing.Any, ask: typing.Any, answer: typing.Any) -> typing.Any:
+            found: typing.Any = await whole(groups, ask, answer)
+            if isinstance(ask, messages.Read):
                 proposer._all = whole  # type: ignore[method-assign]
                 _good(await proposer.change("k", put(b"two", "2")))
             return found
--- a/tests/test_repair.py
+++ b/tests/test_repair.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+import dykeswitch.register as register
 import dykeswitch.register.storage as storage
 import dykeswitch.registry.seating as seatings
 import dykeswitch.simulator.fleet as fleets
@@ -20,7 +21,9 @@
 
 
 def _ballots(fleet: fleets.SimFleet) -> set[typing.Any]:
-    return {core.store.daemon.voter._seats["layout"].ballot for core in fleet.cores}
+    # A store that never voted on the layout has no seat for it: a read alone makes none.
+    seats = [core.store.daemon.voter._seats.get("layout") for core in fleet.cores]
+    return {register.ZERO if seat is None else seat.ballot for seat in seats}
 
 
 def test_a_store_that_missed_a_change_is_mended_without_traffic(tmp_path: pathlib.Path) -> None:
--- /dev/null
+++ b/tests/test_stalled_disk.py
@@ -0,0 +1,313 @@
+"""A store whose disk stalls or is full: nothing waits for it but its own vote."""
+
+import asyncio
+import contextlib
+import pathlib
+import random
+import threading
+import time
+import typing
+
+import pytest
+
+import dykeswitch.frames as frames
+import dykeswitch.outcome as outcome
+import dykeswitch.ports as ports
+import dykeswitch.ports.real as real
+import dykeswitch.register as register
+import dykeswitch.register.messages as messages
+import dykeswitch.register.voter as voters
+import dykeswitch.simulator.disk as disks
+import dykeswitch.simulator.fleet as fleets
+import dykeswitch.simulator.loop as loops
+import dykeswitch.standin.shape as shapes
+
+SMALL: typing.Final = shapes.Shape(
+    "small", 1, 3, ("z1",), (shapes.ServiceShape("pages", 2, 1, "/pages", "GET", 0.01),)
+)
+OLD: typing.Final = register.Value(1, b"old")
+NEW: typing.Final = register.Value(2, b"new")
+# What a call of the simulated or real voter may take that does not wait for its disk.
+PROMPT_S: typing.Final = 0.2
+
+
+class Lone:
+    """A voter that is a member set of its own, called without a network."""
+
+    def __init__(self, disk: ports.Disk) -> None:
+        self.disk = disk
+        self.voter = voters.Voter(disk, ports.NoPoints(), random.Random(1))
+
+    async def start(self) -> None:
+        await self.voter.open()
+        group = ((self.voter.disk_id, "10.0.0.1:1"),)
+        members = register.MemberSet(1, (group,))
+        await self._call(messages.Install(members, self.voter.disk_id))
+
+    async def _call(self, ask: messages.Request) -> frames.Body:
+        result = await self.voter.kinds()[ask.KIND](messages.encode(ask))
+        assert isinstance(result, outcome.Good), result
+        return result.value
+
+    async def refusal(self, ask: messages.Request) -> str:
+        result = await self.voter.kinds()[ask.KIND](messages.encode(ask))
+        assert isinstance(result, outcome.Bad), result
+        return result.code.tag
+
+    def prepare(self, count: int, key: str = "k") -> messages.Prepare:
+        return messages.Prepare(key, (count, "p"), 1, self.voter.disk_id)
+
+    async def promise(self, count: int, key: str = "k") -> messages.Promise:
+        return messages.decode(messages.Promise, await self._call(self.prepare(count, key)))
+
+    async def accept(self, count: int, value: register.Value, key: str = "k") -> None:
+        await self._call(messages.Accept(key, (count, "p"), value, 1, self.voter.disk_id))
+
+    async def read(self, key: str = "k") -> messages.ReadReply:
+        ask = messages.Read(key, 1, self.voter.disk_id)
+        return messages.decode(messages.ReadReply, await self._call(ask))
+
+    async def keys(self) -> tuple[str, ...]:
+        ask = messages.Keys(1, self.voter.disk_id)
+        return messages.decode(messages.KeysReply, await self._call(ask)).keys
+
+    async def state(self) -> frames.Body:
+        result = await self.voter.kinds()["state"]({})
+        assert isinstance(result, outcome.Good)
+        return result.value
+
+
+def _sim_disk(root: pathlib.Path) -> disks.SimDisk:
+    root.mkdir()
+    return disks.SimDisk(root, random.Random(1))
+
+
+async def _begun(task: "asyncio.Task[None]") -> None:
+    await asyncio.sleep(0.01)
+    assert not task.done()
+
+
+@pytest.mark.parametrize("after", [False, True])
+def test_reads_and_state_are_answered_while_a_write_is_stalled(after: bool, tmp_path: pathlib.Path) -> None:
+    """Reads tell what is durable: never the value under way, and the old one to the last."""
+
+    async def main() -> None:
+        disk = _sim_disk(tmp_path / "disk")
+        lone = Lone(disk)
+        await lone.start()
+        await lone.accept(1, OLD)
+        await lone.accept(1, OLD, "other")
+        disk.stall(after)
+        write = asyncio.create_task(lone.accept(2, NEW))
+        await _begun(write)
+        begun = asyncio.get_running_loop().time()
+        found = await lone.read()
+        assert (found.ballot, found.value) == ((1, "p"), OLD)
+        assert (await lone.read("other")).value == OLD
+        assert await lone.keys() == ("k", "other")
+        assert (await lone.state())["seated"]
+        assert asyncio.get_running_loop().time() == begun
+        disk.flow()
+        await write
+        assert (await lone.read()).value == NEW
+
+    loops.run(main())
+
+
+def test_votes_are_refused_rather_than_queued_behind_a_stalled_write(tmp_path: pathlib.Path) -> None:
+    """What nobody waits for any more is not written once the disk serves again."""
+
+    async def main() -> None:
+        disk = _sim_disk(tmp_path / "disk")
+        lone = Lone(disk)
+        await lone.start()
+        disk.stall()
+        write = asyncio.create_task(lone.promise(1))
+        await _begun(typing.cast("asyncio.Task[None]", write))
+        loop = asyncio.get_running_loop()
+        begun = loop.time()
+        assert await lone.refusal(lone.prepare(2)) == "disk_fault"
+        assert loop.time() - begun <= voters.STALL_S + PROMPT_S
+        assert (await lone.state())["damaged"] == "a write is stalled"
+        begun = loop.time()
+        for count in range(3, 200):
+            assert await lone.refusal(lone.prepare(count, f"k{count % 5}")) == "disk_fault"
+        assert loop.time() == begun
+        assert disk.waiting == 1
+        syncs = disk.syncs
+        disk.flow()
+        await write
+        # One write of three files and two folders, with the folder of the key: no backlog.
+        assert disk.syncs - syncs <= 6
+        assert (await lone.state())["damaged"] == ""
+        assert (await lone.promise(2)).ballot == register.ZERO
+
+    loops.run(main())
+
+
+@pytest.mark.parametrize("after", [False, True])
+@pytest.mark.parametrize("seed", range(4))
+def test_a_promise_told_after_a_stall_outlives_a_power_loss(
+    seed: int, after: bool, tmp_path: pathlib.Path
+) -> None:
+    async def main() -> None:
+        disk = _sim_disk(tmp_path / "disk")
+        lone = Lone(disk)
+        await lone.start()
+        disk.stall(after)
+        vote = asyncio.create_task(lone.promise(5))
+        await asyncio.sleep(0.3)
+        assert not vote.done()
+        disk.flow()
+        await vote
+        rng = random.Random(seed)
+        disk.lose_power(rng.randrange)
+        woken = Lone(disk.wake())
+        await woken.voter.open()
+        assert woken.voter.disk_id == lone.voter.disk_id
+        late = messages.Accept("k", (4, "p"), NEW, 1, woken.voter.disk_id)
+        assert await woken.refusal(late) == "outvoted"
+
+    loops.run(main())
+
+
+def test_a_full_disk_answers_reads_and_votes_again_when_there_is_room(tmp_path: pathlib.Path) -> None:
+    async def main() -> None:
+        disk = _sim_disk(tmp_path / "disk")
+        lone = Lone(disk)
+        await lone.start()
+        await lone.accept(1, OLD)
+        disk.spoilt = {"sync_file": "no space left on device"}
+        assert await lone.refusal(lone.prepare(2)) == "disk_fault"
+        assert (await lone.state())["damaged"] == "no space left on device"
+        assert (await lone.read()).value == OLD
+        disk.spoilt = {}
+        assert (await lone.promise(2)).value == OLD
+        assert (await lone.state())["damaged"] == ""
+
+    loops.run(main())
+
+
+@pytest.mark.parametrize("step", ["rename"])
+def test_a_disk_whose_content_is_not_known_answers_nothing(step: str, tmp_path: pathlib.Path) -> None:
+    async def main() -> None:
+        disk = _sim_disk(tmp_path / "disk")
+        lone = Lone(disk)
+        await lone.start()
+        await lone.accept(1, OLD)
+        disk.spoilt = {step: "input/output error"}
+        assert await lone.refusal(lone.prepare(2)) == "disk_fault"
+        disk.spoilt = {}
+        assert await lone.refusal(lone.prepare(2)) == "disk_fault"
+        assert await lone.refusal(messages.Read("k", 1, lone.voter.disk_id)) == "disk_fault"
+
+    loops.run(main())
+
+
+def test_changes_do_not_wait_for_the_store_that_stalls(tmp_path: pathlib.Path) -> None:
+    """Layouts, queries and reads at every registry, also at the one beside the stalled store."""
+
+    async def main() -> None:
+        fleet = fleets.SimFleet(SMALL, 3, tmp_path)
+        await fleet.start()
+        loop = asyncio.get_running_loop()
+        slowest = {}
+        for core in fleet.cores:
+            disk = core.store.disk
+            assert disk is not None
+            disk.stall()
+            took = []
+            for turn in range(20):
+                begun = loop.time()
+                layout = SMALL.layout()
+                layout["rules"].append({"path": f"/more{turn}", "service": "pages"})
+                await fleet.apply(layout)
+                assert (await fleet.get(fleet.cores[turn % 3])).status == 200
+                took.append(loop.time() - begun)
+                assert disk.waiting <= 8
+            slowest[core.store.name] = max(took)
+            disk.flow()
+            await fleet.until(lambda: len(_ballots(fleet)) == 1, 20, "all copies the same")
+        assert max(slowest.values()) < 0.8, slowest
+
+    loops.run(main())
+
+
+def _ballots(fleet: fleets.SimFleet) -> set[register.Ballot]:
+    return {core.store.daemon.voter._seats["layout"].ballot for core in fleet.cores}
+
+
+def test_a_store_whose_disk_stalls_from_the_start_stops_when_told(tmp_path: pathlib.Path) -> None:
+    async def main() -> None:
+        fleet = fleets.SimFleet(SMALL, 3, tmp_path)
+        await fleet.start()
+        store = fleet.cores[0].store
+        store.kill()
+        assert store.disk is not None
+        store.disk.stall()
+        store.restart()
+        await asyncio.sleep(1.0)
+        assert await store.stop(2.0)
+
+    loops.run(main())
+
+
+def test_a_store_whose_disk_refuses_to_open_tries_again(tmp_path: pathlib.Path) -> None:
+    async def main() -> None:
+        fleet = fleets.SimFleet(SMALL, 3, tmp_path)
+        await fleet.start()
+        store = fleet.cores[0].store
+        store.kill()
+        assert store.disk is not None
+        store.disk = store.disk.wake()
+        store.disk.spoilt = {"sync_folder": "input/output error"}
+        store.start()
+        await asyncio.sleep(2.0)
+        assert not store.flaw
+        store.disk.spoilt = {}
+        await fleet.until(lambda: store.daemon.voter.seated(), 5, "the store")
+
+    loops.run(main())
+
+
+class _StalledFiles(real.RealDisk):
+    """A real disk whose syncs of files block their thread until they are let go."""
+
+    def __init__(self, root: pathlib.Path) -> None:
+        super().__init__(root)
+        self.flows = threading.Event()
+        self.flows.set()
+
+    def sync_file(self, path: pathlib.Path) -> None:
+        self.flows.wait()
+        super().sync_file(path)
+
+
+def test_a_real_disk_that_stalls_holds_neither_reads_nor_the_end_of_the_process(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Its thread is no thread that the loop or the interpreter waits for."""
+    disk = _StalledFiles(tmp_path)
+
+    async def main() -> None:
+        lone = Lone(disk)
+        await lone.start()
+        await lone.accept(1, OLD)
+        disk.flows.clear()
+        write = asyncio.create_task(lone.accept(2, NEW))
+        await _begun(write)
+        begun = time.monotonic()
+        assert (await lone.read()).value == OLD
+        assert (await lone.state())["seated"]
+        assert time.monotonic() - begun < PROMPT_S
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(0.05):
+                await asyncio.shield(write)
+        assert not write.done()
+
+    begun = time.monotonic()
+    asyncio.run(main())
+    assert time.monotonic() - begun < 5.0
+    stuck = [thread for thread in threading.enumerate() if thread.name == "disk"]
+    assert stuck and all(thread.daemon for thread in stuck)
+    disk.flows.set()
