An order sent again is known by a digest in the register; no number has two bodies

Cause: a numbered layout equal to the number held, with another body, was acknowledged as if it were the same, so two operators could be confirmed under one number. With If-Match an order was known again only by an id that the registry made itself, so the same order at another registry, or after a later change, was refused with 412 though it had been taken. And a refusal rested on what any one store of the majority showed: with an accept that had reached one store alone, one registry refused (lost_race) and another then took the same order, so it was refused and in force.

Now the register's value has a memory beside its body, changed in the same step: for 512 numbers, and for 512 versions of layouts without a number, eight bytes of the body's digest (16 bytes each, 8 KiB at most, left out where empty). The same body under its number or If-Match is acknowledged at any registry; another body under a remembered number is refused for good (409 number_taken: it was never taken, by the memory). A lower number that never was in force is acknowledged and remembered. What is older than the memory is acknowledged (numbers; it is superseded) or left without a clear answer (If-Match, 504 too_old). Every refusal first writes what it rests on to a majority.

Ruled out: a second register key for the memory, which would need a round more and could part from the layout; ids sent by operators, which the wire lacks.

--- a/packages/outcome/src/dykeswitch/outcome/__init__.py
+++ b/packages/outcome/src/dykeswitch/outcome/__init__.py
@@ -89,6 +89,8 @@
     Code(305, "bad_match", 400, "If-Match takes one version number"),
     Code(306, "too_big", 413, "the body is over the bound"),
     Code(307, "bad_query", 400, "the query is malformed"),
+    Code(308, "number_taken", 409, "another layout was confirmed under this number"),
+    Code(309, "too_old", 504, "too old to tell whether it was taken; read the newest layout"),
     Code(401, "no_majority", 503, "no majority of stores answered; nothing was changed"),
     Code(402, "unknown", 504, "outcome unknown: a repeat of the same change settles it"),
     Code(403, "conflict", 503, "another change went first; nothing was changed"),
--- a/packages/register/src/dykeswitch/register/__init__.py
+++ b/packages/register/src/dykeswitch/register/__init__.py
@@ -16,6 +16,8 @@
 # The register's own key for the member set; it is moved by other rules than the rest.
 MEMBERS: typing.Final = "@members"
 OPS_KEPT: typing.Final = 24
+# The most that a key's user may have remembered beside its body, in bytes.
+MEMORY_MOST: typing.Final = 32768
 COUNT_MOST: typing.Final = 2**53
 
 
@@ -27,9 +29,13 @@
     body: bytes
     # Change ids with the version each made: settles "outcome unknown" honestly.
     ops: tuple[tuple[str, int], ...] = ()
+    # What the key's user remembers of earlier changes; changed in one step with the body.
+    memory: bytes = b""
 
     def wire(self) -> list[typing.Any]:
-        return [self.version, self.body, [list(op) for op in self.ops]]
+        wire: list[typing.Any] = [self.version, self.body, [list(op) for op in self.ops]]
+        # Left out where there is none: such values look as they did before there was a memory.
+        return [*wire, self.memory] if self.memory else wire
 
     def made(self, op: str) -> int | None:
         """The version that a change made, if this value still remembers it."""
@@ -38,9 +44,11 @@
                 return version
         return None
 
-    def next(self, body: bytes, op: str) -> "Value":
+    def next(self, body: bytes, op: str, memory: bytes | None = None) -> "Value":
+        """The value after one more change; its memory is kept unless another is given."""
         version = self.version + 1
-        return Value(version, body, (*self.ops, (op, version))[-OPS_KEPT:])
+        ops = (*self.ops, (op, version))[-OPS_KEPT:]
+        return Value(version, body, ops, self.memory if memory is None else memory)
 
 
 BLANK: typing.Final = Value(0, b"")
@@ -48,12 +56,14 @@
 
 def value_of(raw: typing.Any) -> Value:
     """A value off the wire."""
-    version, body, ops = raw
+    version, body, ops, *more = raw
     if not whole(version) or not isinstance(body, bytes) or len(ops) > OPS_KEPT:
         raise ValueError("not a value")
+    if len(more) > 1 or any(not isinstance(part, bytes) or len(part) > MEMORY_MOST for part in more):
+        raise ValueError("not a value")
     if any(not isinstance(name, str) or not whole(made) for name, made in ops):
         raise ValueError("not a value")
-    return Value(version, body, tuple((name, made) for name, made in ops))
+    return Value(version, body, tuple((name, made) for name, made in ops), *more)
 
 
 def ballot_of(raw: typing.Any) -> Ballot:
--- a/packages/register/src/dykeswitch/register/proposer.py
+++ b/packages/register/src/dykeswitch/register/proposer.py
@@ -155,10 +155,9 @@
             fresh = step(now)
             refused = fresh if isinstance(fresh, outcome.Bad) else None
             if isinstance(fresh, outcome.Bad):
-                # A refusal may be told only once no earlier try of ours can still win:
-                # what stands is written again under this ballot before we say so.
-                if not sent:
-                    return fresh
+                # A refusal may be told only once what it rests on is held by a majority, and
+                # no earlier try of the same change, ours or another's, can still win: what
+                # stands is written again under this ballot before we say so.
                 fresh = now
             wide = self._groups_for(key, fresh)
             if wide != groups:
@@ -175,7 +174,7 @@
             if epoch != self.members.epoch:
                 continue
             self._points.hit(POINT_BEFORE_ACCEPT)
-            sent = True
+            sent = sent or refused is None
             yes, no = await self._all(
                 wide,
                 "accept",
@@ -186,6 +185,7 @@
                 if key not in self._held or self._held[key][0] < ballot:
                     self._held[key] = (ballot, fresh)
                 return refused if refused is not None else outcome.Good(fresh)
+            why = _reason(no)
             await self._refusals(no)
         if sent:
             return outcome.bad("unknown", "the register may or may not have taken it")
--- a/packages/registry/src/dykeswitch/registry/orders.py
+++ b/packages/registry/src/dykeswitch/registry/orders.py
@@ -5,8 +5,9 @@
 import dykeswitch.layout.documents as documents
 import dykeswitch.outcome as outcome
 import dykeswitch.register as register
-import dykeswitch.register.proposer as proposers
 import dykeswitch.registry.components as components
+import dykeswitch.registry.order_memory as order_memory
+import dykeswitch.registry.order_rules as order_rules
 
 
 class Orders:
@@ -29,8 +30,7 @@
     async def put(self, data: bytes, want: int | None = None) -> outcome.Good[int] | outcome.Bad:
         """Take a layout as it was sent; its version in the register, once it is in force.
 
-        A numbered layout moves the register only if its number is higher than the one that
-        stands; an older or equal one is acknowledged and changes nothing.
+        What becomes of a layout that was sent before, or comes late, say the `order_rules`.
         """
         parts = self._parts
         raw = parts.adapter.layout(data)
@@ -38,13 +38,23 @@
         if isinstance(checked, outcome.Bad):
             return checked
         kept = layouts.pack(checked.value) if isinstance(parts.adapter, adapters.Own) else data
-        result = await self._change(kept, want, checked.value.number)
+        order = self._order(kept, want, checked.value.number)
+        result = await parts.proposer.change(documents.LAYOUT, lambda now: self._decide(now, order))
         if isinstance(result, outcome.Bad):
             return result
         await parts.publisher.publish(documents.LAYOUT, result.value)
         await parts.publisher.handed(documents.LAYOUT, result.value.version)
-        parts.log.info("layout accepted", version=result.value.version, number=checked.value.number)
-        return outcome.Good(result.value.version)
+        version = order_rules.confirmed_version(result.value, order)
+        parts.log.info("layout accepted", version=version, number=order.number)
+        return outcome.Good(version)
+
+    def _order(self, body: bytes, want: int | None, number: int | None) -> order_rules.Order:
+        self._ops += 1
+        operation = f"{self._parts.bounds.name}/{self._parts.boot}/{documents.LAYOUT}/{self._ops}"
+        return order_rules.Order(operation, body, order_memory.digest_of(body), number, want)
+
+    def _decide(self, now: register.Value, order: order_rules.Order) -> register.Value | outcome.Bad:
+        return order_rules.decide(now, order, self._number(now.body))
 
     def _number(self, body: bytes) -> int | None:
         """The operator's number of a layout that the register holds."""
@@ -53,29 +63,3 @@
             return None
         number = raw.value.get("number")
         return number if isinstance(number, int) else None
-
-    async def _change(self, data: bytes, want: int | None, number: int | None) -> proposers.Read:
-        self._ops += 1
-        op = f"{self._parts.bounds.name}/{self._parts.boot}/{documents.LAYOUT}/{self._ops}"
-
-        def step(now: register.Value) -> register.Value | outcome.Bad:
-            # Ours already, or the same body by a repeat after an unknown outcome.
-            if now.made(op) is not None or now.body == data:
-                return now
-            held = self._number(now.body)
-            if held is not None and number is None:
-                return outcome.bad("lost_race", f"layouts are numbered; the newest is {held}")
-            if held is not None and number is not None and number <= held:
-                return now
-            if want is not None and now.version != want:
-                return outcome.bad("lost_race", f"newest is {now.version}")
-            return now.next(data, op)
-
-        result = await self._parts.proposer.change(documents.LAYOUT, step)
-        if isinstance(result, outcome.Good):
-            version = result.value.made(op)
-            # Another change may have gone on top of ours before we knew: ours stands
-            # under its own version.
-            if version is not None and version != result.value.version:
-                return outcome.Good(register.Value(version, data))
-        return result
--- a/packages/simulator/src/dykeswitch/simulator/history.py
+++ b/packages/simulator/src/dykeswitch/simulator/history.py
@@ -235,11 +235,18 @@
     return standing.slips(stood, story.roves, story.hits, story.owners, slack, order)
 
 
+def _first_sent(story: History, put: fleets.Put) -> float:
+    """When an order was first sent: sent again to the same version it is still one order."""
+    if put.match is None:
+        return put.begun
+    return min(p.begun for p in story.puts if (p.body, p.match) == (put.body, put.match))
+
+
 def register_holds(story: History) -> list[str]:
     """Accepted layouts are neither lost nor read back older; refused ones never stand."""
     found: list[str] = []
     bodies: dict[int, str] = {}
-    facts = [(p.begun, p.ended, p.version, p.body) for p in _accepted(story)]
+    facts = [(_first_sent(story, p), p.ended, p.version, p.body) for p in _accepted(story)]
     facts += [(g.begun, g.ended, g.version, g.body) for g in story.gots if g.status == 200]
     # "There is none" is an answer too: that of version 0.
     facts += [(g.begun, g.ended, 0, "") for g in story.gots if g.status == 404]
@@ -257,7 +264,8 @@
             found.append(f"version {version} was told at {begun:.3f} after {tops[at - 1]} had been")
     settled = {p.body for p in story.puts if p.status in (0, 200, 504)}
     for put in story.puts:
-        if put.status in (412, 422, 400, 503) and put.body in bodies.values() and put.body not in settled:
+        refused = put.status in (400, 409, 412, 422, 503)
+        if refused and put.body in bodies.values() and put.body not in settled:
             found.append(f"a layout refused with {put.status} stands all the same")
     for put in _accepted(story):
         if put.match is not None and put.version != put.match + 1:
--- /dev/null
+++ b/tests/test_orders.py
@@ -0,0 +1,208 @@
+"""Operators' orders: sent again, raced, refused, at any registry."""
+
+import asyncio
+import pathlib
+import random
+import typing
+
+import dykeswitch.frames as frames
+import dykeswitch.outcome as outcome
+import dykeswitch.register as register
+import dykeswitch.register.proposer as proposers
+import dykeswitch.register.voter as voters
+import dykeswitch.registry.order_memory as order_memory
+import dykeswitch.registry.order_rules as order_rules
+import dykeswitch.simulator.disk as disks
+import dykeswitch.simulator.loop as loops
+import dykeswitch.simulator.world as worlds
+import dykeswitch.standin.shape as shapes
+
+PAGES: typing.Final = shapes.ServiceShape("pages", 3, 20, "/pages", "GET", 0.05)
+SMALL: typing.Final = shapes.Shape("small", 2, 3, ("z1", "z2"), (PAGES,))
+
+
+class _Store:
+    """A store with nothing round it: just the voter and its listener."""
+
+    def __init__(self, address: str, disk: disks.SimDisk, machine: typing.Any, rng: random.Random) -> None:
+        self.voter = voters.Voter(disk, machine.points, rng)
+        self._address = address
+        self._machine = machine
+
+    async def run(self) -> None:
+        await self.voter.open()
+        ear = frames.Ear(self.voter.kinds(), lambda event, what: None)
+        await self._machine.net.listen(self._address, ear.serve)
+        await asyncio.Event().wait()
+
+    def stop(self) -> None:
+        return None
+
+
+class _Stores:
+    """Three stores that vote, and proposers on machines of their own."""
+
+    def __init__(self, scratch: pathlib.Path) -> None:
+        self.world = worlds.World(3, scratch)
+        self.addresses = [self.world.address() for _ in range(3)]
+        self.nodes = [self._node(f"store{n}", address) for n, address in enumerate(self.addresses)]
+        self._members = register.NOBODY
+
+    def _node(self, name: str, address: str) -> worlds.Node:
+        def build(machine: typing.Any, log: typing.Any, rng: random.Random) -> _Store:
+            assert node.disk is not None
+            return _Store(address, node.disk, machine, rng)
+
+        node = self.world.add("store", name, build)
+        node.disk = disks.SimDisk(self.world.folder(), self.world.rng)
+        return node
+
+    async def start(self) -> None:
+        for node in self.nodes:
+            node.start()
+        await asyncio.sleep(0.1)
+        pairs = [(n.daemon.voter.disk_id, s) for n, s in zip(self.nodes, self.addresses)]
+        self._members = register.MemberSet(1, (tuple(sorted(pairs)),))
+        caller = frames.Caller(self.world.machine_for("founder").net)
+        for disk, address in pairs:
+            await caller.ask(address, "install", {"disk": disk, "set": self._members.wire()}, 1.0)
+
+    def proposer(self, name: str) -> proposers.Proposer:
+        machine = self.world.machine_for(name)
+        made = proposers.Proposer(
+            name, frames.Caller(machine.net), machine.clock, machine.points, 0.5, random.Random(name)
+        )
+        made.adopt(self._members)
+        return made
+
+
+def _order(operation: str, body: bytes, **more: int | None) -> order_rules.Order:
+    return order_rules.Order(operation, body, order_memory.digest_of(body), **more)
+
+
+def _step(order: order_rules.Order) -> proposers.Step:
+    return lambda now: order_rules.decide(now, order, None)
+
+
+def test_a_refusal_rests_on_what_a_majority_holds(tmp_path: pathlib.Path) -> None:
+    """What one store alone had accepted made a refusal; then the same order was taken elsewhere."""
+
+    async def main() -> None:
+        stores = _Stores(tmp_path)
+        await stores.start()
+        wires = stores.world.wires
+        first = await stores.proposer("a").change("k", _step(_order("a/1", b"one")))
+        assert isinstance(first, outcome.Good)
+        # A second order reaches one store with its accept, and is never heard of again.
+        lone = stores.proposer("b")
+        points = typing.cast(worlds.SimPoints, lone._points)
+        points.armed[proposers.POINT_BEFORE_ACCEPT] = lambda: wires.cut(["b"], ["store1", "store2"])
+        task = asyncio.create_task(lone.change("k", _step(_order("b/1", b"two", match=1))))
+        await asyncio.sleep(0.2)
+        task.cancel()
+        # The third meets that copy: the store that holds it is one of the two that answer.
+        wires.cut(["c"], ["store2"])
+        told = await stores.proposer("c").change("k", _step(_order("c/1", b"three", match=1)))
+        assert isinstance(told, outcome.Bad) and told.code.tag == "lost_race"
+        # It was sent to another registry as well, which does not reach that store.
+        stores.nodes[0].lose_power()
+        again = await stores.proposer("d").change("k", _step(_order("d/1", b"three", match=1)))
+        assert isinstance(again, outcome.Bad), "refused by one registry and in force by another"
+
+    loops.run(main())
+
+
+class _Register:
+    """The register's value alone, changed by one order after another."""
+
+    def __init__(self) -> None:
+        self.value = register.BLANK
+        self.held: int | None = None
+        self._orders = 0
+
+    def send(self, body: bytes, number: int | None = None, match: int | None = None) -> int | str:
+        """The version that an order is confirmed with, or the tag of what it is told."""
+        self._orders += 1
+        order = _order(f"r/{self._orders}", body, number=number, match=match)
+        result = order_rules.decide(self.value, order, self.held)
+        if isinstance(result, outcome.Bad):
+            return result.code.tag
+        if result.version > self.value.version:
+            self.held = number
+        # As it comes back from the stores.
+        self.value = register.value_of(result.wire())
+        return order_rules.confirmed_version(self.value, order)
+
+
+def _body(number: int) -> bytes:
+    return f"layout {number}".encode()
+
+
+def test_no_two_bodies_are_confirmed_under_one_number() -> None:
+    kept = _Register()
+    assert kept.send(b"seven", number=7) == 1
+    assert kept.send(b"other", number=7) == "number_taken"
+    assert kept.send(b"nine", number=9) == 2
+    assert kept.send(b"other", number=7) == "number_taken"
+    # One that was never in force is acknowledged as superseded, and is the only one under its number.
+    assert kept.send(b"eight", number=8) == 2
+    assert kept.send(b"other", number=8) == "number_taken"
+    assert kept.send(b"eight", number=8) == 2
+    assert kept.value.body == b"nine" and kept.value.version == 2
+
+
+def test_a_numbered_order_is_known_again_after_hundreds_of_later_ones() -> None:
+    kept = _Register()
+    many = 3 * order_memory.ENTRIES_KEPT
+    for number in range(1, many + 1):
+        assert kept.send(_body(number), number=number * 3) == number
+    for number in range(1, many + 1):
+        # Never refused, however old: what is forgotten is superseded for certain.
+        assert kept.send(_body(number), number=number * 3) == many
+    edge = many - order_memory.ENTRIES_KEPT + 1
+    assert {kept.send(b"other", number=n * 3) for n in range(edge, many + 1)} == {"number_taken"}
+    assert len(kept.value.memory) < 32 + 16 * order_memory.ENTRIES_KEPT
+    assert kept.value.body == _body(many)
+
+
+def test_an_order_with_if_match_is_known_again_after_hundreds_of_later_ones() -> None:
+    kept = _Register()
+    many = 2 * order_memory.ENTRIES_KEPT
+    for number in range(many):
+        assert kept.send(_body(number), match=number) == number + 1
+    edge = many - order_memory.ENTRIES_KEPT
+    for number in range(edge, many):
+        assert kept.send(_body(number), match=number) == number + 1
+        assert kept.send(b"other", match=number) == "lost_race"
+    # Too old to tell whether it was taken: neither confirmed nor refused for good.
+    assert {kept.send(_body(number), match=number) for number in range(edge)} == {"too_old"}
+    assert kept.send(b"other", match=many + 5) == "lost_race"
+    assert kept.value.version == many and kept.value.body == _body(many - 1)
+
+
+def test_an_order_with_if_match_is_known_again_once_layouts_are_numbered() -> None:
+    kept = _Register()
+    assert kept.send(b"one", match=0) == 1
+    assert kept.send(b"two", match=1) == 2
+    assert kept.send(b"forty", number=40) == 3
+    assert kept.send(b"one", match=0) == 1
+    assert kept.send(b"two", match=1) == 2
+    assert kept.send(b"forty-one", match=2) == "lost_race"
+    assert kept.send(b"one") == "lost_race"
+
+
+def test_a_value_from_before_there_was_a_memory_is_taken_up() -> None:
+    kept = _Register()
+    kept.value, kept.held = register.Value(5, b"five"), 50
+    assert kept.send(b"other", number=50) == "number_taken"
+    assert kept.send(b"five", number=50) == 5
+    assert kept.send(b"older", number=49) == 5
+    assert kept.send(b"another", number=49) == 5
+    assert kept.send(b"six", number=60) == 6
+    assert kept.send(b"other", number=50) == "number_taken"
+    plain = _Register()
+    plain.value = register.Value(5, b"five")
+    assert plain.send(b"four", match=3) == "too_old"
+    assert plain.send(b"six", match=5) == 6
+    assert plain.send(b"six", match=5) == 6
+    assert plain.send(b"other", match=5) == "lost_race"
--- a/tests/test_recall.py
+++ b/tests/test_recall.py
@@ -38,10 +38,14 @@
     async def work(fleet: fleets.SimFleet) -> None:
         first = await fleet.put(_numbered(7, "/seven"), fleet.cores[0])
         assert first.status == 200
-        # An older one, and another of the same number: acknowledged, and nothing changes.
-        for doc in (_numbered(3, "/three"), _numbered(7, "/other")):
+        # The same again, and an older one: acknowledged, and nothing changes.
+        for doc in (_numbered(7, "/seven"), _numbered(3, "/three")):
             again = await fleet.put(doc, fleet.cores[1])
             assert (again.status, again.version) == (200, first.version)
+        # Another of the same number, or of one acknowledged as older: never confirmed as well.
+        for doc in (_numbered(7, "/other"), _numbered(3, "/other")):
+            for core in fleet.cores:
+                assert (await fleet.put(doc, core)).status == 409
         got = await fleet.get(fleet.cores[2])
         assert json.loads(got.body) == _numbered(7, "/seven")
         # One without a number can't be set in order with them.
