A reply that names no exchange, where others did, and one for an earlier request are nobody's

Cause: a connection compared the id of a reply with that of the request only where both had one. On a connection whose earlier replies named their exchanges, a surplus reply without an id was taken for the next request's and went to another caller; so was an earlier request's second reply where the request at hand bore no id at all.

Ruled out by the same tests, which held before: interim answers (100, 102, 103, an unasked 101), a reset or an end before, within and after the head, silence, each on fresh and on rested connections; a write is sent once in every case and is told no hint. A late answer after the caller was told goes to nobody; pipelined requests are answered one after the other, and what is pipelined behind a broken answer is not begun.

An endpoint that never names exchanges is still taken at its word.

--- a/packages/soundness/src/dykeswitch/soundness/connection.py
+++ b/packages/soundness/src/dykeswitch/soundness/connection.py
@@ -136,19 +136,28 @@
             if not isinstance(event, h11.Response):
                 raise Flaw(soundness.BROKE_OFF, True)
             head = Head(event.status_code, [(bytes(k), bytes(v)) for k, v in event.headers.raw_items()])
-            back = head.get(self._exchange) if name is not None else None
-            if back is None or back == name:
-                if name is not None:
-                    self._asked = [*self._asked[-SURPLUS_MOST:], name]
+            if self._answers(head, name):
                 self._learn(head)
                 return head
-            if back not in self._asked:
-                raise Flaw(soundness.OTHERS_REPLY, True)
             # A second reply to an exchange of before: the id tells it from ours, which
             # is still to come.
             await self._pass_over(method, target, heads)
         raise Flaw(soundness.OTHERS_REPLY, True)
 
+    def _answers(self, head: Head, name: bytes | None) -> bool:
+        """Whether a reply answers the exchange of a name, and not an earlier one; raises for neither."""
+        named = head.get(self._exchange) if self._exchange else None
+        if named is not None and named == name:
+            self._asked = [*self._asked[-SURPLUS_MOST:], named]
+            return True
+        if named in self._asked:
+            return False
+        # Where replies name their exchanges, one that names none is nobody's: a surplus one may
+        # come in the place of ours.
+        if name is not None and (named is not None or self._asked):
+            raise Flaw(soundness.OTHERS_REPLY, True)
+        return True
+
     async def _pass_over(self, method: str, target: bytes, heads: Heads) -> None:
         """Read to the end of a reply that is not ours, and look for ours behind it."""
         while not isinstance(event := await self._event(), h11.EndOfMessage):
