Selection among a subset of endpoints by rendezvous hash, flat in the size of the service

Cause: each selection sorted, looked up and rated all endpoints of a service, and where near ones were slow any proxy turned to any endpoint of the fleet, opening a connection to each.

Tried and left out: rating an endpoint with an idle connection as sooner by 0.05 or 0.15 of the pace.

--- a/packages/proxy/src/dykeswitch/proxy/selection.py
+++ b/packages/proxy/src/dykeswitch/proxy/selection.py
@@ -9,6 +9,7 @@
 import typing
 
 import dykeswitch.adapter as adapters
+import dykeswitch.proxy.preference as preference
 import dykeswitch.settings as settings
 import dykeswitch.timeline as timeline
 
@@ -20,6 +21,11 @@
 LOT: typing.Final = 0.1
 # What a service is thought to take before any reply came, as a part of an exchange's most.
 FIRST_PACE: typing.Final = 1 / 300
+# Among how many endpoints one is selected, and how many of them are of the own zone at most. The
+# work of a selection, and the connections an endpoint is asked for, stay the same however many
+# endpoints a service has.
+SUBSET_MOST: typing.Final = 16
+SUBSET_NEAR_MOST: typing.Final = 12
 # An endpoint that has just started is thought to be so many times as slow.
 WARM: typing.Final = 1.6
 
@@ -80,6 +86,7 @@
         self.flights: dict[str, int] = {}
         self.paused: typing.Callable[[str], str | None] = lambda endpoint: None
         self._services: dict[str, set[str]] = {}
+        self._preferences = preference.Preferences(bounds.name, bounds.zone)
         self._seen: dict[str, Seen] = {}
         self._paces: dict[str, Pace] = {}
         line.on_change(self._note)
@@ -89,6 +96,7 @@
             return
         for names in self._services.values():
             names.discard(entry.key)
+        self._preferences.note(entry)
         if entry.fields["state"] == timeline.UP:
             self._services.setdefault(str(entry.fields["service"]), set()).add(entry.key)
             seen = self._seen.setdefault(entry.key, Seen())
@@ -121,21 +129,43 @@
 
     def select(self, service: str, tried: set[str], aim_s: float | None = None) -> timeline.Entry | None:
         """The endpoint for the next go."""
+        subset = self._subset(service, tried)
+        if subset:
+            return self._soonest(service, subset, aim_s)
         every = self.up(service)
-        fresh = [e for e in every if e.key not in tried]
-        sound = [e for e in fresh if self._marks.down(e.key) is None]
-        if sound:
-            return self._soonest(service, sound, aim_s)
         if any(self._marks.down(e.key) is None for e in every):
             # The only unmarked ones have been tried by this very exchange.
             return None
         # The source leaves open what to do when every endpoint is marked. Sending
         # nothing would make a wrong mark an outage, so the one whose mark ends
         # first is asked: each exchange tries it at most once.
+        fresh = [e for e in every if e.key not in tried]
         if fresh:
             return min(fresh, key=lambda e: (self._ends(e.key), e.key))
         return None
 
+    def _subset(self, service: str, tried: set[str]) -> list[timeline.Entry]:
+        """The first few unmarked endpoints in this proxy's own order of preference."""
+        near = self._first_open(self._preferences.near(service), tried, SUBSET_MOST)
+        far_count = SUBSET_MOST - min(len(near), SUBSET_NEAR_MOST)
+        far = self._first_open(self._preferences.far(service), tried, far_count)
+        return near[: SUBSET_MOST - len(far)] + far
+
+    def _first_open(self, names: typing.Sequence[str], tried: set[str], most: int) -> list[timeline.Entry]:
+        """The first of some endpoints that are up, unmarked, not paused and not tried yet."""
+        found: list[timeline.Entry] = []
+        for name in names:
+            if len(found) == most:
+                break
+            if name in tried:
+                continue
+            entry = self._line.get(timeline.ENDPOINT, name)
+            if entry is None or entry.fields["state"] != timeline.UP:
+                continue
+            if self._marks.down(name) is None and self.paused(name) is None:
+                found.append(entry)
+        return found
+
     def _ends(self, endpoint: str) -> float:
         mark = self._marks.down(endpoint)
         return mark.expiry if mark is not None else 0.0
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -1,6 +1,7 @@
 """What a proxy learns of endpoints, and how it tells replies apart; no fleet needed."""
 
 import asyncio
+import collections
 import random
 import typing
 
@@ -199,15 +200,19 @@
         self.at += span
 
 
-def _selector(zones: dict[str, str]) -> tuple[selection.Selector, Still, timeline.Timeline]:
+def _selector(zones: dict[str, str], name: str = "p") -> tuple[selection.Selector, Still, timeline.Timeline]:
     clock = Still()
     line = timeline.Timeline("p", clock, 900.0)
-    bounds = settings.Settings(name="p", zone="near")
+    bounds = settings.Settings(name=name, zone="near")
     made = selection.Selector(line, timeline.Marks(line, 5.0), bounds, random.Random(1))
-    for n, (name, zone) in enumerate(zones.items()):
-        fields: timeline.Fields = {"service": "s", "address": f"10.0.0.{n + 1}:1", "zone": zone}
+    for n, (endpoint, zone) in enumerate(zones.items()):
+        fields: timeline.Fields = {
+            "service": "s",
+            "address": f"10.0.{n // 250}.{n % 250 + 1}:1",
+            "zone": zone,
+        }
         fields.update(state="up", born=[n, "r"], slots=2, load=0.0)
-        line.write(timeline.ENDPOINT, name, fields, 900.0, urgent=False)
+        line.write(timeline.ENDPOINT, endpoint, fields, 900.0, urgent=False)
     return made, clock, line
 
 
@@ -268,3 +273,56 @@
     assert set(_picked(selector)) == {"b"}
     clock.at += 1.0
     assert set(_picked(selector)) == {"a", "b"}
+
+
+# Selection among a subset.
+
+
+def _selects_from(proxy: str, zones: dict[str, str]) -> set[str]:
+    """Which endpoints a proxy selects while requests pile up at all that it knows."""
+    selector, _, _ = _selector(zones, proxy)
+    found = set()
+    for _ in range(400):
+        entry = selector.select("s", set(), 0.2)
+        assert entry is not None
+        selector.begun(entry.key)
+        found.add(entry.key)
+    return found
+
+
+def test_a_proxy_keeps_to_a_subset_that_does_not_grow_with_the_service() -> None:
+    zones = {f"e{n}": f"far{n % 4}" if n % 5 else "near" for n in range(300)}
+    found = _selects_from("p", zones)
+    assert len(found) == selection.SUBSET_MOST
+    near = {name for name in found if zones[name] == "near"}
+    assert len(near) == selection.SUBSET_NEAR_MOST
+
+
+def test_subsets_of_many_proxies_spread_over_all_endpoints() -> None:
+    zones = {f"e{n}": "elsewhere" for n in range(60)}
+    shares: collections.Counter[str] = collections.Counter()
+    for n in range(90):
+        shares.update(_selects_from(f"proxy-{n}", zones))
+    # Each of 90 proxies has 16 of 60: 24 for each endpoint in the mean.
+    assert len(shares) == 60
+    assert max(shares.values()) <= 45
+
+
+def test_marked_endpoints_give_their_place_in_the_subset_to_others() -> None:
+    zones = {f"e{n}": "near" for n in range(40)}
+    selector, _, line = _selector(zones)
+    marks = timeline.Marks(line, 5.0)
+
+    async def main() -> None:
+        for n in range(35):
+            marks.set(f"e{n}", "timed out", "p")
+
+    asyncio.run(main())
+    assert set(_picked(selector)) == {f"e{n}" for n in range(35, 40)}
+
+
+def test_an_endpoint_that_moved_to_another_zone_is_no_longer_near() -> None:
+    selector, _, line = _selector({"a": "near", "b": "near"})
+    moved = {**_get(line, "a").fields, "zone": "elsewhere"}
+    line.write(timeline.ENDPOINT, "a", moved, 900.0, urgent=False)
+    assert set(_picked(selector)) == {"b"}
