Endpoints that failed are avoided for a while; connections that rest too long are not used for it

Cause: at 81 proxies each sees a request of one endpoint every few seconds, so three failures in a row or a quarter of many never come together and a grey endpoint kept its full share of requests; and where endpoints forget idle connections early every write that met one was lost, again and again, since the proxy went by the time that was told.

A failure (not a promised refusal) now counts as one request's pace in selection and fades by half in a mark's life; a reset of a rested connection before any reply bounds the rest for that service for a mark's life. Both are a proxy's own: nothing goes over the wire.

--- a/packages/proxy/src/dykeswitch/proxy/carrier.py
+++ b/packages/proxy/src/dykeswitch/proxy/carrier.py
@@ -13,6 +13,7 @@
 import dykeswitch.ports as ports
 import dykeswitch.proxy.budget as budgets
 import dykeswitch.proxy.exchange as exchanges
+import dykeswitch.proxy.resting as resting
 import dykeswitch.proxy.selection as selection
 import dykeswitch.settings as settings
 import dykeswitch.soundness as soundness
@@ -107,6 +108,7 @@
         self.table: dict[str, exchanges.Exchange] = {}
         self._idle: dict[str, list[connections.EndpointConnection]] = {}
         self._budgets: dict[str, budgets.Budget] = {}
+        self._rests = resting.RestLimits(bounds.mark_s)
         self._strikes = soundness.Strikes(bounds.mark_s)
         self.closing = False
         self.counts: dict[str, int] = {}
@@ -330,9 +332,11 @@
         held = self._idle.get(entry.key, [])
         while held:
             connection = held.pop()
-            if not connection.usable() or connection.address != address or self._stale(connection, now):
+            stale = self._stale(connection, x.service, now)
+            if not connection.usable() or connection.address != address or stale:
                 connection.close()
                 continue
+            connection.rested_s = now - connection.used
             # A pipe that lay idle may by now lead to whoever took the address over without
             # our hearing of it: only a fresh proof tells, or the id that the request bears.
             if now - connection.used < self._bounds.drain_s / 4 or self._bounds.proof == "header":
@@ -355,9 +359,11 @@
             # It had less time than a dial and a probe have: that says nothing of the endpoint.
             raise connections.Flaw("expired", False) from flaw
 
-    def _stale(self, connection: connections.EndpointConnection, now: float) -> bool:
-        """Whether the endpoint is about to close an idle pipe, by its own word."""
-        return connection.idle_s is not None and now - connection.used > connection.idle_s / 2
+    def _stale(self, connection: connections.EndpointConnection, service: str, now: float) -> bool:
+        """Whether the endpoint may be about to close an idle connection, or have forgotten it."""
+        rested_s = now - connection.used
+        told = connection.idle_s is not None and rested_s > connection.idle_s / 2
+        return told or rested_s > self._rests.longest(service, now)
 
     async def _still_proven(
         self, connection: connections.EndpointConnection, probe: str, left: float
@@ -479,6 +485,8 @@
         assert x.endpoint is not None and x.connection is not None
         name = x.endpoint.key
         if x.flaw:
+            if x.flaw == soundness.BROKE_OFF and x.head is None and x.connection.rested_s:
+                self._rests.reset(x.service, x.connection.rested_s, self._clock.now())
             self._put_away(x, sound=False)
             self._step(x, f"go to {name} failed, {'sent' if x.sent else 'nothing sent'}", x.flaw)
             if x.flaw not in ("expired", "no longer to be used"):
@@ -512,7 +520,7 @@
             return Stage.REPLY
         self._step(x, f"{name} answered {x.head.status}", "promised not to have run" if promised else "")
         if fault is not None:
-            self._mark(name, fault)
+            self._mark(name, fault, promised)
         if promised or not x.writing:
             if x.rest is not None:
                 self._put_away(x, sound=False)
@@ -525,7 +533,11 @@
         # A writing request's reply without a promise is the endpoint's last word.
         return Stage.REPLY
 
-    def _mark(self, endpoint: str, fault: soundness.Fault) -> None:
+    def _mark(self, endpoint: str, fault: soundness.Fault, promised: bool = False) -> None:
+        """Note a failure: the endpoint is avoided, and marked once it fails too often."""
+        # One that refused by its word is full, which selection knows already.
+        if not promised:
+            self.selector.failed(endpoint)
         if self._strikes.strike(endpoint, fault, self._clock.now()):
             self.count("marks")
             self._marks.set(endpoint, fault.reason, self._bounds.name)
--- a/packages/proxy/src/dykeswitch/proxy/selection.py
+++ b/packages/proxy/src/dykeswitch/proxy/selection.py
@@ -26,6 +26,10 @@
 # endpoints a service has.
 SUBSET_MOST: typing.Final = 16
 SUBSET_NEAR_MOST: typing.Final = 12
+# How many requests' paces one failure of an endpoint counts for, and how many failures at most: a
+# proxy of many sees too little of one endpoint to mark it soon, and others may be as good.
+FAILURE_COST: typing.Final = 1.0
+FAILURES_MOST: typing.Final = 4.0
 # An endpoint that has just started is thought to be so many times as slow.
 WARM: typing.Final = 1.6
 
@@ -66,6 +70,9 @@
     slots: int = 0
     # Until when it is slow, having just started.
     warm: float = -1e9
+    # Failures, which fade, and the moment up to which they have faded.
+    failures: float = 0.0
+    failed_at: float = -1e9
 
 
 class Selector:
@@ -179,6 +186,7 @@
             span = self.finish_s(entry, base)
             if entry.fields.get("zone") != self._zone:
                 span += far
+            span += base * FAILURE_COST * self.failures(entry.key)
             return span + base * LOT * self._rng.random()
 
         return min(sound, key=cost)
@@ -256,6 +264,22 @@
             seen.others = max(seen.others, (seen.slots or 1) * 4.0)
             seen.at = self._line.clock.now()
 
+    def failed(self, endpoint: str) -> None:
+        """A go to it failed: for a while others that are about as good go first."""
+        seen = self._seen.get(endpoint)
+        if seen is not None:
+            seen.failures = min(FAILURES_MOST, self.failures(endpoint) + 1)
+            seen.failed_at = self._line.clock.now()
+
+    def failures(self, endpoint: str) -> float:
+        """The failures of an endpoint that still count; half of them after a mark's life."""
+        seen = self._seen.get(endpoint)
+        if seen is None or not seen.failures:
+            return 0.0
+        age = self._line.clock.now() - seen.failed_at
+        faded: float = 0.5 ** (age / self._bounds.mark_s)
+        return seen.failures * faded
+
     def open_in(self, service: str, now: float) -> float:
         """Seconds until the first of a service's marks runs out."""
         ends = [self._ends(e.key) - now for e in self.up(service)]
--- a/packages/soundness/src/dykeswitch/soundness/connection.py
+++ b/packages/soundness/src/dykeswitch/soundness/connection.py
@@ -55,6 +55,8 @@
         self._asked: list[bytes] = []
         self._wrote = 0
         self.used = now
+        # For how long it had lain idle before the exchange at hand, in seconds; 0 on a fresh one.
+        self.rested_s = 0.0
         # Until when the endpoint said that it keeps an idle pipe, in seconds of idling.
         self.idle_s: float | None = None
         self.closed = False
--- a/tests/test_data_path.py
+++ b/tests/test_data_path.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import dataclasses
+import math
 import random
 import socket
 import typing
@@ -55,8 +56,13 @@
         self._endpoint = endpoint
         self._coming: list[str] = []
         self._closed = False
+        self._used = asyncio.get_running_loop().time()
 
     async def write(self, data: bytes) -> None:
+        now = asyncio.get_running_loop().time()
+        rested_s, self._used = now - self._used, now
+        if rested_s > self._endpoint.forgets_s:
+            raise ConnectionResetError
         self._endpoint.requests.append(data)
         names = [line[len(ID) + 1 :] for line in data.split(b"\r\n") if line.lower().startswith(ID)]
         name = names[0].strip().decode() if names else "unnamed"
@@ -64,6 +70,7 @@
         self._coming += [part.replace("{id}", name) for part in answer]
 
     async def read(self, most: int) -> bytes:
+        await asyncio.sleep(self._endpoint.work_s)
         if not self._coming:
             return b""
         part = self._coming.pop(0)
@@ -87,6 +94,10 @@
         self.script = list(script)
         self.requests: list[bytes] = []
         self.dialed = 0
+        # How long each part of an answer takes, in seconds.
+        self.work_s = 0.05
+        # After which rest it resets a connection that is used again.
+        self.forgets_s = math.inf
 
 
 class ScriptedNetwork:
@@ -321,6 +332,52 @@
     loops.run(main())
 
 
+def test_an_endpoint_that_fails_now_and_then_gets_few_requests_from_one_proxy() -> None:
+    """It fails too seldom, as one proxy of many sees it, to be marked by that proxy."""
+
+    async def work() -> None:
+        grey, good = ScriptedEndpoint(*[[WHOLE], [RESET]] * 100), ScriptedEndpoint()
+        # Where it does answer it is the better one.
+        grey.work_s = 0.04
+        stage = Stage(grey, good)
+        for entry, span in zip(stage.carrier.selector.up("s"), (0.04, 0.05)):
+            for _ in range(50):
+                stage.carrier.selector.learn(entry, span, 0.0, None)
+        for _ in range(60):
+            assert (await stage.ask()).status == 200
+            await asyncio.sleep(2.0)
+        assert stage.carrier.counts.get("marks", 0) == 0
+        assert len(grey.requests) <= 20
+
+    _play(work)
+
+
+def test_writes_are_not_lost_again_and_again_to_connections_that_were_forgotten() -> None:
+    """Idle connections are reset when they are used, long before the time that was told."""
+
+    async def work() -> None:
+        endpoint = ScriptedEndpoint()
+        endpoint.forgets_s = 0.3
+        stage = Stage(endpoint)
+        answers = []
+        for _ in range(40):
+            answers.append(await stage.ask("POST"))
+            await asyncio.sleep(0.5)
+        lost = [answer for answer in answers if answer.status != 200]
+        # One shows it; what it taught is tried again after a while, since it may be over.
+        assert len(lost) <= 4
+        # Once it is over connections are used again.
+        endpoint.forgets_s = math.inf
+        await asyncio.sleep(5.0)
+        dialed = endpoint.dialed
+        for _ in range(10):
+            assert (await stage.ask("POST")).status == 200
+            await asyncio.sleep(0.5)
+        assert endpoint.dialed <= dialed + 1
+
+    _play(work)
+
+
 # HTTP pipelining by a client, on the web server that proxies use.
 
 
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -326,3 +326,28 @@
     moved = {**_get(line, "a").fields, "zone": "elsewhere"}
     line.write(timeline.ENDPOINT, "a", moved, 900.0, urgent=False)
     assert set(_picked(selector)) == {"b"}
+
+
+def test_one_failure_sends_a_proxy_to_others_that_are_as_good_for_a_while() -> None:
+    selector, clock, line = _selector({"a": "near", "b": "near"})
+    for name in ("a", "b"):
+        for _ in range(50):
+            selector.learn(_get(line, name), 0.06, 0.0, adapters.Load(0, 0, 2))
+    selector.failed("a")
+    assert set(_picked(selector)) == {"b"}
+    # No more than a preference: once the others' queues cost more, it is asked again.
+    for _ in range(6):
+        selector.begun("b")
+    assert set(_picked(selector)) == {"a"}
+    for _ in range(6):
+        selector.ended("b")
+    clock.at += 30.0
+    assert set(_picked(selector)) == {"a", "b"}
+
+
+def test_failures_of_all_endpoints_alike_change_nothing() -> None:
+    selector, _, _ = _selector({"a": "near", "b": "near"})
+    for _ in range(9):
+        selector.failed("a")
+        selector.failed("b")
+    assert set(_picked(selector)) == {"a", "b"}
