--- a/packages/registry/src/dykeswitch/registry/program.py
+++ b/packages/registry/src/dykeswitch/registry/program.py
@@ -15,6 +15,7 @@
 import dykeswitch.registry.pages as pages
 import dykeswitch.registry.planned as planned
 import dykeswitch.registry.queries as queries
+import dykeswitch.registry.relay as relay
 import dykeswitch.registry.routes as routes
 import dykeswitch.registry.standing as standing
 import dykeswitch.registry.upkeep as upkeeps
@@ -46,6 +47,7 @@
         self.heartbeats = heartbeats.Heartbeats(self.parts)
         self.orders = orders.Orders(self.parts)
         self.members = member_calls.MemberCalls(self.parts)
+        self.relay = relay.DocumentRelay(self.parts)
         self.upkeep = upkeeps.Upkeep(self.parts, self.members)
         self._server: ports.WebServer | None = None
         self._stop = asyncio.Event()
@@ -78,13 +80,15 @@
     async def run(self) -> None:
         """Serve until told to stop."""
         bounds = self.bounds
-        ear = frames.Ear(self.members.kinds(), self.log.note, self.parts.meter)
+        kinds = {**self.members.kinds(), **self.relay.kinds()}
+        ear = frames.Ear(kinds, self.log.note, self.parts.meter)
         listener = await self.machine.net.listen(bounds.ear or bounds.member, ear.serve)
         try:
             self._server = await self.machine.web.serve(bounds.web, self.app)
             self.log.info("started", web=bounds.web, member=bounds.member)
             async with asyncio.TaskGroup() as group:
-                tasks = [group.create_task(loop) for loop in self.upkeep.loops()]
+                loops = [*self.upkeep.loops(), self.relay.keep_fetched()]
+                tasks = [group.create_task(loop) for loop in loops]
                 await self._stop.wait()
                 self.standing.stopping = True
                 self.log.info("stopping")
