--- /dev/null
+++ b/packages/cli/src/dykeswitch/cli/fuzz/fleet.py
@@ -0,0 +1,33 @@
+"""A small simulated fleet to be sent odd things, and the check that it took no harm."""
+
+import asyncio
+import pathlib
+import typing
+
+import dykeswitch.simulator.fleet as fleets
+import dykeswitch.standin.shape as shapes
+
+SHAPE: typing.Final = shapes.Shape(
+    "fuzzed", 1, 3, ("z1",), (shapes.ServiceShape("pages", 2, 1, "/pages", "GET", 0.01),)
+)
+SEED: typing.Final = 5
+SETTLE_S: typing.Final = 1.0
+
+
+async def started(scratch: pathlib.Path) -> fleets.SimFleet:
+    """A fleet that serves."""
+    fleet = fleets.SimFleet(SHAPE, SEED, scratch)
+    await fleet.start()
+    return fleet
+
+
+async def check_unharmed(fleet: fleets.SimFleet, version: int) -> None:
+    """All programs run, the layout is the one that was put, and requests are replied to."""
+    await asyncio.sleep(SETTLE_S)
+    for node in fleet.world.nodes.values():
+        assert not node.flaw, node.flaw
+        assert node.up, node.name
+    got = await fleet.get(fleet.cores[0])
+    assert (got.status, got.version) == (200, version)
+    ask = await fleet.callers.ask(SHAPE.services[0], fleet.edges[0].web)
+    assert ask.status == 200
--- a/packages/cli/src/dykeswitch/cli/main.py
+++ b/packages/cli/src/dykeswitch/cli/main.py
@@ -2,6 +2,7 @@
 
 import argparse
 import asyncio
+import dataclasses
 import json
 import sys
 import typing
@@ -82,6 +83,10 @@
     text = "so many times fewer requests, each so many times as long (default 1)"
     sub.add_argument("--slower", type=float, default=1.0, help=text)
     sub.add_argument("--workers", type=int, default=3)
+    text = "send odd frames, bodies and answers to the programs until the time is over"
+    sub = words.add_parser("fuzz", help=text, description=text)
+    sub.add_argument("--seconds", type=float, default=60.0, help="how long (default 60)")
+    sub.add_argument("--seed", type=int, default=1, help="the same seed plays the same cases (default 1)")
     return top
 
 
@@ -174,6 +179,18 @@
     return 0
 
 
+def _fuzz(spoken: argparse.Namespace) -> int:
+    try:
+        # Hypothesis is a tool of development: an installed gateway need not have it.
+        import dykeswitch.cli.fuzz as fuzz
+    except ModuleNotFoundError as flaw:
+        sys.stderr.write(f"dykeswitch: fuzzing needs {flaw.name}: see requirements-dev.txt\n")
+        return 2
+    report = fuzz.run(spoken.seconds, spoken.seed)
+    print(json.dumps(dataclasses.asdict(report), indent=2))
+    return 1 if report.failures else 0
+
+
 def main(argv: typing.Sequence[str] | None = None) -> int:
     spoken = parser().parse_args(argv)
     if spoken.word in ("query", "apply", "fetch", "compare", "check"):
@@ -190,6 +207,8 @@
         return _trial(spoken)
     if spoken.word == "worth":
         return _worth(spoken)
+    if spoken.word == "fuzz":
+        return _fuzz(spoken)
     return daemons.run(spoken.word, spoken)
 
 
