--- /dev/null
+++ b/tests/test_many_changes.py
@@ -0,0 +1,194 @@
+"""Hundreds of changes in a row with layouts of hundreds of routes: what they cost stays flat."""
+
+import asyncio
+import dataclasses
+import gc
+import json
+import pathlib
+import random
+import tracemalloc
+import typing
+
+import pytest
+
+import dykeswitch.frames as frames
+import dykeswitch.outcome as outcome
+import dykeswitch.ports as ports
+import dykeswitch.register as register
+import dykeswitch.register.proposer as proposers
+import dykeswitch.register.storage as storage
+import dykeswitch.register.voter as voters
+import dykeswitch.simulator.disk as disks
+import dykeswitch.simulator.loop as loops
+import dykeswitch.simulator.world as worlds
+
+ROUTES: typing.Final = 300
+STORES: typing.Final = 3
+WAIT_S: typing.Final = 0.5
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Cost:
+    """What stands after so many changes, on one store."""
+
+    changes: int
+    bytes_a_change: float
+    syncs_a_change: float
+    files: int
+    bytes_on_disk: int
+    open_syncs: int
+    memory: int
+
+
+def _layout(change: int) -> bytes:
+    """A document of hundreds of routes, of which each change moves one."""
+    routes = [
+        {"path": f"/route-{n}/part", "service": f"service-{n % 20}", "methods": ["GET"], "expiry_s": 1.5}
+        for n in range(ROUTES)
+    ]
+    routes[change % ROUTES]["path"] = f"/changed-{change:06d}/part"
+    return json.dumps({"rules": routes}).encode()
+
+
+class Stores:
+    """Voters behind a caller that calls them directly."""
+
+    def __init__(self, scratch: pathlib.Path) -> None:
+        self.disks: list[disks.SimDisk] = []
+        self.voters: dict[str, voters.Voter] = {}
+        for number in range(STORES):
+            root = scratch / f"disk{number}"
+            root.mkdir()
+            self.disks.append(disks.SimDisk(root, random.Random(number)))
+
+    async def start(self) -> proposers.Proposer:
+        for number, disk in enumerate(self.disks):
+            self.voters[self.address(number)] = await _open(disk)
+        group = tuple(sorted((voter.disk_id, address) for address, voter in self.voters.items()))
+        members = register.MemberSet(1, (group,))
+        for voter in self.voters.values():
+            result = await voter.kinds()["install"]({"set": members.wire(), "disk": voter.disk_id})
+            assert isinstance(result, outcome.Good)
+        proposer = proposers.Proposer(
+            "p",
+            typing.cast(frames.Caller, self),
+            worlds.SimClock(typing.cast(loops.VirtualLoop, asyncio.get_running_loop())),
+            ports.NoPoints(),
+            WAIT_S,
+            random.Random(1),
+        )
+        proposer.adopt(members)
+        return proposer
+
+    @staticmethod
+    def address(number: int) -> str:
+        return f"10.0.0.{number + 1}:1"
+
+    async def ask(self, address: str, kind: str, body: frames.Body, wait: float) -> frames.Result:
+        return await self.voters[address].kinds()[kind](body)
+
+
+async def _open(disk: disks.SimDisk) -> voters.Voter:
+    voter = voters.Voter(disk, ports.NoPoints(), random.Random(str(disk.root)))
+    await voter.open()
+    return voter
+
+
+def _put(change: int) -> proposers.Step:
+    def step(now: register.Value) -> register.Value:
+        return now.next(_layout(change), f"op-{change}")
+
+    return step
+
+
+async def _cost_after(scratch: pathlib.Path, changes: int) -> Cost:
+    stores = Stores(scratch)
+    proposer = await stores.start()
+    disk = stores.disks[0]
+    bytes_before, syncs_before = disk.synced_bytes, disk.syncs
+    for change in range(changes):
+        result = await proposer.change("layout", _put(change))
+        assert isinstance(result, outcome.Good)
+        # The straggler of each call ends before the next change.
+        await asyncio.sleep(0)
+    await asyncio.sleep(WAIT_S)
+    written, syncs = disk.synced_bytes - bytes_before, disk.syncs - syncs_before
+    files = [path for path in disk.root.rglob("*") if path.is_file()]
+    on_disk = sum(path.stat().st_size for path in files)
+    disk.lose_power(lambda options: 0)
+    woken = disk.wake()
+    gc.collect()
+    tracemalloc.start()
+    voter = await _open(woken)
+    gc.collect()
+    memory, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    seat = voter._seats["layout"]
+    assert (seat.value.version, seat.value.body) == (changes, _layout(changes - 1))
+    assert len(seat.value.ops) <= register.OPS_KEPT
+    return Cost(changes, written / changes, syncs / changes, len(files), on_disk, woken.syncs, memory)
+
+
+def test_what_a_change_costs_does_not_grow_with_the_changes_before(tmp_path: pathlib.Path) -> None:
+    """Bytes and syncs of a change, what is left on the disk, and the start: flat however many there are."""
+
+    async def cost(changes: int) -> Cost:
+        scratch = tmp_path / f"{changes}"
+        scratch.mkdir()
+        return await _cost_after(scratch, changes)
+
+    costs = [loops.run(cost(changes)) for changes in (30, 100, 300)]
+    first, last = costs[0], costs[-1]
+    for found in costs:
+        print(found)
+        # A promise and an acceptance each write the whole record, and little beside it.
+        assert found.bytes_a_change < 2.2 * len(_layout(0))
+        assert found.files == first.files
+        assert found.open_syncs == first.open_syncs
+    assert last.bytes_a_change < first.bytes_a_change * 1.05
+    assert last.syncs_a_change <= first.syncs_a_change
+    assert last.bytes_on_disk < first.bytes_on_disk * 1.05
+    assert last.memory < first.memory * 1.1
+
+
+def test_one_generation_of_a_key_is_left_at_any_time(tmp_path: pathlib.Path) -> None:
+    disk = disks.SimDisk(tmp_path, random.Random(1))
+    opened = storage.Storage(disk, ports.NoPoints())
+    opened.open()
+    for number in range(300):
+        opened.put("k", number)
+        names = [path.name for path in (tmp_path / "register" / b"k".hex()).iterdir()]
+        assert names == [f"g{number + 1:012d}"]
+
+
+@pytest.mark.parametrize("changes", [1, 200])
+def test_a_member_that_missed_changes_needs_one_write_to_be_current(
+    changes: int, tmp_path: pathlib.Path
+) -> None:
+    """It votes at once, by what is on its disk; a sweep brings the newest value, however many it missed."""
+
+    async def main() -> None:
+        stores = Stores(tmp_path)
+        proposer = await stores.start()
+        assert isinstance(await proposer.change("layout", _put(0)), outcome.Good)
+        away = stores.address(2)
+        voter = stores.voters.pop(away)
+
+        async def ask(address: str, kind: str, body: frames.Body, wait: float) -> frames.Result:
+            if address not in stores.voters:
+                return outcome.bad("no_reply", address)
+            return await stores.voters[address].kinds()[kind](body)
+
+        proposer._caller.ask = ask  # type: ignore[method-assign]
+        for change in range(1, changes + 1):
+            assert isinstance(await proposer.change("layout", _put(change)), outcome.Good)
+        stores.voters[away] = voter
+        disk = stores.disks[2]
+        syncs = disk.syncs
+        assert await proposer.sweep_copies() == 1
+        await asyncio.sleep(WAIT_S)
+        assert voter._seats["layout"].value.version == changes + 1
+        # A promise and an acceptance: two writes of three files and two folders.
+        assert disk.syncs - syncs == 10
+
+    loops.run(main())
