A registry without a majority acknowledges no heartbeat and judges no silence

Cause: a registry that was cut off acknowledged ordinary heartbeats for as long as the cut lasted. The endpoint stayed with it and fell silent for all others, who took it for gone once the silent registry was forgotten. One that started and knew no member set yet acknowledged that an endpoint leaves without any other core holding it. Both shown by tests that failed first.

Now a registry that read no majority for drain_s, or never, answers heartbeats with 503 (204, cut_off_registry), at once; it takes them up all the same, so that proxies which still hear it know of them. Layouts are read and put only through the register, as before; without a majority lately it says so within half a call's span.

--- a/packages/outcome/src/dykeswitch/outcome/__init__.py
+++ b/packages/outcome/src/dykeswitch/outcome/__init__.py
@@ -82,6 +82,7 @@
     Code(201, "bad_beat", 400, "the beat is malformed"),
     Code(202, "beat_gone", 409, "this id has left or was displaced; announce with a new id"),
     Code(203, "not_held", 503, "too few other cores heard of it in time; tell another registry"),
+    Code(204, "cut_off_registry", 503, "this registry reaches no majority of stores; tell another registry"),
     Code(301, "bad_layout", 422, "the layout has faults"),
     Code(302, "lost_race", 412, "the version to match is not the newest"),
     Code(303, "no_such", 404, "there is no such thing here"),
--- a/packages/register/src/dykeswitch/register/proposer.py
+++ b/packages/register/src/dykeswitch/register/proposer.py
@@ -73,6 +73,8 @@
         addresses = {disk: self.addresses.get(disk, address) for group in groups for disk, address in group}
         yes: dict[str, frames.Body] = {}
         no: list[outcome.Bad] = []
+        # Disks that have not refused: without a majority of them there is nothing to wait for.
+        hopeful = set(addresses)
         news = asyncio.Event()
 
         async def one(disk: str, address: str) -> None:
@@ -81,11 +83,12 @@
                 yes[disk] = result.value
             else:
                 no.append(result)
+                hopeful.discard(disk)
             news.set()
 
         tasks = [asyncio.create_task(one(disk, address)) for disk, address in addresses.items()]
         try:
-            while not register.carried(groups, yes) and len(yes) + len(no) < len(tasks):
+            while not register.carried(groups, yes) and register.carried(groups, hopeful):
                 news.clear()
                 await news.wait()
         finally:
@@ -207,6 +210,8 @@
                     continue
                 return _reason(no)
             ballots = {register.ballot_of(body["ballot"]) for body in yes.values()}
+            # Our next change begins above them: else it is outvoted once for certain.
+            self._count = max(self._count, *(count for count, _ in ballots))
             if len(ballots) == 1:
                 # Everyone in a majority holds this very ballot: it is the newest.
                 return outcome.Good(self._keep(key, ballots.pop(), yes, have))
--- a/packages/registry/src/dykeswitch/registry/heartbeats.py
+++ b/packages/registry/src/dykeswitch/registry/heartbeats.py
@@ -7,6 +7,7 @@
 import dykeswitch.outcome as outcome
 import dykeswitch.registry.components as components
 import dykeswitch.registry.endpoints as endpoints
+import dykeswitch.registry.standing as standing
 import dykeswitch.timeline as timeline
 
 # The part of a call's span in which other cores must take up that an endpoint leaves.
@@ -18,20 +19,36 @@
 class Heartbeats:
     """Answers the heartbeats of endpoints."""
 
-    def __init__(self, parts: components.Components) -> None:
+    def __init__(self, parts: components.Components, stand: standing.Standing) -> None:
         self._parts = parts
+        self._standing = stand
         # Calls that nobody waits for any more, held until they end.
-        self._late: set[asyncio.Task[frames.Result]] = set()
+        self._late: set[asyncio.Task[typing.Any]] = set()
 
     async def beat(self, raw: object) -> Told | outcome.Bad:
-        """Take a heartbeat in the product's own form."""
+        """Take a heartbeat in the product's own form.
+
+        Without a majority it is taken up, so that whoever still hears us knows of it, but not
+        acknowledged: the endpoint would stay with us and fall silent for all others.
+        """
         beat = endpoints.read_beat(raw)
         if isinstance(beat, outcome.Bad):
             return beat
         told = self._parts.endpoints.beat(beat.value)
-        if isinstance(told, outcome.Good) and (beat.value.leaving or beat.value.draining):
-            return await self._leaving_held(beat.value.name, told)
-        return told
+        if isinstance(told, outcome.Bad):
+            return told
+        leaving = beat.value.leaving or beat.value.draining
+        if not self._standing.has_majority():
+            if leaving:
+                self._hold(self._leaving_held(beat.value.name, told))
+            return outcome.bad("cut_off_registry", self._parts.bounds.name)
+        return await self._leaving_held(beat.value.name, told) if leaving else told
+
+    def _hold(self, work: typing.Coroutine[typing.Any, typing.Any, object]) -> None:
+        """Let work end by itself that nobody waits for."""
+        task = asyncio.create_task(work)
+        self._late.add(task)
+        task.add_done_callback(self._late.discard)
 
     async def _leaving_held(self, name: str, told: Told) -> Told | outcome.Bad:
         """Acknowledge that an endpoint leaves once enough other cores hold it.
--- a/packages/registry/src/dykeswitch/registry/program.py
+++ b/packages/registry/src/dykeswitch/registry/program.py
@@ -42,10 +42,10 @@
         self.duties = self.parts.duties
         self.documents = self.parts.publisher.documents
         self.standing = standing.Standing(self.parts)
-        self.heartbeats = heartbeats.Heartbeats(self.parts)
-        self.orders = orders.Orders(self.parts)
+        self.heartbeats = heartbeats.Heartbeats(self.parts, self.standing)
+        self.orders = orders.Orders(self.parts, self.standing)
         self.members = member_calls.MemberCalls(self.parts)
-        self.upkeep = upkeeps.Upkeep(self.parts, self.members)
+        self.upkeep = upkeeps.Upkeep(self.parts, self.members, self.standing)
         self._server: ports.WebServer | None = None
         self._stop = asyncio.Event()
         commands = queries.Queries(self.parts, self.members, planned.PlannedPauses(self.parts))
--- a/packages/registry/src/dykeswitch/registry/standing.py
+++ b/packages/registry/src/dykeswitch/registry/standing.py
@@ -12,11 +12,19 @@
         self._parts = parts
         self.stopping = False
 
+    def has_majority(self) -> bool:
+        """Whether a majority of stores was read within the last `drain_s`.
+
+        Without one the other registries may know, and decide, what this one does not.
+        """
+        age = self._parts.clock.now() - self._parts.publisher.majority_at
+        return age <= self._parts.bounds.drain_s
+
     def unready(self) -> str | None:
         """Why this registry is not ready; nothing if it is."""
         if self.stopping:
             return "stopping"
-        if self._parts.clock.now() - self._parts.publisher.majority_at > self._parts.bounds.drain_s:
+        if not self.has_majority():
             return "no majority of stores"
         return None
 
@@ -29,7 +37,7 @@
         alone = now - parts.spread.heard > parts.bounds.drain_s
         return {
             "by": parts.bounds.name,
-            "majority": self.unready() is None,
+            "majority": self.has_majority() and not self.stopping,
             "majority_read_s_ago": age,
             "cut_off": alone,
         }
--- a/packages/registry/src/dykeswitch/registry/upkeep.py
+++ b/packages/registry/src/dykeswitch/registry/upkeep.py
@@ -9,6 +9,7 @@
 import dykeswitch.registry.components as components
 import dykeswitch.registry.duties as duties
 import dykeswitch.registry.member_calls as member_calls
+import dykeswitch.registry.standing as standing
 import dykeswitch.timeline as timeline
 
 # The register's key of the table of endpoints.
@@ -22,8 +23,14 @@
 class Upkeep:
     """Runs until cancelled: announces, seats, reads, remembers, lapses, mends."""
 
-    def __init__(self, parts: components.Components, members: member_calls.MemberCalls) -> None:
+    def __init__(
+        self,
+        parts: components.Components,
+        members: member_calls.MemberCalls,
+        stand: standing.Standing,
+    ) -> None:
         self._parts = parts
+        self._standing = stand
         self._members = members
         self._bounds = parts.bounds
         self._clock = parts.clock
@@ -31,6 +38,8 @@
         self._table: list[timeline.Fields] = []
         self._table_writes = 0
         self._tick = self._clock.now()
+        # Whether silence proved nothing when we last looked.
+        self._blind = True
 
     def loops(self) -> list[Loop]:
         """Every loop, to be run side by side."""
@@ -129,11 +138,26 @@
                 parts.endpoints.woke()
                 parts.log.warning("frozen", span_s=round(now - self._tick, 2))
             self._tick = now
-            whole = parts.spread.cores().keys() == parts.spread.known_cores().keys()
-            for name in parts.endpoints.lapse(whole):
-                parts.log.warning("endpoint lapsed", endpoint=name)
+            if not self._may_judge():
+                self._blind = True
+            else:
+                self._lapse_silent()
             await self._clock.sleep(self._bounds.tick_s)
 
+    def _may_judge(self) -> bool:
+        """Without a majority heartbeats are sent elsewhere: that we hear none proves nothing."""
+        return self._standing.has_majority()
+
+    def _lapse_silent(self) -> None:
+        parts = self._parts
+        if self._blind:
+            # What was missed meanwhile is not held against anybody.
+            parts.endpoints.woke()
+            self._blind = False
+        whole = parts.spread.cores().keys() == parts.spread.known_cores().keys()
+        for name in parts.endpoints.lapse(whole):
+            parts.log.warning("endpoint lapsed", endpoint=name)
+
     async def _keep_telling(self) -> None:
         """Tell the other registries whose beats we heard: who is silent for one is not for all."""
         while True:
--- /dev/null
+++ b/tests/test_cut_off.py
@@ -0,0 +1,296 @@
+"""What a registry answers with a majority of stores, without, starting, stopping, on a stalled disk.
+
+The table of docs/control-safety.md names the test of each of its cells.
+"""
+
+import asyncio
+import json
+import pathlib
+import typing
+
+import pytest
+
+import dykeswitch.frames as frames
+import dykeswitch.outcome as outcome
+import dykeswitch.registry.endpoints as endpoints
+import dykeswitch.registry.heartbeats as heartbeats
+import dykeswitch.registry.upkeep as upkeeps
+import dykeswitch.simulator.fleet as fleets
+import dykeswitch.simulator.loop as loops
+import dykeswitch.standin.shape as shapes
+import dykeswitch.timeline as timeline
+
+PAGES: typing.Final = shapes.ServiceShape("pages", 3, 20, "/pages", "GET", 0.05)
+SMALL: typing.Final = shapes.Shape("small", 2, 3, ("z1", "z2"), (PAGES,))
+# Callers go on to another registry after a second of silence.
+PATIENCE_S: typing.Final = 1.0
+# A registry is told to be without a majority once none answered for `drain_s` and one read.
+KNOWN_S: typing.Final = 3.1
+
+Work = typing.Callable[[fleets.SimFleet], typing.Awaitable[None]]
+
+
+def _run(scratch: pathlib.Path, work: Work) -> None:
+    async def main() -> None:
+        fleet = fleets.SimFleet(SMALL, 7, scratch)
+        await fleet.start()
+        await work(fleet)
+
+    loops.run(main())
+
+
+def _cut_off(fleet: fleets.SimFleet, core: fleets.Core) -> None:
+    """Cut a core from all other cores; endpoints, operators and proxies still reach it."""
+    others = [name for other in fleet.cores if other is not core for name in other.names()]
+    fleet.world.wires.cut(core.names(), others)
+
+
+async def _ask(
+    fleet: fleets.SimFleet, core: fleets.Core, method: str, path: str, page: object = None
+) -> tuple[int, typing.Any, float]:
+    """Status, page and seconds of a call from the outside."""
+    begun = fleet.clock.now()
+    body = b"" if page is None else json.dumps(page).encode()
+    reply = await fleet.outside.web.ask(method, core.web, path, [], body, 10.0)
+    return reply.status, json.loads(reply.body), fleet.clock.now() - begun
+
+
+async def _beat(fleet: fleets.SimFleet, core: fleets.Core, name: str = "new-1", **more: object) -> int:
+    page = {"id": name, "service": "pages", "address": "10.9.0.1:80", "zone": "z1", **more}
+    status, _, took = await _ask(fleet, core, "POST", "/v1/beat", page)
+    assert took < PATIENCE_S
+    return status
+
+
+async def _member_call(fleet: fleets.SimFleet, core: fleets.Core, kind: str) -> frames.Result:
+    return await frames.Caller(fleet.outside.net).ask(core.member, kind, {}, 3.0)
+
+
+def _up(fleet: fleets.SimFleet) -> list[int]:
+    return [len(edge.node.daemon.carrier.selector.up("pages")) for edge in fleet.edges]
+
+
+def test_with_a_majority_every_call_is_served(tmp_path: pathlib.Path) -> None:
+    async def work(fleet: fleets.SimFleet) -> None:
+        for core in fleet.cores:
+            assert await _beat(fleet, core) == 200
+            assert (await fleet.get(core)).status == 200
+            assert (await fleet.put(SMALL.layout(), core)).status == 200
+            assert (await _ask(fleet, core, "GET", "/v1/health"))[0] == 200
+            assert (await _ask(fleet, core, "GET", "/readyz"))[0] == 200
+            assert (await fleet.query("show pauses", core)) is not None
+            assert isinstance(await _member_call(fleet, core, "confirm"), outcome.Good)
+        assert await _beat(fleet, fleet.cores[0], leaving=True) == 200
+
+    _run(tmp_path, work)
+
+
+def test_without_a_majority_no_heartbeat_is_acknowledged(tmp_path: pathlib.Path) -> None:
+    async def work(fleet: fleets.SimFleet) -> None:
+        core = fleet.cores[0]
+        _cut_off(fleet, core)
+        await asyncio.sleep(KNOWN_S)
+        assert await _beat(fleet, core) == 503
+        assert await _beat(fleet, core, leaving=True) == 503
+        # Though not acknowledged, it is known to those who hear this registry.
+        assert core.registry.daemon.line.get(timeline.ENDPOINT, "new-1").fields["state"] == timeline.LEFT
+        assert await _beat(fleet, fleet.cores[1], "new-2") == 200
+        fleet.world.wires.heal()
+        await asyncio.sleep(1.5)
+        assert await _beat(fleet, core, "new-2") == 200
+
+    _run(tmp_path, work)
+
+
+def test_without_a_majority_no_layout_is_read_or_taken_and_it_says_so_soon(tmp_path: pathlib.Path) -> None:
+    async def work(fleet: fleets.SimFleet) -> None:
+        core = fleet.cores[0]
+        _cut_off(fleet, core)
+        # At once it may still wait for the stores, but confirms nothing.
+        assert (await fleet.get(core)).status == 503
+        await asyncio.sleep(KNOWN_S)
+        for method in ("GET", "PUT"):
+            layout = SMALL.layout() if method == "PUT" else None
+            status, _, took = await _ask(fleet, core, method, "/v1/layout", layout)
+            assert status == 503
+            assert took < 0.6 * PATIENCE_S
+        assert (await fleet.query("show pauses", core)) is None
+        assert (await _ask(fleet, core, "GET", "/readyz"))[0] == 503
+        assert isinstance(await _member_call(fleet, core, "confirm"), outcome.Bad)
+
+    _run(tmp_path, work)
+
+
+def test_without_a_majority_what_is_told_from_memory_says_that_it_is(tmp_path: pathlib.Path) -> None:
+    async def work(fleet: fleets.SimFleet) -> None:
+        core = fleet.cores[0]
+        _cut_off(fleet, core)
+        await asyncio.sleep(KNOWN_S)
+        page = await fleet.query("show endpoints", core)
+        assert page is not None
+        assert len(page["rows"]) == 3
+        fresh = page["fresh"]
+        assert fresh["majority"] is False and fresh["majority_read_s_ago"] > 2.0
+        assert (await _ask(fleet, core, "GET", "/v1/health"))[0] == 200
+        # Its duties run out: what it still does under them is told apart by the fence.
+        await asyncio.sleep(core.registry.daemon.bounds.fence_s)
+        daemon = core.registry.daemon
+        assert all(daemon.duties.hold(slot) is None for slot in range(64))
+
+    _run(tmp_path, work)
+
+
+def test_a_starting_registry_acknowledges_nothing_before_it_read_a_majority(tmp_path: pathlib.Path) -> None:
+    async def work(fleet: fleets.SimFleet) -> None:
+        core = fleet.cores[0]
+        core.registry.kill()
+        _cut_off(fleet, core)
+        core.registry.restart()
+        await asyncio.sleep(0.3)
+        assert await _beat(fleet, core) == 503
+        # Before it knows who votes, it has no count of others that would have to hold it.
+        assert await _beat(fleet, core, "pages-0", leaving=True) == 503
+        assert (await fleet.get(core)).status == 503
+        assert (await fleet.put(SMALL.layout(), core)).status == 503
+        assert (await _ask(fleet, core, "GET", "/readyz"))[0] == 503
+        assert isinstance(await _member_call(fleet, core, "confirm"), outcome.Bad)
+        fleet.world.wires.heal()
+        await asyncio.sleep(1.5)
+        assert await _beat(fleet, core) == 200
+
+    _run(tmp_path, work)
+
+
+def test_a_registry_that_starts_in_a_whole_fleet_serves_soon(tmp_path: pathlib.Path) -> None:
+    async def work(fleet: fleets.SimFleet) -> None:
+        core = fleet.cores[0]
+        core.registry.kill()
+        core.registry.restart()
+        await asyncio.sleep(0.3)
+        assert await _beat(fleet, core) == 200
+        assert (await fleet.get(core)).status == 200
+
+    _run(tmp_path, work)
+
+
+def test_a_stopping_registry_serves_until_it_closes(tmp_path: pathlib.Path) -> None:
+    async def work(fleet: fleets.SimFleet) -> None:
+        core = fleet.cores[0]
+        core.registry.daemon.stop()
+        await asyncio.sleep(0.1)
+        assert (await _ask(fleet, core, "GET", "/readyz"))[0] == 503
+        assert await _beat(fleet, core) == 200
+        assert (await fleet.get(core)).status == 200
+        assert (await fleet.put(SMALL.layout(), core)).status == 200
+        assert await _beat(fleet, core, leaving=True) == 200
+
+    _run(tmp_path, work)
+
+
+def _stall(core: fleets.Core) -> None:
+    """The disk answers nothing from now on."""
+
+    async def never(work: typing.Callable[[], object]) -> object:
+        return await asyncio.get_running_loop().create_future()
+
+    assert core.store.disk is not None
+    core.store.disk.run = never  # type: ignore[method-assign,assignment]
+
+
+def test_one_stalled_disk_holds_up_no_call(tmp_path: pathlib.Path) -> None:
+    async def work(fleet: fleets.SimFleet) -> None:
+        _stall(fleet.cores[0])
+        await asyncio.sleep(KNOWN_S)
+        for core in fleet.cores:
+            assert await _beat(fleet, core) == 200
+            for method in ("GET", "PUT"):
+                layout = SMALL.layout() if method == "PUT" else None
+                status, _, took = await _ask(fleet, core, method, "/v1/layout", layout)
+                assert status == 200
+                assert took < PATIENCE_S
+        assert await _beat(fleet, fleet.cores[0], leaving=True) == 200
+
+    _run(tmp_path, work)
+
+
+def test_while_most_disks_stall_no_layout_is_taken(tmp_path: pathlib.Path) -> None:
+    async def work(fleet: fleets.SimFleet) -> None:
+        for core in fleet.cores[:2]:
+            _stall(core)
+        doc = SMALL.layout()
+        doc["rules"].append({"path": "/later", "service": "pages"})
+        put = await fleet.put(doc, fleet.cores[2])
+        assert put.status in (503, 504)
+        await asyncio.sleep(KNOWN_S)
+        # The stalled write holds back the reads of its own key: no old layout is told as the newest.
+        got = await fleet.get(fleet.cores[2])
+        assert got.status == 503 or json.loads(got.body) != doc
+
+    _run(tmp_path, work)
+
+
+@pytest.mark.parametrize("guarded", [True, False])
+def test_endpoints_leave_a_registry_that_is_cut_off(
+    guarded: bool, tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Acknowledged by one that nobody else hears, an endpoint is taken for gone by all others."""
+    if not guarded:
+
+        async def beat(self: heartbeats.Heartbeats, raw: typing.Any) -> typing.Any:
+            told = endpoints.read_beat(raw)
+            assert isinstance(told, outcome.Good)
+            return self._parts.endpoints.beat(told.value)
+
+        monkeypatch.setattr(heartbeats.Heartbeats, "beat", beat)
+
+    async def work(fleet: fleets.SimFleet) -> None:
+        core = fleet.cores[0]
+        # One endpoint calls the registry that is to be cut off, for as long as it answers.
+        for endpoint in fleet.endpoints.values():
+            endpoint.beating = False
+        await asyncio.sleep(2.5)
+        for n, endpoint in enumerate(fleet.endpoints.values()):
+            monkeypatch.setattr(endpoint._rng, "randrange", lambda most, n=n: n)
+            endpoint.beating = True
+            fleet.spawn(endpoint.beat_for_ever())
+        await asyncio.sleep(4.0)
+        _cut_off(fleet, core)
+        proxies = [edge.node.name for edge in fleet.edges]
+        fleet.world.wires.cut(core.names(), proxies)
+        worst = 3
+        for _ in range(250):
+            await asyncio.sleep(0.1)
+            states = [
+                entry.fields["state"] for entry in fleet.cores[1].registry.daemon.line.all(timeline.ENDPOINT)
+            ]
+            worst = min(worst, states.count(timeline.UP), *_up(fleet))
+        assert (worst == 3) is guarded
+
+    _run(tmp_path, work)
+
+
+@pytest.mark.parametrize("guarded", [True, False])
+def test_endpoints_outlast_the_loss_of_most_cores(
+    guarded: bool, tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Without a majority nobody is taken for gone: silence may be ours."""
+    if not guarded:
+        monkeypatch.setattr(upkeeps.Upkeep, "_may_judge", lambda self: True)
+
+    async def work(fleet: fleets.SimFleet) -> None:
+        for core in fleet.cores[1:]:
+            core.registry.lose_power()
+            core.store.lose_power()
+        # One of the endpoints does not reach the last core either, but serves on.
+        lone = fleet.endpoints["pages-0"]
+        fleet.world.wires.cut([lone.name], fleet.cores[0].names())
+        await asyncio.sleep(25.0)
+        assert (_up(fleet) == [3, 3]) is guarded
+        if guarded:
+            for core in fleet.cores[1:]:
+                core.registry.restart()
+                core.store.restart()
+            await asyncio.sleep(15.0)
+            assert _up(fleet) == [3, 3]
+
+    _run(tmp_path, work)
