--- a/packages/register/src/dykeswitch/register/proposer.py
+++ b/packages/register/src/dykeswitch/register/proposer.py
@@ -248,6 +248,8 @@
                     continue
                 return _reason(no)
             ballots = {copy.ballot for copy in yes.values()}
+            # Our next change begins above them: else it is outvoted once for certain.
+            self._count = max(self._count, *(count for count, _ in ballots))
             if len(ballots) == 1:
                 # Everyone in a majority holds this very ballot: it is the newest.
                 return outcome.Good(self._keep(key, ballots.pop(), yes, have))
--- a/packages/registry/src/dykeswitch/registry/program.py
+++ b/packages/registry/src/dykeswitch/registry/program.py
@@ -44,11 +44,11 @@
         self.documents = self.parts.publisher.documents
         self.standing = standing.Standing(self.parts)
         self.spread.backed = lambda: self.standing.unready() is None
-        self.heartbeats = heartbeats.Heartbeats(self.parts)
-        self.orders = orders.Orders(self.parts)
+        self.heartbeats = heartbeats.Heartbeats(self.parts, self.standing)
+        self.orders = orders.Orders(self.parts, self.standing)
         self.members = member_calls.MemberCalls(self.parts)
         self.relay = relay.DocumentRelay(self.parts)
-        self.upkeep = upkeeps.Upkeep(self.parts, self.members)
+        self.upkeep = upkeeps.Upkeep(self.parts, self.members, self.standing)
         self._server: ports.WebServer | None = None
         self._stop = asyncio.Event()
         commands = queries.Queries(self.parts, self.members, planned.PlannedPauses(self.parts))
