--- a/packages/proxy/src/dykeswitch/proxy/carrier.py
+++ b/packages/proxy/src/dykeswitch/proxy/carrier.py
@@ -307,7 +307,7 @@
             x.misses += 1
             self._step(x, f"no pipe to {entry.key}", flaw.reason)
             if flaw.reason != "expired":
-                self._mark(entry.key, soundness.Fault(flaw.reason))
+                self._mark(entry.key, soundness.flaw_fault(flaw.reason))
             if x.misses >= MISSES_MOST:
                 return self._give_up(x, "no_endpoint")
             return Stage.SELECT
--- a/packages/soundness/src/dykeswitch/soundness/__init__.py
+++ b/packages/soundness/src/dykeswitch/soundness/__init__.py
@@ -44,9 +44,10 @@
     return Fault(f"answered {status}", max(free, FREE_PROMISED) if promised else free)
 
 
-# How many failures in a row mark an endpoint, of those that load or a caller may cause.
+# How many failures in a row mark an endpoint, of those that load or a caller may cause. That one
+# could not be reached in time may lie in our own link: full, it would fail for all endpoints alike.
 SOFT_FREE: typing.Final = 2
-SOFT: typing.Final = frozenset({TIMED_OUT, BROKE_OFF, GARBAGE, OTHERS_REPLY, UNFRAMED})
+SOFT: typing.Final = frozenset({NO_ROAD, TIMED_OUT, BROKE_OFF, GARBAGE, OTHERS_REPLY, UNFRAMED})
 # Failures mixed with successes mark it too, where they are many and this part of all.
 MIXED_LEAST: typing.Final = 4.0
 MIXED_SHARE: typing.Final = 0.25
--- a/tests/test_data_path.py
+++ b/tests/test_data_path.py
@@ -96,6 +96,8 @@
         self.dialed = 0
         # How long each part of an answer takes, in seconds.
         self.work_s = 0.05
+        # Whether nothing comes of connecting to it.
+        self.unreachable = False
         # After which rest it resets a connection that is used again.
         self.forgets_s = math.inf
 
@@ -109,6 +111,9 @@
     async def dial(self, address: str, wait: float) -> ports.Connection:
         endpoint = self._endpoints[address]
         endpoint.dialed += 1
+        if endpoint.unreachable:
+            await asyncio.sleep(wait)
+            raise TimeoutError
         return ScriptedConnection(endpoint)
 
     async def listen(self, address: str, serve: ports.Serve) -> ports.Listener:
@@ -378,6 +383,36 @@
     _play(work)
 
 
+def test_a_proxy_whose_own_link_is_full_marks_no_endpoints() -> None:
+    """Right after its start no connection comes up in time: that says nothing of the endpoints."""
+
+    async def work() -> None:
+        endpoints = [ScriptedEndpoint() for _ in range(12)]
+        stage = Stage(*endpoints)
+        for endpoint in endpoints:
+            endpoint.unreachable = True
+        await asyncio.gather(*(stage.ask() for _ in range(2)))
+        assert sum(endpoint.dialed for endpoint in endpoints) >= 10
+        assert stage.carrier.counts.get("marks", 0) == 0
+        for endpoint in endpoints:
+            endpoint.unreachable = False
+        assert (await stage.ask()).status == 200
+
+    _play(work)
+
+
+def test_an_endpoint_that_is_never_reached_is_marked() -> None:
+    async def work() -> None:
+        endpoint = ScriptedEndpoint()
+        endpoint.unreachable = True
+        stage = Stage(endpoint)
+        for _ in range(3):
+            await stage.ask()
+        assert stage.carrier.counts["marks"] == 1
+
+    _play(work)
+
+
 # HTTP pipelining by a client, on the web server that proxies use.
 
 
