--- a/packages/registry/src/dykeswitch/registry/publisher.py
+++ b/packages/registry/src/dykeswitch/registry/publisher.py
@@ -95,7 +95,15 @@
         proxies = len(self._line.all(timeline.PROXY))
         end = self._clock.now() + self._bounds.gap_s
         while self._clock.now() < end:
-            got = self.documents.handed.get((name, version), set())
-            if len(got) >= min(HANDED, proxies) or self.documents.version(name) > version:
+            held = len(self._holders(name, version)) >= min(HANDED, proxies)
+            if held or self.documents.version(name) > version:
                 return
             await self._clock.sleep(self._bounds.gap_s / 100)
+
+    def _holders(self, name: str, version: int) -> set[str]:
+        """The proxies that fetched a document from us, or say that they hold it."""
+        fetched = self.documents.handed.get((name, version), set())
+        if name != documents.LAYOUT:
+            return fetched
+        told = self._line.all(timeline.PROXY)
+        return fetched | {proxy.key for proxy in told if int(proxy.fields["layout"]) >= version}
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -13,6 +13,7 @@
 import dykeswitch.registry.order_memory as order_memory
 import dykeswitch.registry.order_rules as order_rules
 import dykeswitch.simulator.disk as disks
+import dykeswitch.simulator.fleet as fleets
 import dykeswitch.simulator.loop as loops
 import dykeswitch.simulator.world as worlds
 import dykeswitch.standin.shape as shapes
@@ -206,3 +207,24 @@
     assert plain.send(b"six", match=5) == 6
     assert plain.send(b"six", match=5) == 6
     assert plain.send(b"other", match=5) == "lost_race"
+
+
+def test_an_order_sent_again_is_acknowledged_at_once(tmp_path: pathlib.Path) -> None:
+    """What proxies hold by now needs no wait for them, at whichever registry it comes in again."""
+
+    async def main() -> None:
+        fleet = fleets.SimFleet(SMALL, 7, tmp_path)
+        await fleet.start()
+        for n in range(3):
+            doc = SMALL.layout()
+            doc["rules"].append({"path": f"/{n}", "service": "pages"})
+            first = await fleet.put(doc, fleet.cores[0], n + 1)
+            assert first.status == 200
+            # Until the proxies have said that they hold it.
+            await asyncio.sleep(4.0)
+            for core in fleet.cores:
+                again = await fleet.put(doc, core, n + 1)
+                assert (again.status, again.version) == (200, first.version)
+                assert again.ended - again.begun < 0.1
+
+    loops.run(main())
