--- a/packages/proxy/src/dykeswitch/proxy/selection.py
+++ b/packages/proxy/src/dykeswitch/proxy/selection.py
@@ -9,6 +9,7 @@
 import typing
 
 import dykeswitch.adapter as adapters
+import dykeswitch.proxy.preference as preference
 import dykeswitch.settings as settings
 import dykeswitch.timeline as timeline
 
@@ -20,6 +21,15 @@
 LOT: typing.Final = 0.1
 # What a service is thought to take before any reply came, as a part of an exchange's most.
 FIRST_PACE: typing.Final = 1 / 300
+# Among how many endpoints one is selected, and how many of them are of the own zone at most. The
+# work of a selection, and the connections an endpoint is asked for, stay the same however many
+# endpoints a service has.
+SUBSET_MOST: typing.Final = 16
+SUBSET_NEAR_MOST: typing.Final = 12
+# How many requests' paces one failure of an endpoint counts for, and how many failures at most: a
+# proxy of many sees too little of one endpoint to mark it soon, and others may be as good.
+FAILURE_COST: typing.Final = 1.0
+FAILURES_MOST: typing.Final = 4.0
 # An endpoint that has just started is thought to be so many times as slow.
 WARM: typing.Final = 1.6
 
@@ -60,6 +70,9 @@
     slots: int = 0
     # Until when it is slow, having just started.
     warm: float = -1e9
+    # Failures, which fade, and the moment up to which they have faded.
+    failures: float = 0.0
+    failed_at: float = -1e9
 
 
 class Selector:
@@ -80,6 +93,7 @@
         self.flights: dict[str, int] = {}
         self.paused: typing.Callable[[str], str | None] = lambda endpoint: None
         self._services: dict[str, set[str]] = {}
+        self._preferences = preference.Preferences(bounds.name, bounds.zone)
         self._seen: dict[str, Seen] = {}
         self._paces: dict[str, Pace] = {}
         line.on_change(self._note)
@@ -89,6 +103,7 @@
             return
         for names in self._services.values():
             names.discard(entry.key)
+        self._preferences.note(entry)
         if entry.fields["state"] == timeline.UP:
             self._services.setdefault(str(entry.fields["service"]), set()).add(entry.key)
             seen = self._seen.setdefault(entry.key, Seen())
@@ -121,21 +136,43 @@
 
     def select(self, service: str, tried: set[str], aim_s: float | None = None) -> timeline.Entry | None:
         """The endpoint for the next go."""
+        subset = self._subset(service, tried)
+        if subset:
+            return self._soonest(service, subset, aim_s)
         every = self.up(service)
-        fresh = [e for e in every if e.key not in tried]
-        sound = [e for e in fresh if self._marks.down(e.key) is None]
-        if sound:
-            return self._soonest(service, sound, aim_s)
         if any(self._marks.down(e.key) is None for e in every):
             # The only unmarked ones have been tried by this very exchange.
             return None
         # The source leaves open what to do when every endpoint is marked. Sending
         # nothing would make a wrong mark an outage, so the one whose mark ends
         # first is asked: each exchange tries it at most once.
+        fresh = [e for e in every if e.key not in tried]
         if fresh:
             return min(fresh, key=lambda e: (self._ends(e.key), e.key))
         return None
 
+    def _subset(self, service: str, tried: set[str]) -> list[timeline.Entry]:
+        """The first few unmarked endpoints in this proxy's own order of preference."""
+        near = self._first_open(self._preferences.near(service), tried, SUBSET_MOST)
+        far_count = SUBSET_MOST - min(len(near), SUBSET_NEAR_MOST)
+        far = self._first_open(self._preferences.far(service), tried, far_count)
+        return near[: SUBSET_MOST - len(far)] + far
+
+    def _first_open(self, names: typing.Sequence[str], tried: set[str], most: int) -> list[timeline.Entry]:
+        """The first of some endpoints that are up, unmarked, not paused and not tried yet."""
+        found: list[timeline.Entry] = []
+        for name in names:
+            if len(found) == most:
+                break
+            if name in tried:
+                continue
+            entry = self._line.get(timeline.ENDPOINT, name)
+            if entry is None or entry.fields["state"] != timeline.UP:
+                continue
+            if self._marks.down(name) is None and self.paused(name) is None:
+                found.append(entry)
+        return found
+
     def _ends(self, endpoint: str) -> float:
         mark = self._marks.down(endpoint)
         return mark.expiry if mark is not None else 0.0
@@ -149,6 +186,7 @@
             span = self.finish_s(entry, base)
             if entry.fields.get("zone") != self._zone:
                 span += far
+            span += base * FAILURE_COST * self.failures(entry.key)
             return span + base * LOT * self._rng.random()
 
         return min(sound, key=cost)
@@ -226,6 +264,22 @@
             seen.others = max(seen.others, (seen.slots or 1) * 4.0)
             seen.at = self._line.clock.now()
 
+    def failed(self, endpoint: str) -> None:
+        """A go to it failed: for a while others that are about as good go first."""
+        seen = self._seen.get(endpoint)
+        if seen is not None:
+            seen.failures = min(FAILURES_MOST, self.failures(endpoint) + 1)
+            seen.failed_at = self._line.clock.now()
+
+    def failures(self, endpoint: str) -> float:
+        """The failures of an endpoint that still count; half of them after a mark's life."""
+        seen = self._seen.get(endpoint)
+        if seen is None or not seen.failures:
+            return 0.0
+        age = self._line.clock.now() - seen.failed_at
+        faded: float = 0.5 ** (age / self._bounds.mark_s)
+        return seen.failures * faded
+
     def open_in(self, service: str, now: float) -> float:
         """Seconds until the first of a service's marks runs out."""
         ends = [self._ends(e.key) - now for e in self.up(service)]
--- a/packages/registry/src/dykeswitch/registry/order_memory.py
+++ b/packages/registry/src/dykeswitch/registry/order_memory.py
@@ -47,6 +47,7 @@
         return Ledger(floor, tuple(kept))
 
     def wire(self) -> list[typing.Any]:
+        """This ledger as it stands in the packed memory."""
         return [self.floor, b"".join(ENTRY.pack(number, digest) for number, digest in self.digests)]
 
 
--- /dev/null
+++ b/packages/registry/src/dykeswitch/registry/relay.py
@@ -0,0 +1,67 @@
+"""Documents between registries: each holds what another named, and says which proxies took it.
+
+Proxies then fetch a document from the registry of their own zone, so that it crosses between zones
+once for each zone rather than once for each proxy.
+"""
+
+import asyncio
+
+import dykeswitch.frames as frames
+import dykeswitch.outcome as outcome
+import dykeswitch.ports as ports
+import dykeswitch.registry.components as components
+import dykeswitch.registry.publisher as publishers
+import dykeswitch.timeline as timeline
+
+
+class DocumentRelay:
+    """Fetches documents that other registries named, and tells them of proxies that hold them."""
+
+    def __init__(self, parts: components.Components) -> None:
+        self._parts = parts
+        self._documents = parts.publisher.documents
+        self._documents.on_handed = self._tell_handed
+        # Calls that nobody waits for, held until they end.
+        self._pending: set[asyncio.Task[frames.Result]] = set()
+
+    def kinds(self) -> dict[str, frames.Handle]:
+        """The calls answered here, by their kinds."""
+        return {"handed": self._on_handed}
+
+    def _tell_handed(self, name: str, version: int, proxy: str) -> None:
+        """Tell the registry that named a document of the first proxies that we handed it to."""
+        if len(self._documents.handed[name, version]) > publishers.HANDED:
+            return
+        parts = self._parts
+        named = parts.line.get(timeline.DOCUMENT, name)
+        address = "" if named is None else parts.spread.known_cores().get(named.stamp[1], "")
+        if not address:
+            return
+        told: frames.Body = {"name": name, "version": version, "proxy": proxy}
+        call = asyncio.create_task(parts.caller.ask(address, "handed", told, parts.bounds.call_s))
+        self._pending.add(call)
+        call.add_done_callback(self._pending.discard)
+
+    async def _on_handed(self, body: frames.Body) -> frames.Result:
+        """Another registry handed a document that we named to a proxy."""
+        self._documents.note_handed(str(body["name"]), int(body["version"]), str(body["proxy"]))
+        return outcome.Good({})
+
+    async def keep_fetched(self) -> None:
+        """Fetch a document as soon as another registry names it, so that our proxies can have it of us."""
+        parts = self._parts
+        while True:
+            async with parts.line.news:
+                await ports.wait_for(
+                    parts.line.news, lambda: bool(self._documents.behind()), parts.bounds.hold_s
+                )
+            if self._documents.behind() and not await self._fetch():
+                await parts.clock.sleep(parts.bounds.tick_s)
+
+    async def _fetch(self) -> bool:
+        """Fetch what we are behind on, from whoever named it first of all."""
+        cores = self._parts.spread.cores()
+        names = [entry.stamp[1] for entry in self._parts.line.all(timeline.DOCUMENT)]
+        first = [cores[name] for name in names if name in cores]
+        addresses = list(dict.fromkeys([*first, *cores.values()]))
+        return await self._documents.catch_up(addresses, proxy=False)
--- a/tests/test_repair.py
+++ b/tests/test_repair.py
@@ -7,8 +7,9 @@
 
 import pytest
 
+import dykeswitch.register as register
 import dykeswitch.register.storage as storage
-import dykeswitch.registry.seating as seatings
+import dykeswitch.registry.reconfiguration as reconfigurations
 import dykeswitch.simulator.fleet as fleets
 import dykeswitch.simulator.loop as loops
 import dykeswitch.simulator.world as worlds
@@ -20,7 +21,9 @@
 
 
 def _ballots(fleet: fleets.SimFleet) -> set[typing.Any]:
-    return {core.store.daemon.voter._seats["layout"].ballot for core in fleet.cores}
+    # A store that never voted on the layout has no seat for it: a read alone makes none.
+    seats = [core.store.daemon.voter._seats.get("layout") for core in fleet.cores]
+    return {register.ZERO if seat is None else seat.ballot for seat in seats}
 
 
 def test_a_store_that_missed_a_change_is_mended_without_traffic(tmp_path: pathlib.Path) -> None:
@@ -68,10 +71,10 @@
 @pytest.mark.parametrize(
     "point",
     [
-        seatings.POINT_JOINT_WRITTEN,
-        seatings.POINT_JOINT_INSTALLED,
-        seatings.POINT_SWEPT,
-        seatings.POINT_NEW_WRITTEN,
+        reconfigurations.POINT_JOINT_WRITTEN,
+        reconfigurations.POINT_JOINT_INSTALLED,
+        reconfigurations.POINT_SWEPT,
+        reconfigurations.POINT_NEW_WRITTEN,
     ],
 )
 def test_a_swap_is_finished_though_its_driver_dies_at_any_point(point: int, tmp_path: pathlib.Path) -> None:
