--- a/packages/register/src/dykeswitch/register/voter.py
+++ b/packages/register/src/dykeswitch/register/voter.py
@@ -38,7 +38,7 @@
         return [list(self.promised), list(self.ballot), self.value.wire()]
 
 
-class _Refused(Exception):
+class _RefusedError(Exception):
     """A vote that is not given."""
 
     def __init__(self, bad: outcome.Bad) -> None:
@@ -153,12 +153,12 @@
         try:
             await self._put(key, record)
         except OSError as flaw:
-            raise _Refused(outcome.bad("disk_fault", str(flaw))) from flaw
+            raise _RefusedError(outcome.bad("disk_fault", str(flaw))) from flaw
 
     async def _turn(self, lock: asyncio.Lock) -> None:
         """Take a lock, or refuse: nothing is queued behind a stalled disk."""
         if self.stalled():
-            raise _Refused(outcome.bad("disk_fault", self.damaged))
+            raise _RefusedError(outcome.bad("disk_fault", self.damaged))
         if not lock.locked():
             await lock.acquire()
             return
@@ -166,7 +166,7 @@
             async with asyncio.timeout(STALL_S):
                 await lock.acquire()
         except TimeoutError:
-            raise _Refused(outcome.bad("disk_fault", "other votes are under way")) from None
+            raise _RefusedError(outcome.bad("disk_fault", "other votes are under way")) from None
 
     def _barred(self, key: str, disk: str, epoch: int) -> outcome.Bad | None:
         """Why this disk may not answer, if it may not."""
@@ -186,7 +186,7 @@
         """Refuse what this disk may not answer."""
         barred = self._barred(key, disk, epoch)
         if barred is not None:
-            raise _Refused(barred)
+            raise _RefusedError(barred)
 
     async def _state(self, body: frames.Body) -> frames.Result:
         return outcome.Good(
@@ -203,7 +203,7 @@
         ask = messages.decode(messages.Prepare, body)
         try:
             return _good(await self._promise(ask))
-        except _Refused as refusal:
+        except _RefusedError as refusal:
             return refusal.bad
 
     async def _promise(self, ask: messages.Prepare) -> messages.Promise:
@@ -213,7 +213,7 @@
         try:
             self._check(ask.key, ask.disk, ask.epoch)
             if ask.ballot <= seat.promised:
-                raise _Refused(outcome.bad("outvoted", str(seat.promised[0])))
+                raise _RefusedError(outcome.bad("outvoted", str(seat.promised[0])))
             fresh = Seat(ask.ballot, seat.ballot, seat.value)
             await self._vote(ask.key, fresh.record())
             seat.promised = ask.ballot
@@ -227,7 +227,7 @@
         ask = messages.decode(messages.Accept, body)
         try:
             return _good(await self._take_up(ask))
-        except _Refused as refusal:
+        except _RefusedError as refusal:
             return refusal.bad
 
     async def _take_up(self, ask: messages.Accept) -> messages.Accepted:
@@ -237,7 +237,7 @@
         try:
             self._check(ask.key, ask.disk, ask.epoch)
             if ask.ballot < seat.promised:
-                raise _Refused(outcome.bad("outvoted", str(seat.promised[0])))
+                raise _RefusedError(outcome.bad("outvoted", str(seat.promised[0])))
             fresh = Seat(ask.ballot, ask.ballot, ask.value)
             await self._vote(ask.key, fresh.record())
             seat.promised = seat.ballot = ask.ballot
@@ -257,7 +257,7 @@
         ask = messages.decode(messages.Read, body)
         try:
             self._check(ask.key, ask.disk, ask.epoch)
-        except _Refused as refusal:
+        except _RefusedError as refusal:
             return refusal.bad
         seat = self._seats.get(ask.key) or Seat()
         # A reader that holds this very ballot's value needs no second copy.
@@ -268,7 +268,7 @@
         ask = messages.decode(messages.Keys, body)
         try:
             self._check("", ask.disk, ask.epoch)
-        except _Refused as refusal:
+        except _RefusedError as refusal:
             return refusal.bad
         accepted = sorted(key for key, seat in self._seats.items() if seat.ballot != register.ZERO)
         return _good(messages.KeysReply(tuple(accepted)))
@@ -278,12 +278,12 @@
         ask = messages.decode(messages.Install, body)
         try:
             return _good(await self._move_to(ask))
-        except _Refused as refusal:
+        except _RefusedError as refusal:
             return refusal.bad
 
     async def _move_to(self, ask: messages.Install) -> messages.Installed:
         if ask.disk != self.disk_id:
-            raise _Refused(outcome.bad("other_disk", self.disk_id))
+            raise _RefusedError(outcome.bad("other_disk", self.disk_id))
         await self._turn(self._set_lock)
         try:
             if ask.members.epoch > self._set.epoch:
