--- a/packages/cli/src/dykeswitch/cli/main.py
+++ b/packages/cli/src/dykeswitch/cli/main.py
@@ -84,11 +84,15 @@
     text = "so many times fewer requests, each so many times as long (default 1)"
     sub.add_argument("--slower", type=float, default=1.0, help=text)
     sub.add_argument("--workers", type=int, default=3)
+    _add_fuzz(words)
+    return top
+
+
+def _add_fuzz(words: typing.Any) -> None:
     text = "send odd frames, bodies and answers to the programs until the time is over"
     sub = words.add_parser("fuzz", help=text, description=text)
     sub.add_argument("--seconds", type=float, default=60.0, help="how long (default 60)")
     sub.add_argument("--seed", type=int, default=1, help="the same seed plays the same cases (default 1)")
-    return top
 
 
 def _variant(name: str, events: list[str], sets: list[str]) -> whatif.Variant | str:
