--- a/packages/cli/src/dykeswitch/cli/main.py
+++ b/packages/cli/src/dykeswitch/cli/main.py
@@ -9,8 +9,8 @@
 
 import dykeswitch.cli.daemons as daemons
 import dykeswitch.cli.operate as operate
-import dykeswitch.hollow.words as hollow
 import dykeswitch.outcome as outcome
+import dykeswitch.scale.commands as scale
 import dykeswitch.settings as settings
 import dykeswitch.simulator.realtrial as realtrials
 import dykeswitch.simulator.scenario as scenarios
@@ -72,7 +72,7 @@
     sub.add_argument("--seeds", type=int, default=3, help="how many seeds (default 3)")
     sub.add_argument("--scale", type=float, default=0.1, help="times the shape's rate (default 0.1)")
     sub.add_argument("--workers", type=int, default=8)
-    hollow.add_words(words)
+    scale.add_words(words)
     text = "what a fleet of unequal endpoints is worth to its callers, simulated at its full rate"
     sub = words.add_parser("worth", help=text, description=text)
     sub.add_argument("shape", choices=list(shapes.UNEQUAL))
@@ -197,8 +197,8 @@
     spoken = parser().parse_args(argv)
     if spoken.word in ("query", "apply", "fetch", "compare", "check"):
         return operate.run(spoken)
-    if spoken.word == "hollow":
-        return hollow.run(spoken)
+    if spoken.word in scale.NAMES:
+        return scale.run(spoken)
     if spoken.word == "fleet":
         figures = asyncio.run(fleets.show(spoken.shape, spoken.span, spoken.seed, spoken.scale))
         print(json.dumps(figures, indent=2))
