An order sent again waits for proxies no longer than its version is known here

The half second now counts from when this registry first read the version from a majority; what proxies say of themselves is no longer asked.

--- a/packages/registry/src/dykeswitch/registry/publisher.py
+++ b/packages/registry/src/dykeswitch/registry/publisher.py
@@ -41,6 +41,8 @@
         self.documents = documents.Documents(line, caller, bounds.call_s, self._reads)
         self.layout: layouts.Layout | None = None
         self.pauses: list[pauses.Pause] = []
+        # The newest version of each document that a majority told us of, and when it did so first.
+        self._confirmed: dict[str, tuple[int, float]] = {}
         # When a majority was last read.
         self.majority_at = NEVER
 
@@ -73,6 +75,9 @@
         if not value.version:
             return
         await self.documents.take(name, value.version, value.body)
+        known, _ = self._confirmed.get(name, (0, NEVER))
+        if value.version > known:
+            self._confirmed[name] = (value.version, self._clock.now())
         named = self._line.get(timeline.DOCUMENT, name)
         forget_s = self._bounds.forget_s
         if named is None or int(named.fields["version"]) < value.version:
@@ -91,19 +96,15 @@
         return None
 
     async def handed(self, name: str, version: int) -> None:
-        """Wait a moment until two proxies hold it, so that it spreads even if all cores go dark."""
+        """Wait a moment until two proxies hold it, so that it spreads even if all cores go dark.
+
+        The moment begins when we first knew of it: an order sent again later need not wait.
+        """
         proxies = len(self._line.all(timeline.PROXY))
-        end = self._clock.now() + self._bounds.gap_s
+        _, since = self._confirmed.get(name, (version, self._clock.now()))
+        end = since + self._bounds.gap_s
         while self._clock.now() < end:
-            held = len(self._holders(name, version)) >= min(HANDED, proxies)
-            if held or self.documents.version(name) > version:
+            got = self.documents.handed.get((name, version), set())
+            if len(got) >= min(HANDED, proxies) or self.documents.version(name) > version:
                 return
             await self._clock.sleep(self._bounds.gap_s / 100)
-
-    def _holders(self, name: str, version: int) -> set[str]:
-        """The proxies that fetched a document from us, or say that they hold it."""
-        fetched = self.documents.handed.get((name, version), set())
-        if name != documents.LAYOUT:
-            return fetched
-        told = self._line.all(timeline.PROXY)
-        return fetched | {proxy.key for proxy in told if int(proxy.fields["layout"]) >= version}
