A replica's records stand in a module of their own; no write goes on beside an erasure

`register.records` holds the durable writes: an erasure bars writes not yet begun and waits for those under way; a failure between the old id and the new leaves the store out of service until it starts again.

Ruled out: one thread for each disk (a stalled sync of one key would hold the others again).

Test: test_no_write_goes_on_beside_an_erasure_or_comes_after_it.

--- a/packages/register/src/dykeswitch/register/voter.py
+++ b/packages/register/src/dykeswitch/register/voter.py
@@ -16,13 +16,14 @@
 import dykeswitch.ports as ports
 import dykeswitch.register as register
 import dykeswitch.register.messages as messages
+import dykeswitch.register.records as durable
 import dykeswitch.register.replica as replicas
 import dykeswitch.register.storage as storage
 
 DISK_KEY: typing.Final = messages.DISK_KEY
 SET_KEY: typing.Final = messages.SET_KEY
 # How long a write may take before the disk counts as stalled.
-STALL_S: typing.Final = 1.0
+STALL_S: typing.Final = durable.STALL_S
 
 
 @dataclasses.dataclass(slots=True)
@@ -39,10 +40,6 @@
         return [list(self.promised), list(self.ballot), self.value.wire()]
 
 
-class _ErasedError(OSError):
-    """The replica that a write was meant for was erased before the write came to the disk."""
-
-
 class _RefusedError(Exception):
     """A vote that is not given."""
 
@@ -61,33 +58,22 @@
         rng: random.Random,
         site: replicas.Site | None = None,
     ) -> None:
-        self._disk = disk
         self._site = site or replicas.Site()
         self._rng = rng
-        self._storage = storage.Storage(disk, points)
+        self._records = durable.Records(disk, points)
         self._seats: dict[str, Seat] = {}
         self._set = register.NOBODY
         self._set_lock = asyncio.Lock()
         self.disk_id = ""
         # Set when its process is asked to stop: the vote is to be handed over.
         self.leaving = False
-        # A replica with a vote was once erased here.
-        self._voted_before = False
-        # Counts the replicas that this disk has held since the process started.
-        self._incarnation = 0
-        # Writes under way, by key, with the time at which each began.
-        self._writing: dict[str, float] = {}
-        # What the last write failed with, and whether the disk's content is known after it.
-        self._write_fault = ""
-        self._content_known = True
 
     async def open(self) -> None:
         """Read the disk; a disk never used before gets its random id.
 
         Raises `OSError` when the disk does not serve; it may then be called again.
         """
-        records = await self._disk.run(self._storage.open)
-        self._voted_before = await self._disk.run(self._storage.voted_before)
+        records = await self._records.open()
         self._seats.clear()
         for key, record in records.items():
             if key == DISK_KEY:
@@ -107,7 +93,7 @@
 
     async def _draw_id(self) -> None:
         name = f"{self._rng.getrandbits(64):016x}"
-        await self._put(DISK_KEY, name)
+        await self._records.put(DISK_KEY, name)
         self.disk_id = name
 
     @property
@@ -118,13 +104,7 @@
     @property
     def damaged(self) -> str:
         """Why this disk gives no vote at present, or nothing."""
-        if self._write_fault:
-            return self._write_fault
-        return "a write is stalled" if self.stalled() else ""
-
-    def stalled(self) -> bool:
-        """Whether a write has been under way for longer than a disk that serves would take."""
-        return bool(self._writing) and _now() - min(self._writing.values()) > STALL_S
+        return self._records.damaged
 
     def seated(self) -> bool:
         """Whether this disk is in the member set that it knows."""
@@ -136,7 +116,7 @@
 
     def blank(self) -> bool:
         """The disk never had a vote: such stores may found a member set."""
-        return self.vacant() and not self._voted_before
+        return self.vacant() and not self._records.voted_before
 
     def vacant(self) -> bool:
         """Never seated and never voted in this life, but for rounds that were to seat it."""
@@ -156,49 +136,15 @@
             messages.Retire.KIND: self._retire,
         }
 
-    async def _put(self, key: str, record: typing.Any) -> None:
-        """Make a record durable; after an unclear failure the disk votes no more."""
-        if not self._content_known:
-            raise OSError(self._write_fault)
-        incarnation = self._incarnation
-
-        def write() -> None:
-            # Steps of the disk run one after another: none may reach over an erasure.
-            if incarnation != self._incarnation:
-                raise _ErasedError("the replica was erased")
-            self._storage.put(key, record)
-
-        self._writing[key] = _now()
-        try:
-            await self._disk.run(write)
-        except _ErasedError:
-            raise
-        except storage.NotWritten as flaw:
-            # The older record is in force: the next vote may find room again.
-            self._write_fault = str(flaw)
-            raise
-        except OSError as flaw:
-            self._write_fault = str(flaw)
-            self._content_known = False
-            raise
-        except asyncio.CancelledError:
-            # The disk may still be at it: nobody knows what it will hold.
-            self._write_fault = "a write was cut off"
-            self._content_known = False
-            raise
-        finally:
-            self._writing.pop(key, None)
-        self._write_fault = ""
-
     async def _vote(self, key: str, record: typing.Any) -> None:
         try:
-            await self._put(key, record)
+            await self._records.put(key, record)
         except OSError as flaw:
             raise _RefusedError(outcome.bad("disk_fault", str(flaw))) from flaw
 
     async def _turn(self, lock: asyncio.Lock) -> None:
         """Take a lock, or refuse: nothing is queued behind a stalled disk."""
-        if self.stalled():
+        if self._records.stalled():
             raise _RefusedError(outcome.bad("disk_fault", self.damaged))
         if not lock.locked():
             await lock.acquire()
@@ -211,8 +157,8 @@
 
     def _barred(self, key: str, disk: str, epoch: int) -> outcome.Bad | None:
         """Why this disk may not answer, if it may not."""
-        if not self._content_known:
-            return outcome.bad("disk_fault", self._write_fault)
+        if not self._records.content_known:
+            return outcome.bad("disk_fault", self._records.fault)
         if disk != self.disk_id:
             return outcome.bad("other_disk", self.disk_id)
         # Under an older set a majority might be counted that no longer is one.
@@ -237,7 +183,7 @@
         return replicas.ReplicaState(
             disk=self.disk_id,
             blank=self.blank(),
-            erased=self.vacant() and self._voted_before,
+            erased=self.vacant() and self._records.voted_before,
             seated=self.seated(),
             members=self._set,
             damaged=self.damaged,
@@ -356,8 +302,8 @@
         try:
             if ask.disk != self.disk_id:
                 raise _RefusedError(outcome.bad("other_disk", self.disk_id))
-            if not self._content_known:
-                raise _RefusedError(outcome.bad("disk_fault", self._write_fault))
+            if not self._records.content_known:
+                raise _RefusedError(outcome.bad("disk_fault", self._records.fault))
             told = ask.members
             if told.epoch < self._set.epoch or told.joint() or self.disk_id in told.disks():
                 raise _RefusedError(outcome.bad("conflict", f"epoch {self._set.epoch}"))
@@ -368,26 +314,17 @@
 
     async def _erase(self) -> None:
         # From here on no call for the old id is answered, and none of its writes is made.
-        self._incarnation += 1
         self.disk_id = ""
         self._seats = {}
         self._set = register.NOBODY
-        self._voted_before = True
-        self._writing[SET_KEY] = _now()
         try:
-            await self._disk.run(self._storage.erase)
+            await self._records.erase()
             await self._draw_id()
         except OSError as flaw:
-            self._write_fault = str(flaw)
-            self._content_known = False
+            # Neither the old replica nor a new one: only a start can tell what is left.
+            self._records.content_known = False
             raise _RefusedError(outcome.bad("disk_fault", str(flaw))) from flaw
-        finally:
-            self._writing.pop(SET_KEY, None)
 
 
 def _good(reply: messages.Reply) -> frames.Result:
     return outcome.Good(messages.encode(reply))
-
-
-def _now() -> float:
-    return asyncio.get_running_loop().time()
