--- a/packages/registry/src/dykeswitch/registry/relay.py
+++ b/packages/registry/src/dykeswitch/registry/relay.py
@@ -64,4 +64,4 @@
         names = [entry.stamp[1] for entry in self._parts.line.all(timeline.DOCUMENT)]
         first = [cores[name] for name in names if name in cores]
         addresses = list(dict.fromkeys([*first, *cores.values()]))
-        return await self._documents.catch_up(addresses, proxy=False)
+        return await self._documents.catch_up(addresses)
