--- a/tests/test_style.py
+++ b/tests/test_style.py
@@ -21,7 +21,6 @@
         "membership/__init__.py",
         "proxy/carrier.py",
         "proxy/program.py",
-        "register/voter.py",
         "simulator/faults/cores.py",
         "simulator/fleet.py",
         "simulator/history.py",
