--- a/packages/cli/src/dykeswitch/cli/main.py
+++ b/packages/cli/src/dykeswitch/cli/main.py
@@ -9,8 +9,8 @@
 
 import dykeswitch.cli.daemons as daemons
 import dykeswitch.cli.operate as operate
-import dykeswitch.hollow.words as hollow
 import dykeswitch.outcome as outcome
+import dykeswitch.scale.commands as scale
 import dykeswitch.settings as settings
 import dykeswitch.simulator.realtrial as realtrials
 import dykeswitch.simulator.scenario as scenarios
@@ -117,7 +117,7 @@
     _add_fleet(words)
     _add_simulate(words)
     _add_trial(words)
-    hollow.add_words(words)
+    scale.add_words(words)
     _add_worth(words)
     _add_fuzz(words)
     return top
@@ -229,8 +229,8 @@
     spoken = parser().parse_args(argv)
     if spoken.word in ("query", "apply", "fetch", "compare", "check"):
         return operate.run(spoken)
-    if spoken.word == "hollow":
-        return hollow.run(spoken)
+    if spoken.word in scale.NAMES:
+        return scale.run(spoken)
     if spoken.word == "fleet":
         figures = asyncio.run(fleets.show(spoken.shape, spoken.span, spoken.seed, spoken.scale))
         print(json.dumps(figures, indent=2))
--- a/packages/hollow/src/dykeswitch/hollow/data.py
+++ b/packages/scale/src/dykeswitch/scale/data_path.py
@@ -1,4 +1,4 @@
-"""What carrying a request costs: one real proxy before hollow endpoints, against calling them directly."""
+"""What carrying a request costs: one real proxy before stand-in endpoints, against calling them directly."""
 
 import asyncio
 import collections
@@ -15,16 +15,18 @@
 import tempfile
 import typing
 
-import dykeswitch.hollow.gauge as gauge
-import dykeswitch.hollow.ground as grounds
-import dykeswitch.hollow.measure as measure
-import dykeswitch.hollow.sweep as sweeps
+import dykeswitch.scale.measure as measure
+import dykeswitch.scale.process_stats as process_stats
+import dykeswitch.scale.sweep as sweeps
+import dykeswitch.scale.testbed as testbeds
 import dykeswitch.standin.fleet as fleets
 import dykeswitch.standin.shape as shapes
+from dykeswitch.scale.size import Size
+from dykeswitch.scale.worker_handle import WorkerHandle
 
 Page = dict[str, typing.Any]
 
-SPAN_S: typing.Final = 12.0
+DURATION_S: typing.Final = 12.0
 IDLE_S: typing.Final = 5.0
 # A proxy proves a pipe anew that lay idle for longer than this part of `drain_s`.
 KEPT_S: typing.Final = 0.5
@@ -50,16 +52,17 @@
     def _args(self) -> list[str]:
         args = super()._args()
         at = args.index("dykeswitch.cli.main")
-        book = str(self._folder / f"{self.name}.parts")
-        return [*args[:at], "dykeswitch.hollow.sampled", book, *args[at + 1 :]]
+        path = str(self._folder / f"{self.name}.parts")
+        return [*args[:at], "dykeswitch.scale.profiler", path, *args[at + 1 :]]
 
     def parts(self) -> Page:
+        """Samples by part, once the proxy has ended."""
         page: Page = json.loads((self._folder / f"{self.name}.parts").read_text())
         return page
 
 
 class Bench:
-    """One core, one proxy, a herd of endpoints, and a bare relay to one of them."""
+    """One core, one proxy, a worker of endpoints, and a bare relay to one of them."""
 
     def __init__(self, load: Load, folder: pathlib.Path, turn: int, sampled: bool) -> None:
         self.load = load
@@ -75,62 +78,66 @@
             {
                 "name": f"{SERVICE}-{n}",
                 "service": SERVICE,
-                "spot": f"{block}.1:{grounds.PORT_FROM + n}",
+                "address": f"{block}.1:{testbeds.PORT_FROM + n}",
                 "zone": "z1",
             }
             for n in range(load.endpoints)
         ]
         web = [registry.web for registry, _ in self.fleet.cores]
         spec = {"kind": "endpoint", "members": members, "seed": 1, "registries": web, "interval_s": 1.0}
-        self.herd = grounds.Herd("endpoints", spec, folder)
-        relay = {"spot": f"{block}.2:{grounds.PORT_FROM}", "ear": members[0]["spot"]}
-        self.relay = grounds.Herd("relay", {"kind": "relay", "members": [relay]}, folder)
-        self.addresses = [str(m["spot"]) for m in members]
+        self.worker = WorkerHandle("endpoints", spec, folder)
+        relay = {"address": f"{block}.2:{testbeds.PORT_FROM}", "target": members[0]["address"]}
+        self.relay = WorkerHandle("relay", {"kind": "relay", "members": [relay]}, folder)
+        self.addresses = [str(m["address"]) for m in members]
         self.took: dict[str, list[float]] = collections.defaultdict(list)
         self.failed = 0
         self._used: dict[str, float] = {}
-        self._warden: subprocess.Popen[bytes] | None = None
+        self._watchdog: subprocess.Popen[bytes] | None = None
 
     async def start(self) -> None:
-        self._warden = grounds.watched(self.fleet)
-        layout = grounds.Size(services=1, rules=100).layout(0)
+        """Start everything, and wait until the proxy knows all endpoints."""
+        self._watchdog = testbeds.start_cores(self.fleet)
+        layout = Size(services=1, rules=100).layout(0)
         layout["rules"].append({"path": "/", "service": SERVICE})
         await self.fleet.apply(layout)
-        await asyncio.gather(self.herd.start(), self.relay.start())
+        await asyncio.gather(self.worker.start(), self.relay.start())
         self.proxy.start()
-        grounds.tell_warden(self._warden, self.proxy)
+        testbeds.tell_watchdog(self._watchdog, self.proxy)
         self.fleet.spawn(self.fleet.callers.watch())
         await self.fleet.until(lambda: bool(self.fleet.callers.ready), 60, "the proxy is ready")
         while await self.fleet.known() < self.load.endpoints:
             await self.fleet.machine.clock.sleep(0.05)
 
     async def stop(self) -> None:
-        await asyncio.gather(self.herd.end(), self.relay.end())
+        """Stop everything."""
+        await asyncio.gather(self.worker.end(), self.relay.end())
         await self.fleet.stop()
-        grounds.end_warden(self._warden)
+        testbeds.end_watchdog(self._watchdog)
 
-    async def drive(self) -> gauge.Reading:
+    async def drive(self) -> process_stats.Reading:
         """Send for a span; what the proxy spent on it beyond its idling."""
         loop = asyncio.get_running_loop()
         await asyncio.sleep(2.0)
-        idle = gauge.read(self.proxy.pid)
+        idle = process_stats.read(self.proxy.pid)
         await asyncio.sleep(IDLE_S)
         if isinstance(self.proxy, Sampled):
             # What it took to start is no part of a request.
             self.proxy.tell(signal.SIGUSR1)
-        before = gauge.read(self.proxy.pid)
-        end = loop.time() + SPAN_S
+        before = process_stats.read(self.proxy.pid)
+        end = loop.time() + DURATION_S
         due = loop.time()
         async with asyncio.TaskGroup() as group:
             while (due := due + self.rng.expovariate(self.load.rate)) < end:
                 await asyncio.sleep(max(0.0, due - loop.time()))
                 group.create_task(self._one(self.rng.choice(ARMS)))
-        after = gauge.read(self.proxy.pid)
-        rest = (before.run_s - idle.run_s) / IDLE_S * SPAN_S
-        return gauge.Reading(after.run_s - before.run_s - rest, after.wait_s - before.wait_s, after.memory_mb)
+        after = process_stats.read(self.proxy.pid)
+        rest = (before.run_s - idle.run_s) / IDLE_S * DURATION_S
+        return process_stats.Reading(
+            after.run_s - before.run_s - rest, after.wait_s - before.wait_s, after.memory_mb
+        )
 
     async def _one(self, arm: str) -> None:
-        address = {"proxy": self.proxy.web, "relay": str(self.relay.spec["members"][0]["spot"])}.get(arm)
+        address = {"proxy": self.proxy.web, "relay": str(self.relay.spec["members"][0]["address"])}.get(arm)
         address = address or self.rng.choice(self.addresses)
         begun = asyncio.get_running_loop().time()
         try:
@@ -164,9 +171,9 @@
             "asked": asked,
             "failed": bench.failed,
             "proxy_ms": round(spent.run_s / max(1, asked) * 1000, 4),
-            "proxy_wait_share": round(spent.wait_s / SPAN_S, 4),
+            "proxy_wait_share": round(spent.wait_s / DURATION_S, 4),
             "memory_mb": round(spent.memory_mb, 1),
-            "took": {name: grounds.spans(took) for name, took in sorted(bench.took.items())},
+            "took": {name: testbeds.quantiles(took) for name, took in sorted(bench.took.items())},
         }
         if isinstance(bench.proxy, Sampled):
             bench.proxy.tell(signal.SIGTERM)
@@ -179,7 +186,7 @@
     return page
 
 
-def run(turns: typing.Sequence[int], book: pathlib.Path) -> int:
+def run(turns: typing.Sequence[int], path: pathlib.Path) -> int:
     """Every load, turn by turn, and one run of each under the sampler; how many failed."""
     failed = 0
     for turn in turns:
@@ -199,6 +206,6 @@
                     failed += 1
                     page = {"why": str(flaw)[:200]}
                     head["kind"] = "failed"
-                sweeps.write(book, {**head, **page})
+                sweeps.write(path, {**head, **page})
                 sys.stderr.write(f"data {turn} {load} sampled={sampled}\n")
     return failed
--- a/packages/hollow/src/dykeswitch/hollow/worked.py
+++ b/packages/scale/src/dykeswitch/scale/derived.py
@@ -5,35 +5,38 @@
 
 import cbor2
 
-import dykeswitch.hollow.ground as grounds
-import dykeswitch.hollow.target as targets
 import dykeswitch.layout as layouts
 import dykeswitch.outcome as outcome
 import dykeswitch.register as register
+import dykeswitch.scale.target as targets
 import dykeswitch.settings as settings
 import dykeswitch.timeline as timeline
+from dykeswitch.scale.size import Size
 
 T: typing.Final = targets.TARGET
 BOUNDS: typing.Final = settings.Settings()
 
 
-class _Still:
+class FrozenClock:
     """A clock that stands."""
 
     def now(self) -> float:
+        """Always the same moment."""
         return 1000.0
 
     def wall(self) -> float:
+        """Always the same moment."""
         return 1000.0
 
-    async def sleep(self, span: float) -> None:
+    async def sleep(self, duration: float) -> None:
+        """Return at once."""
         return None
 
 
 @functools.cache
 def entry_bytes() -> float:
-    """An endpoint's entry on the wire, with names as long as the hollow fleets'."""
-    line = timeline.Timeline("core0", _Still(), BOUNDS.forget_s)
+    """An endpoint's entry on the wire, with names as long as the test fleets'."""
+    line = timeline.Timeline("core0", FrozenClock(), BOUNDS.forget_s)
     fields = {
         "service": "s123",
         "address": "10.123.123.123:8000",
@@ -51,60 +54,86 @@
 @functools.cache
 def layout_bytes(rules: int, services: int) -> int:
     """A layout of so many rules, as it stands in the register and travels to each proxy."""
-    read = layouts.check(grounds.Size(rules=rules, services=services).layout(1))
+    read = layouts.check(Size(rules=rules, services=services).layout(1))
     assert isinstance(read, outcome.Good)
     return len(layouts.pack(read.value))
 
 
-def figures() -> dict[str, tuple[float, str]]:
+Figures = dict[str, tuple[float, str]]
+# Rates that hold for the whole target.
+CHANGE_EVERY_S: typing.Final = targets.DAY_S / T.changes_day
+STARTS_DAY: typing.Final = T.restarts_day + T.failures_day
+NODE_REQUESTS_S: typing.Final = T.requests_s / T.nodes
+
+
+def figures() -> Figures:
     """Each by name, with its unit."""
+    return {**_endpoint_figures(), **_document_figures(), **_rate_figures(), **_failure_figures()}
+
+
+def _endpoint_figures() -> Figures:
+    """What endpoints cost on the wire, by the size of one entry."""
     entry = entry_bytes()
-    document = layout_bytes(T.rules, T.services)
-    rule = document / T.rules
-    day = targets.DAY_S
-    every_s = day / T.changes_day
-    restarts = T.restarts_day + T.failures_day
-    zone = T.endpoints / T.zones
-    region = T.endpoints / T.regions
+    zone, region = T.endpoints / T.zones, T.endpoints / T.regions
     return {
         "entry_bytes": (entry, "B"),
         "table_bytes": (entry * T.endpoints, "B"),
         "beat_copy_bytes": (entry * T.endpoints, "B/s"),
         "beat_copy_over": (entry * T.endpoints / T.bytes_s, "times"),
         "beat_budget": (T.bytes_s / entry, "endpoints"),
-        "changes_only_bytes": (2 * restarts * entry / day, "B/s"),
+        "changes_only_bytes": (2 * STARTS_DAY * entry / targets.DAY_S, "B/s"),
+        "zone_endpoints": (zone, "endpoints"),
+        "region_endpoints": (region, "endpoints"),
+        "service_endpoints": (T.endpoints / T.services, "endpoints"),
+        "region_table_bytes": (region * entry, "B"),
+        "zone_table_bytes": (zone * entry, "B"),
+        "zone_burst_bytes": (zone * entry, "B"),
+        "zone_burst_s": (zone * entry / T.bytes_s, "s"),
+    }
+
+
+def _document_figures() -> Figures:
+    """What layouts cost on the wire."""
+    document = layout_bytes(T.rules, T.services)
+    rule = document / T.rules
+    return {
         "rule_bytes": (rule, "B"),
         "paper_bytes": (document, "B"),
         "paper_most": (BOUNDS.layout_most, "B"),
-        "every_s": (every_s, "s"),
-        "paper_rate": (document / every_s, "B/s"),
-        "paper_over": (document / every_s / T.bytes_s, "times"),
-        "paper_delta_rate": (rule / every_s, "B/s"),
-        "paper_all_rate": (T.nodes * document / every_s, "B/s"),
-        "paper_all_delta_rate": (T.nodes * rule / every_s, "B/s"),
-        "zone_endpoints": (zone, "endpoints"),
-        "region_endpoints": (region, "endpoints"),
+        "every_s": (CHANGE_EVERY_S, "s"),
+        "paper_rate": (document / CHANGE_EVERY_S, "B/s"),
+        "paper_over": (document / CHANGE_EVERY_S / T.bytes_s, "times"),
+        "paper_delta_rate": (rule / CHANGE_EVERY_S, "B/s"),
+        "paper_all_rate": (T.nodes * document / CHANGE_EVERY_S, "B/s"),
+        "paper_all_delta_rate": (T.nodes * rule / CHANGE_EVERY_S, "B/s"),
+        "ops_kept_s": (register.OPS_KEPT * CHANGE_EVERY_S, "s"),
+    }
+
+
+def _rate_figures() -> Figures:
+    """How often each machine is asked, and by how many."""
+    return {
         "region_nodes": (T.nodes / T.regions, "nodes"),
         "zone_nodes": (T.nodes / T.zones, "nodes"),
-        "zone_burst_bytes": (zone * entry, "B"),
-        "zone_burst_s": (zone * entry / T.bytes_s, "s"),
         "standing_polls": (float(T.nodes * T.machines), "polls"),
         "polls_each": (float(T.nodes), "polls"),
         "beats_each": (T.endpoints / T.machines, "/s"),
         "probes": (T.endpoints / BOUNDS.probe_every_s, "/s"),
         "probes_each": (T.endpoints / BOUNDS.probe_every_s / T.machines, "/s"),
-        "node_requests": (T.requests_s / T.nodes, "/s"),
-        "pair_every_s": (T.endpoints / (T.requests_s / T.nodes), "s"),
-        "zone_pair_every_s": (zone / (T.requests_s / T.nodes), "s"),
-        "cut_changes": (T.cut_off_s / every_s, "layouts"),
-        "cut_restarts": (T.restarts_day / day * T.cut_off_s / T.regions, "starts"),
-        "forget_s": (BOUNDS.forget_s, "s"),
-        "restart_every_s": (day / restarts, "s"),
-        "ops_kept_s": (register.OPS_KEPT * every_s, "s"),
+        "node_requests": (NODE_REQUESTS_S, "/s"),
+        "pair_every_s": (T.endpoints / NODE_REQUESTS_S, "s"),
+        "zone_pair_every_s": (T.endpoints / T.zones / NODE_REQUESTS_S, "s"),
         "mark_s": (BOUNDS.mark_s, "s"),
         "hold_s": (BOUNDS.hold_s, "s"),
         "shuffle_s": (BOUNDS.shuffle_s, "s"),
-        "service_endpoints": (T.endpoints / T.services, "endpoints"),
-        "region_table_bytes": (region * entry, "B"),
-        "zone_table_bytes": (zone * entry, "B"),
+    }
+
+
+def _failure_figures() -> Figures:
+    """What changes while a region is cut off, and how often something starts anew."""
+    return {
+        "cut_changes": (T.cut_off_s / CHANGE_EVERY_S, "layouts"),
+        "cut_restarts": (T.restarts_day / targets.DAY_S * T.cut_off_s / T.regions, "starts"),
+        "forget_s": (BOUNDS.forget_s, "s"),
+        "restart_every_s": (targets.DAY_S / STARTS_DAY, "s"),
     }
--- a/packages/hollow/src/dykeswitch/hollow/fit.py
+++ b/packages/scale/src/dykeswitch/scale/fit.py
@@ -10,7 +10,7 @@
 
 Record = dict[str, typing.Any]
 Sizes = typing.Mapping[str, float]
-Look = typing.Callable[[Record], float | None]
+Reader = typing.Callable[[Record], float | None]
 
 BASE: typing.Final = "1"
 
@@ -26,13 +26,15 @@
     runs: int
 
     def at(self, sizes: Sizes) -> float:
-        return sum(s * worth(t, sizes) for t, s in zip(self.terms, self.slopes))
+        """The sum at a size."""
+        return sum(s * term_value(t, sizes) for t, s in zip(self.terms, self.slopes))
 
     def parts(self, sizes: Sizes) -> dict[str, float]:
-        return {t: s * worth(t, sizes) for t, s in zip(self.terms, self.slopes)}
+        """What each term adds to the sum at a size."""
+        return {t: s * term_value(t, sizes) for t, s in zip(self.terms, self.slopes)}
 
 
-def worth(term: str, sizes: Sizes) -> float:
+def term_value(term: str, sizes: Sizes) -> float:
     """A term's worth at a size: variables joined by `*` and `/`."""
     found = 1.0
     for sign, name in re.findall(r"([*/]?)([a-z0-9]+)", term):
@@ -41,22 +43,22 @@
     return found
 
 
-def fit(records: typing.Sequence[Record], look: Look, terms: typing.Sequence[str]) -> Fit:
+def fit(records: typing.Sequence[Record], look: Reader, terms: typing.Sequence[str]) -> Fit:
     """The sum of terms that lies nearest to the runs, each run's miss as a part of itself."""
     pairs = [(r["size"], v) for r in records if (v := look(r)) is not None and v > 0]
-    rows = numpy.array([[worth(t, size) for t in terms] for size, _ in pairs], dtype=float)
+    rows = numpy.array([[term_value(t, size) for t in terms] for size, _ in pairs], dtype=float)
     told = numpy.array([v for _, v in pairs], dtype=float)
     scaled = rows / told[:, None]
     # Columns of like length, or a slope per rule would drown beside one per core.
     norms = numpy.linalg.norm(scaled, axis=0)
     norms[norms == 0] = 1.0
-    slopes = _above(scaled / norms, numpy.ones(len(pairs))) / norms
+    slopes = _nonnegative_least_squares(scaled / norms, numpy.ones(len(pairs))) / norms
     miss = [float(rows[n] @ slopes) / told[n] - 1 for n in range(len(pairs))]
     spread = math.sqrt(statistics.fmean(m * m for m in miss)) if miss else 0.0
     return Fit(tuple(terms), tuple(float(s) for s in slopes), spread, len(pairs))
 
 
-def _above(
+def _nonnegative_least_squares(
     rows: "numpy.ndarray[typing.Any, typing.Any]", want: "numpy.ndarray[typing.Any, typing.Any]"
 ) -> typing.Any:
     """Least squares without a slope below nothing (the active set of Lawson and Hanson)."""
@@ -85,7 +87,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Reach:
+class Extrapolation:
     """A figure brought to a size: the sum, and the least and most with a turn left out."""
 
     fit: Fit
@@ -95,7 +97,9 @@
     parts: dict[str, float]
 
 
-def reach(records: typing.Sequence[Record], look: Look, terms: typing.Sequence[str], sizes: Sizes) -> Reach:
+def extrapolate(
+    records: typing.Sequence[Record], look: Reader, terms: typing.Sequence[str], sizes: Sizes
+) -> Extrapolation:
     """Bring a figure to a size; the range tells what one turn of runs more or less moves it by."""
     whole = fit(records, look, terms)
     value = whole.at(sizes)
@@ -104,4 +108,4 @@
     if len(turns) > 1:
         for turn in turns:
             others.append(fit([r for r in records if r["turn"] != turn], look, terms).at(sizes))
-    return Reach(whole, value, min(others), max(others), whole.parts(sizes))
+    return Extrapolation(whole, value, min(others), max(others), whole.parts(sizes))
--- a/packages/hollow/src/dykeswitch/hollow/measure.py
+++ b/packages/scale/src/dykeswitch/scale/measure.py
@@ -1,4 +1,4 @@
-"""One run of a hollow fleet of one size, and the record of what it cost."""
+"""One run of a test fleet of one size, and the record of what it cost."""
 
 import asyncio
 import dataclasses
@@ -7,8 +7,9 @@
 import subprocess
 import typing
 
-import dykeswitch.hollow.gauge as gauge
-import dykeswitch.hollow.ground as grounds
+import dykeswitch.scale.process_stats as process_stats
+import dykeswitch.scale.testbed as testbeds
+from dykeswitch.scale.size import HEADLESS, Size
 
 Page = dict[str, typing.Any]
 
@@ -31,17 +32,17 @@
     return git("rev-parse", "--short", "HEAD") + ("+" if dirty else "")
 
 
-async def run(sweep: str, size: grounds.Size, turn: int) -> Page:
+async def run(sweep: str, size: Size, turn: int) -> Page:
     """Start a fleet, measure a steady window, changes, leavings and a recovery; the record."""
     load = os.getloadavg()[0]
-    async with grounds.standing(size, turn) as ground:
-        up = await ground.start()
+    async with testbeds.standing(size, turn) as testbed:
+        up = await testbed.start()
         await asyncio.sleep(SETTLE_S)
-        roles, marks = await _window(ground)
-        layout, acked = await _layouts(ground)
-        drain = await _drains(ground)
-        again = await _recovery(ground)
-        after = {h.name: (await h.ask(do="tally")).get("held") for h in ground.proxies[:1]}
+        roles, marks = await _window(testbed)
+        layout, acked = await _layouts(testbed)
+        drain = await _drains(testbed)
+        again = await _recovery(testbed)
+        after = {h.name: (await h.ask(do="tally")).get("held") for h in testbed.proxies[:1]}
     held = {k: round(v, 1) for k, v in (next(iter(after.values())) or {}).items()}
     return {
         "kind": "run",
@@ -63,41 +64,41 @@
     }
 
 
-async def _window(ground: grounds.Ground) -> tuple[Page, Page]:
+async def _window(testbed: testbeds.Testbed) -> tuple[Page, Page]:
     """What each role spends while things change at the size's own rates."""
     loop = asyncio.get_running_loop()
-    counts = await ground.counts()
-    before = ground.readings()
+    counts = await testbed.counts()
+    before = testbed.readings()
     begun = loop.time()
     marked: list[tuple[float, str]] = []
     async with asyncio.TaskGroup() as group:
-        group.create_task(_change_at(ground, begun + WINDOW_S))
-        group.create_task(_mark_at(ground, begun + WINDOW_S, marked))
+        group.create_task(_change_at(testbed, begun + WINDOW_S))
+        group.create_task(_mark_at(testbed, begun + WINDOW_S, marked))
         await asyncio.sleep(WINDOW_S)
-    span = loop.time() - begun
-    after = ground.readings()
-    later = await ground.counts()
+    duration = loop.time() - begun
+    after = testbed.readings()
+    later = await testbed.counts()
     roles: Page = {}
     for role in before:
         parts = {
             "proxy": 1,
-            "hollow": sum(h.size for h in ground.proxies),
-            "endpoint": ground.size.endpoints,
+            HEADLESS: sum(h.size for h in testbed.proxies),
+            "endpoint": testbed.size.endpoints,
         }.get(role, len(before[role]))
-        roles[role] = _role(span, parts, before[role], after[role], counts[role], later[role])
-    bases = [h.base_mb for h in ground.proxies]
-    spare = sum(r.memory_mb for r in after["hollow"]) - sum(bases)
-    roles["hollow"]["memory_mb"] = round(spare / max(1, sum(h.size for h in ground.proxies)), 3)
+        roles[role] = _role(duration, parts, before[role], after[role], counts[role], later[role])
+    bases = [h.base_mb for h in testbed.proxies]
+    spare = sum(r.memory_mb for r in after[HEADLESS]) - sum(bases)
+    roles[HEADLESS]["memory_mb"] = round(spare / max(1, sum(h.size for h in testbed.proxies)), 3)
     await asyncio.sleep(PAUSE_S)
-    seen = ground.seen("mark", begun)
-    return roles, _reached([(at, seen.get(key, {})) for at, key in marked], ground)
+    seen = testbed.seen("mark", begun)
+    return roles, _reached([(at, seen.get(key, {})) for at, key in marked], testbed)
 
 
 def _role(
-    span: float,
+    duration: float,
     parts: int,
-    before: list[gauge.Reading],
-    after: list[gauge.Reading],
+    before: list[process_stats.Reading],
+    after: list[process_stats.Reading],
     counts: list[dict[str, float]],
     later: list[dict[str, float]],
 ) -> Page:
@@ -107,12 +108,14 @@
     for old, new in zip(counts, later):
         for key, count in new.items():
             if key.endswith(("_bytes", "_calls")):
-                rates[key] = rates.get(key, 0.0) + (count - old.get(key, 0.0)) / span / parts
+                rates[key] = rates.get(key, 0.0) + (count - old.get(key, 0.0)) / duration / parts
     page: Page = {
         "members": parts,
-        "core_share": round(sum(spent) / span / parts, 5),
-        "core_share_most": round(max(spent) / span, 5),
-        "wait_share": round(sum(b.wait_s - a.wait_s for a, b in zip(before, after)) / span / len(before), 4),
+        "core_share": round(sum(spent) / duration / parts, 5),
+        "core_share_most": round(max(spent) / duration, 5),
+        "wait_share": round(
+            sum(b.wait_s - a.wait_s for a, b in zip(before, after)) / duration / len(before), 4
+        ),
         "memory_mb": round(sum(r.memory_mb for r in after) / parts, 2),
         "rates": {k: round(v, 1) for k, v in sorted(rates.items()) if v >= 0.05},
     }
@@ -122,19 +125,19 @@
     return page
 
 
-async def _change_at(ground: grounds.Ground, end: float) -> None:
-    await _every(ground.size.changes, end, ground.change)
+async def _change_at(testbed: testbeds.Testbed, end: float) -> None:
+    await _every(testbed.size.changes, end, testbed.change)
 
 
-async def _mark_at(ground: grounds.Ground, end: float, marked: list[tuple[float, str]]) -> None:
+async def _mark_at(testbed: testbeds.Testbed, end: float, marked: list[tuple[float, str]]) -> None:
     turn = 0
 
     async def one() -> None:
         nonlocal turn
         turn += 1
-        marked.append(await ground.mark(turn))
+        marked.append(await testbed.mark(turn))
 
-    await _every(ground.size.marks, end, one)
+    await _every(testbed.size.marks, end, one)
 
 
 async def _every(rate: float, end: float, work: typing.Callable[[], typing.Awaitable[object]]) -> None:
@@ -149,56 +152,56 @@
         due = max(due + 60 / rate, loop.time())
 
 
-def _reached(looks: list[tuple[float, dict[str, float]]], ground: grounds.Ground) -> Page:
-    """From when something was said until each hollow proxy knew of it."""
-    wanted = sum(h.size for h in ground.proxies)
-    took = [at - begun for begun, seen in looks for at in seen.values()]
-    missing = sum(wanted - len(seen) for _, seen in looks)
-    return {"looks": len(looks), "missing": missing, **grounds.spans(took)}
+def _reached(metrics: list[tuple[float, dict[str, float]]], testbed: testbeds.Testbed) -> Page:
+    """From when something was said until each headless proxy knew of it."""
+    wanted = sum(h.size for h in testbed.proxies)
+    took = [at - begun for begun, seen in metrics for at in seen.values()]
+    missing = sum(wanted - len(seen) for _, seen in metrics)
+    return {"looks": len(metrics), "missing": missing, **testbeds.quantiles(took)}
 
 
-async def _layouts(ground: grounds.Ground) -> tuple[Page, Page]:
-    """Until a layout is in force at every hollow proxy, and until its operator was told."""
+async def _layouts(testbed: testbeds.Testbed) -> tuple[Page, Page]:
+    """Until a layout is in force at every headless proxy, and until its operator was told."""
     loop = asyncio.get_running_loop()
-    looks: list[tuple[float, dict[str, float]]] = []
+    metrics: list[tuple[float, dict[str, float]]] = []
     acked: list[float] = []
     for _ in range(LOOKS):
         begun = loop.time()
-        version, told = await ground.change()
+        version, told = await testbed.change()
         acked.append(told)
         # The bench of one look is whole when every proxy holds this version or a later one.
         first: dict[str, float] = {}
         while loop.time() < begun + SEEN_MOST_S:
             first = {}
-            for held, seen in ground.seen("layout", begun).items():
+            for held, seen in testbed.seen("layout", begun).items():
                 for name, at in seen.items():
                     if held >= version:
                         first[name] = min(at, first.get(name, at))
-            if len(first) >= sum(h.size for h in ground.proxies):
+            if len(first) >= sum(h.size for h in testbed.proxies):
                 break
             await asyncio.sleep(0.2)
-        looks.append((begun, first))
+        metrics.append((begun, first))
         await asyncio.sleep(PAUSE_S)
-    return _reached(looks, ground), grounds.spans(acked)
+    return _reached(metrics, testbed), testbeds.quantiles(acked)
 
 
-async def _drains(ground: grounds.Ground) -> Page:
-    """Until every hollow proxy knows that an endpoint leaves."""
+async def _drains(testbed: testbeds.Testbed) -> Page:
+    """Until every headless proxy knows that an endpoint leaves."""
     loop = asyncio.get_running_loop()
     begun = loop.time()
     left = []
-    for n in range(min(LOOKS, ground.size.endpoints // 2)):
-        left.append(await ground.leave(n))
+    for n in range(min(LOOKS, testbed.size.endpoints // 2)):
+        left.append(await testbed.leave(n))
         await asyncio.sleep(PAUSE_S)
     await asyncio.sleep(PAUSE_S)
-    seen = ground.seen("left", begun)
-    return _reached([(at, seen.get(name, {})) for at, name in left], ground)
+    seen = testbed.seen("left", begun)
+    return _reached([(at, seen.get(name, {})) for at, name in left], testbed)
 
 
-async def _recovery(ground: grounds.Ground) -> Page:
-    """Kill a herd of hollow proxies, start it anew, and wait until all are ready again."""
-    herd = ground.proxies[0]
-    await herd.end(signal.SIGKILL)
-    await herd.start()
-    found = await ground.ready([herd])
-    return {**found, "herd": herd.size}
+async def _recovery(testbed: testbeds.Testbed) -> Page:
+    """Kill a worker of headless proxies, start it anew, and wait until all are ready again."""
+    worker = testbed.proxies[0]
+    await worker.end(signal.SIGKILL)
+    await worker.start()
+    found = await testbed.ready([worker])
+    return {**found, "herd": worker.size}
--- a/packages/hollow/src/dykeswitch/hollow/looks.py
+++ b/packages/scale/src/dykeswitch/scale/metrics.py
@@ -3,7 +3,8 @@
 import dataclasses
 import typing
 
-import dykeswitch.hollow.fit as fits
+import dykeswitch.scale.fit as fits
+from dykeswitch.scale.size import HEADLESS
 
 Record = fits.Record
 
@@ -24,8 +25,8 @@
 
 
 def strained(record: Record) -> bool:
-    """Whether hollow proxies stood still in the steady window: then the machine was measured."""
-    return bool(record["roles"]["hollow"].get("frozen"))
+    """Whether headless proxies stood still in the steady window: then the machine was measured."""
+    return bool(record["roles"][HEADLESS].get("frozen"))
 
 
 def by_group(role: dict[str, typing.Any]) -> dict[str, float]:
@@ -45,47 +46,51 @@
     return float(each * record["size"]["endpoints"] / record["size"]["cores"])
 
 
-def proxy_bytes(group: str) -> fits.Look:
-    return lambda r: by_group(r["roles"]["hollow"]).get(group)
+def proxy_bytes(group: str) -> fits.Reader:
+    """Reads a headless proxy's bytes a second in a group of message kinds."""
+    return lambda r: by_group(r["roles"][HEADLESS]).get(group)
 
 
-def registry_bytes(group: str) -> fits.Look:
+def registry_bytes(group: str) -> fits.Reader:
+    """Reads a registry's bytes a second in a group of message kinds."""
     if group == "beats":
         return beat_bytes
     return lambda r: by_group(r["roles"]["registry"]).get(group)
 
 
-def store_bytes(group: str) -> fits.Look:
+def store_bytes(group: str) -> fits.Reader:
+    """Reads a store's bytes a second in a group of message kinds."""
     return lambda r: by_group(r["roles"]["store"]).get(group)
 
 
-def role_figure(role: str, name: str) -> fits.Look:
+def role_figure(role: str, name: str) -> fits.Reader:
+    """Reads one figure of a role, as the record names it."""
     return lambda r: float(r["roles"][role][name])
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Figure:
+class Metric:
     """One figure of a role: its unit, its look, its terms."""
 
     role: str
     name: str
     unit: str
-    look: fits.Look
+    look: fits.Reader
     terms: tuple[str, ...]
 
 
-FIGURES: typing.Final = (
-    Figure(
+METRICS: typing.Final = (
+    Metric(
         "proxy",
         "polls",
         "B/s",
         proxy_bytes("polls"),
         ("1", "cores", "cores*endpoints", "cores*nodes", "cores*marks", "cores*changes"),
     ),
-    Figure("proxy", "shuffles", "B/s", proxy_bytes("shuffles"), ("1", "endpoints", "nodes", "marks")),
-    Figure("proxy", "pushes", "B/s", proxy_bytes("pushes"), ("1", "endpoints", "nodes", "marks", "changes")),
-    Figure("proxy", "papers", "B/s", proxy_bytes("papers"), ("changes", "changes*rules")),
-    Figure(
+    Metric("proxy", "shuffles", "B/s", proxy_bytes("shuffles"), ("1", "endpoints", "nodes", "marks")),
+    Metric("proxy", "pushes", "B/s", proxy_bytes("pushes"), ("1", "endpoints", "nodes", "marks", "changes")),
+    Metric("proxy", "papers", "B/s", proxy_bytes("papers"), ("changes", "changes*rules")),
+    Metric(
         "proxy",
         "processor",
         "core",
@@ -102,50 +107,50 @@
             "changes*rules",
         ),
     ),
-    Figure(
+    Metric(
         "proxy",
         "memory",
         "MB",
         role_figure("proxy", "memory_mb"),
         ("1", "endpoints", "nodes", "rules", "services"),
     ),
-    Figure(
+    Metric(
         "registry",
         "polls",
         "B/s",
         registry_bytes("polls"),
         ("nodes", "nodes*endpoints", "nodes*nodes", "nodes*marks", "nodes*changes"),
     ),
-    Figure(
+    Metric(
         "registry",
         "shuffles",
         "B/s",
         registry_bytes("shuffles"),
         ("1", "endpoints", "nodes", "nodes*endpoints/cores", "nodes*nodes/cores"),
     ),
-    Figure(
+    Metric(
         "registry",
         "pushes",
         "B/s",
         registry_bytes("pushes"),
         ("1", "endpoints", "nodes", "marks", "nodes*marks", "changes", "nodes*changes"),
     ),
-    Figure(
+    Metric(
         "registry",
         "papers",
         "B/s",
         registry_bytes("papers"),
         ("changes*nodes/cores", "changes*rules*nodes/cores"),
     ),
-    Figure(
+    Metric(
         "registry",
         "register",
         "B/s",
         registry_bytes("register"),
         ("1", "cores", "changes*cores", "changes*rules*cores"),
     ),
-    Figure("registry", "beats", "B/s", registry_bytes("beats"), ("endpoints/cores",)),
-    Figure(
+    Metric("registry", "beats", "B/s", registry_bytes("beats"), ("endpoints/cores",)),
+    Metric(
         "registry",
         "processor",
         "core",
@@ -164,20 +169,20 @@
             "changes*rules",
         ),
     ),
-    Figure(
+    Metric(
         "registry",
         "memory",
         "MB",
         role_figure("registry", "memory_mb"),
         ("1", "endpoints", "nodes", "rules", "services"),
     ),
-    Figure("store", "register", "B/s", store_bytes("register"), ("1", "cores", "changes", "changes*rules")),
-    Figure(
+    Metric("store", "register", "B/s", store_bytes("register"), ("1", "cores", "changes", "changes*rules")),
+    Metric(
         "store",
         "processor",
         "core",
         role_figure("store", "core_share"),
         ("1", "cores", "changes", "changes*rules"),
     ),
-    Figure("store", "memory", "MB", role_figure("store", "memory_mb"), ("1", "rules")),
+    Metric("store", "memory", "MB", role_figure("store", "memory_mb"), ("1", "rules")),
 )
--- a/packages/hollow/src/dykeswitch/hollow/plots.py
+++ b/packages/scale/src/dykeswitch/scale/plots.py
@@ -10,10 +10,11 @@
 matplotlib.use("svg")
 import matplotlib.pyplot as pyplot
 
-import dykeswitch.hollow.fit as fits
-import dykeswitch.hollow.looks as looks
-import dykeswitch.hollow.report as reports
-import dykeswitch.hollow.sweep as sweeps
+import dykeswitch.scale.dataset as datasets
+import dykeswitch.scale.fit as fits
+import dykeswitch.scale.formatting as formatting
+import dykeswitch.scale.metrics as metrics
+import dykeswitch.scale.sweep as sweeps
 
 # The same records give the very same bytes: no ids by lot, no date, text kept as text.
 matplotlib.rcParams.update({"svg.hashsalt": "dykeswitch", "svg.fonttype": "none", "font.size": 8})
@@ -28,36 +29,36 @@
     return all(run["size"][k] == base[k] for k in base if k != name)
 
 
-def draw(book: reports.Book, folder: pathlib.Path) -> list[pathlib.Path]:
+def draw(data: datasets.Dataset, folder: pathlib.Path) -> list[pathlib.Path]:
     """One sheet for each role: a panel for each variable and figure."""
     made = []
     for role in ("proxy", "registry", "store"):
         path = folder / f"{role}.svg"
-        _sheet(book, role, path)
+        _sheet(data, role, path)
         made.append(path)
     return made
 
 
-def _sheet(book: reports.Book, role: str, path: pathlib.Path) -> None:
+def _sheet(data: datasets.Dataset, role: str, path: pathlib.Path) -> None:
     panels: list[tuple[str, str, typing.Callable[[Record], float], typing.Callable[[Record], float]]] = []
-    wire = [f for f in looks.FIGURES if f.role == role and f.unit == "B/s"]
+    wire = [f for f in metrics.METRICS if f.role == role and f.unit == "B/s"]
 
     def told(run: Record) -> float:
         return sum(f.look(run) or 0.0 for f in wire) / 1000
 
     def summed(size: Record) -> float:
-        return sum(book.reaches[role, f.name].fit.at(size) for f in wire) / 1000
+        return sum(data.extrapolations[role, f.name].fit.at(size) for f in wire) / 1000
 
     panels.append(("KB/s", "bytes", told, summed))
     for name, unit, times in (("processor", "% of a core", 100.0), ("memory", "MB", 1.0)):
-        figure = next(f for f in looks.FIGURES if (f.role, f.name) == (role, name))
+        figure = next(f for f in metrics.METRICS if (f.role, f.name) == (role, name))
 
-        panels.append((unit, name, _scaled(figure.look, times), _fitted(book, figure, times)))
+        panels.append((unit, name, _scaled(figure.look, times), _fitted(data, figure, times)))
     sheet, grid = pyplot.subplots(len(panels), len(SWEPT), figsize=(2.3 * len(SWEPT), 2.1 * len(panels)))
     for n, (unit, name, look, fitted) in enumerate(panels):
         for m, swept in enumerate(SWEPT):
-            _panel(grid[n][m], book, swept, look, fitted)
-            grid[n][m].set_xlabel(reports.WORDS.get(swept, swept))
+            _panel(grid[n][m], data, swept, look, fitted)
+            grid[n][m].set_xlabel(formatting.WORDS.get(swept, swept))
             if m == 0:
                 grid[n][m].set_ylabel(f"{name}, {unit}")
     sheet.tight_layout()
@@ -65,23 +66,23 @@
     pyplot.close(sheet)
 
 
-def _scaled(look: fits.Look, times: float) -> typing.Callable[[Record], float]:
+def _scaled(look: fits.Reader, times: float) -> typing.Callable[[Record], float]:
     return lambda run: (look(run) or 0.0) * times
 
 
-def _fitted(book: reports.Book, figure: looks.Figure, times: float) -> typing.Callable[[Record], float]:
-    return lambda size: book.reaches[figure.role, figure.name].fit.at(size) * times
+def _fitted(data: datasets.Dataset, figure: metrics.Metric, times: float) -> typing.Callable[[Record], float]:
+    return lambda size: data.extrapolations[figure.role, figure.name].fit.at(size) * times
 
 
 def _panel(
     axes: typing.Any,
-    book: reports.Book,
+    data: datasets.Dataset,
     swept: str,
     look: typing.Callable[[Record], float],
     fitted: typing.Callable[[Record], float],
 ) -> None:
     points: dict[float, list[float]] = {}
-    for run in book.runs:
+    for run in data.runs:
         if _alike(run, swept):
             points.setdefault(float(run["size"][swept]), []).append(look(run))
     sizes = sorted(points)
--- a/packages/hollow/src/dykeswitch/hollow/sampled.py
+++ b/packages/scale/src/dykeswitch/scale/profiler.py
@@ -47,11 +47,13 @@
         self.lines: collections.Counter[str] = collections.Counter()
 
     def start(self) -> None:
+        """Start sampling; a user signal starts the counts anew."""
         signal.signal(signal.SIGPROF, self._hit)
         signal.signal(signal.SIGUSR1, self._clear)
         signal.setitimer(signal.ITIMER_PROF, EVERY_S, EVERY_S)
 
     def stop(self) -> None:
+        """Stop sampling."""
         signal.setitimer(signal.ITIMER_PROF, 0)
 
     def _clear(self, sign: int, frame: types.FrameType | None) -> None:
@@ -74,8 +76,8 @@
 
 
 def main() -> int:
-    """`python -m dykeswitch.hollow.sampled BOOK PROGRAM --flag ...`"""
-    book, program, *flags = sys.argv[1:]
+    """`python -m dykeswitch.scale.profiler OUTPUT PROGRAM --flag ...`."""
+    output, program, *flags = sys.argv[1:]
     parser = argparse.ArgumentParser()
     settings.add_flags(parser)
     spoken = parser.parse_args(flags)
@@ -86,7 +88,7 @@
     finally:
         sampler.stop()
         page = {"parts": dict(sampler.parts), "lines": dict(sampler.lines.most_common(40))}
-        pathlib.Path(book).write_text(json.dumps(page))
+        pathlib.Path(output).write_text(json.dumps(page))
 
 
 if __name__ == "__main__":
--- a/packages/hollow/src/dykeswitch/hollow/virtual.py
+++ b/packages/scale/src/dykeswitch/scale/simulated.py
@@ -10,13 +10,14 @@
 import tempfile
 import typing
 
-import dykeswitch.hollow.ground as grounds
-import dykeswitch.hollow.measure as measure
 import dykeswitch.layout.documents as documents
+import dykeswitch.scale.measure as measure
+import dykeswitch.scale.testbed as testbeds
 import dykeswitch.simulator.fleet as fleets
 import dykeswitch.simulator.loop as loops
 import dykeswitch.standin.shape as shapes
 import dykeswitch.timeline as timeline
+from dykeswitch.scale.size import HEADLESS, Size
 
 Page = dict[str, typing.Any]
 Counts = dict[str, dict[str, int]]
@@ -25,23 +26,24 @@
 LOOK_S: typing.Final = 0.01
 
 
-class Virtual:
+class SimulatedFleet:
     """A simulated fleet of a size, and what its proxies heard when."""
 
-    def __init__(self, size: grounds.Size, seed: int, folder: pathlib.Path) -> None:
+    def __init__(self, size: Size, seed: int, folder: pathlib.Path) -> None:
         self.size = size
         each, more = divmod(size.endpoints, size.services)
         services = tuple(
             shapes.ServiceShape(f"s{n}", each + (n < more), 0, f"/s{n}", "GET", 0.01)
             for n in range(size.services)
         )
-        zones = grounds.ZONES[: max(3, size.cores)]
+        zones = testbeds.ZONES[: max(3, size.cores)]
         self.shape = shapes.Shape("virtual", size.nodes, size.cores, zones, services)
         self.fleet = fleets.SimFleet(self.shape, seed, folder)
         self.seen: dict[str, dict[str, float]] = {}
         self._turn = 0
 
     async def start(self) -> float:
+        """Start all members and send the first layout; how long it took."""
         took = await self.fleet.start()
         await self.fleet.apply(self.size.layout(0))
         for edge in self.fleet.edges:
@@ -59,7 +61,7 @@
     def counts(self) -> Counts:
         """Calls and bytes by kind, all members of a role together."""
         nodes = {
-            "hollow": [edge.node for edge in self.fleet.edges],
+            HEADLESS: [edge.node for edge in self.fleet.edges],
             "registry": [core.registry for core in self.fleet.cores],
             "store": [core.store for core in self.fleet.cores],
         }
@@ -72,6 +74,7 @@
         return found
 
     async def change(self) -> tuple[int, float]:
+        """Send the next layout; its version, and when."""
         self._turn += 1
         begun = self.fleet.clock.now()
         return await self.fleet.apply(self.size.layout(self._turn)), begun
@@ -88,18 +91,20 @@
         return took
 
     def mark(self, turn: int) -> tuple[str, float]:
+        """Have a proxy mark an endpoint; the mark's key, and when."""
         edge = self.fleet.edges[turn % len(self.fleet.edges)]
         name = sorted(self.fleet.endpoints)[turn % len(self.fleet.endpoints)]
-        edge.node.daemon.marks.set(name, "hollow mark", edge.node.name)
+        edge.node.daemon.marks.set(name, "test mark", edge.node.name)
         return timeline.down_key(name), self.fleet.clock.now()
 
     def reached(self, told: list[tuple[str, float]]) -> Page:
+        """From when something was said until each proxy knew of it."""
         took = [at - begun for key, begun in told for at in self.seen.get(key, {}).values() if at >= begun]
         missing = len(told) * len(self.fleet.edges) - len(took)
-        return {"looks": len(told), "missing": missing, **grounds.spans(took)}
+        return {"looks": len(told), "missing": missing, **testbeds.quantiles(took)}
 
 
-async def _measured(fleet: Virtual) -> Page:
+async def _measured(fleet: SimulatedFleet) -> Page:
     took = await fleet.start()
     await asyncio.sleep(measure.SETTLE_S)
     before = fleet.counts()
@@ -124,12 +129,12 @@
         await fleet.fleet.endpoints[name].leave()
         await asyncio.sleep(measure.PAUSE_S)
     await asyncio.sleep(measure.PAUSE_S)
-    parts = {"hollow": fleet.size.nodes, "registry": fleet.size.cores, "store": fleet.size.cores}
+    parts = {HEADLESS: fleet.size.nodes, "registry": fleet.size.cores, "store": fleet.size.cores}
     roles = {role: {"members": n, "rates": _rates(before[role], after[role], n)} for role, n in parts.items()}
     missing = fleet.size.nodes * measure.LOOKS - len(layouts)
     return {
         "roles": roles,
-        "layout": {"looks": measure.LOOKS, "missing": missing, **grounds.spans(layouts)},
+        "layout": {"looks": measure.LOOKS, "missing": missing, **testbeds.quantiles(layouts)},
         "drain": fleet.reached(left),
         "mark": marks,
         "start": {"took_s": round(took, 3)},
@@ -142,7 +147,7 @@
     return {k: round(v, 1) for k, v in sorted(rates.items()) if v >= 0.05}
 
 
-async def _note(fleet: Virtual, marked: list[tuple[str, float]]) -> None:
+async def _note(fleet: SimulatedFleet, marked: list[tuple[str, float]]) -> None:
     marked.append(fleet.mark(len(marked) + 1))
 
 
@@ -152,13 +157,13 @@
         await work()
 
 
-def run(sweep: str, size: grounds.Size, turn: int) -> Page:
+def run(sweep: str, size: Size, turn: int) -> Page:
     """One simulated run as a record like those of real ones."""
     folder = pathlib.Path(tempfile.mkdtemp(prefix="dykeswitch-virtual-"))
     try:
 
         async def main() -> Page:
-            return await _measured(Virtual(size, turn, folder))
+            return await _measured(SimulatedFleet(size, turn, folder))
 
         page = loops.run(main())
     finally:
--- a/packages/hollow/src/dykeswitch/hollow/sweep.py
+++ b/packages/scale/src/dykeswitch/scale/sweep.py
@@ -8,17 +8,18 @@
 import sys
 import typing
 
-import dykeswitch.hollow.ground as grounds
-import dykeswitch.hollow.measure as measure
-import dykeswitch.hollow.virtual as virtual
+import dykeswitch.scale.measure as measure
+import dykeswitch.scale.simulated as simulations
+import dykeswitch.scale.worker_handle as worker_handles
+from dykeswitch.scale.size import Size
 
 Page = dict[str, typing.Any]
 
-RUN_MOST_S: typing.Final = grounds.SPAN_MOST_S * 0.9
-BASE: typing.Final = grounds.Size(nodes=16, endpoints=60, services=10, rules=100)
+RUN_MOST_S: typing.Final = worker_handles.RUN_MOST_S * 0.9
+BASE: typing.Final = Size(nodes=16, endpoints=60, services=10, rules=100)
 
 # For each sweep the sizes it visits; the base belongs to every one of them.
-SWEEPS: typing.Final[dict[str, tuple[grounds.Size, ...]]] = {
+SWEEPS: typing.Final[dict[str, tuple[Size, ...]]] = {
     "base": (BASE,),
     "nodes": tuple(dataclasses.replace(BASE, nodes=n) for n in (8, 24, 40)),
     "endpoints": tuple(dataclasses.replace(BASE, endpoints=n) for n in (30, 120, 240)),
@@ -39,16 +40,16 @@
 }
 
 
-def write(book: pathlib.Path, record: dict[str, typing.Any]) -> None:
+def write(path: pathlib.Path, record: dict[str, typing.Any]) -> None:
     """One record as a line of its own."""
-    book.parent.mkdir(parents=True, exist_ok=True)
-    with book.open("a") as out:
+    path.parent.mkdir(parents=True, exist_ok=True)
+    with path.open("a") as out:
         out.write(json.dumps(record) + "\n")
 
 
-def read(book: pathlib.Path) -> list[dict[str, typing.Any]]:
-    """Every record of a book."""
-    return [json.loads(line) for line in book.read_text().splitlines() if line]
+def read(path: pathlib.Path) -> list[dict[str, typing.Any]]:
+    """Every record of a file."""
+    return [json.loads(line) for line in path.read_text().splitlines() if line]
 
 
 async def bounded(work: typing.Coroutine[typing.Any, typing.Any, Page]) -> Page:
@@ -60,9 +61,9 @@
 
 
 def run(
-    sweeps: typing.Sequence[str], turns: typing.Sequence[int], book: pathlib.Path, simulated: bool = False
+    sweeps: typing.Sequence[str], turns: typing.Sequence[int], path: pathlib.Path, simulated: bool = False
 ) -> int:
-    """Run sweeps turn by turn, each run a line in the book; how many failed."""
+    """Run sweeps turn by turn, each run a line in the file; how many failed."""
     failed = 0
     # Turn by turn, so that what the machine does meanwhile falls on all sizes alike.
     for turn in turns:
@@ -70,7 +71,7 @@
             for size in SWEEPS[sweep]:
                 try:
                     if simulated:
-                        record = virtual.run(sweep, size, turn)
+                        record = simulations.run(sweep, size, turn)
                     else:
                         record = asyncio.run(bounded(measure.run(sweep, size, turn)))
                 except (OSError, TimeoutError) as flaw:
@@ -82,6 +83,6 @@
                         size=dataclasses.asdict(size),
                         why=f"{type(flaw).__name__} {flaw}"[:200],
                     )
-                write(book, record)
+                write(path, record)
                 sys.stderr.write(f"{sweep} {turn} {record['size']}: {record['kind']}\n")
     return failed
--- a/packages/hollow/src/dykeswitch/hollow/warden.py
+++ b/packages/scale/src/dykeswitch/scale/watchdog.py
@@ -1,4 +1,4 @@
-"""Ends the processes of a hollow fleet when its driver is gone or its time is over.
+"""Ends the processes of a test fleet when its driver is gone or its time is over.
 
 The three programs run until told to stop. A driver that is killed can tell nobody: this
 process is told their ids line by line, and when its input closes it tells them.
@@ -21,6 +21,7 @@
 
 
 def main() -> None:
+    """Read process ids until the input closes or the time is over; then end them."""
     end = time.monotonic() + float(sys.argv[1])
     pids: list[int] = []
     while (left := end - time.monotonic()) > 0:
--- a/packages/hollow/src/dykeswitch/hollow/herd.py
+++ b/packages/scale/src/dykeswitch/scale/worker.py
@@ -1,4 +1,4 @@
-"""A process of many hollow members: proxies without callers, or endpoints that beat.
+"""A process of many members: proxies without callers, or endpoints that beat.
 
 The driver speaks to it by JSON lines on its standard input; it answers on its standard
 output. It ends by itself when the driver is gone, or when its time is over.
@@ -13,11 +13,11 @@
 import time
 import typing
 
-import dykeswitch.hollow.gauge as gauge
 import dykeswitch.logs as logs
 import dykeswitch.ports as ports
 import dykeswitch.ports.real as real
 import dykeswitch.proxy.program as proxies
+import dykeswitch.scale.process_stats as process_stats
 import dykeswitch.settings as settings
 import dykeswitch.standin.endpoint as endpoints
 import dykeswitch.standin.fleet as fleets
@@ -34,41 +34,47 @@
     """Stands for a web server that nobody calls."""
 
     async def stop(self, grace: float) -> None:
+        """Nothing runs that would have to stop."""
         return None
 
 
 class NoWeb(real.RealWeb):
-    """Serves nothing: hollow proxies have no callers."""
+    """Serves nothing: headless proxies have no callers."""
 
     async def serve(self, address: str, app: ports.App) -> ports.WebServer:
+        """Serve nothing."""
         return NoServer()
 
 
 class CountingConnection:
     """A pipe that adds its bytes to a book."""
 
-    def __init__(self, connection: ports.Connection, book: dict[str, int], name: str) -> None:
+    def __init__(self, connection: ports.Connection, events: dict[str, int], name: str) -> None:
         self._connection = connection
-        self._book = book
+        self._counts = events
         self._name = name
 
     def _add(self, way: str, size: int) -> None:
         key = f"{self._name}_{way}_bytes"
-        self._book[key] = self._book.get(key, 0) + size
+        self._counts[key] = self._counts.get(key, 0) + size
 
     async def read(self, most: int) -> bytes:
+        """Read and count."""
         data = await self._connection.read(most)
         self._add("got", len(data))
         return data
 
     async def write(self, data: bytes) -> None:
+        """Count and write."""
         self._add("sent", len(data))
         await self._connection.write(data)
 
     def close(self) -> None:
+        """Close the connection beneath."""
         self._connection.close()
 
     def ended(self) -> bool:
+        """Whether the connection beneath has ended."""
         return self._connection.ended()
 
 
@@ -77,28 +83,35 @@
 
     def __init__(self, net: ports.Network) -> None:
         self._net = net
-        self.book: dict[str, int] = {}
+        self.events: dict[str, int] = {}
 
     async def dial(self, address: str, wait: float) -> ports.Connection:
-        return CountingConnection(await self._net.dial(address, wait), self.book, "beat")
+        """Connect, and count what is sent as heartbeats."""
+        return CountingConnection(await self._net.dial(address, wait), self.events, "beat")
 
     async def listen(self, address: str, serve: ports.Serve) -> ports.Listener:
+        """Listen, and count what comes as probes."""
+
         async def counted(connection: ports.Connection) -> None:
-            await serve(CountingConnection(connection, self.book, "probe"))
+            await serve(CountingConnection(connection, self.events, "probe"))
 
         return await self._net.listen(address, counted)
 
 
-class Herd(typing.Protocol):
-    """What the two kinds of herd have in common."""
+class Members(typing.Protocol):
+    """What the kinds of worker have in common."""
 
-    async def run(self) -> None: ...
+    async def run(self) -> None:
+        """Run all members."""
+        ...
 
-    async def obey(self, ask: Page) -> Page: ...
+    async def handle(self, ask: Page) -> Page:
+        """Answer one request of the driver."""
+        ...
 
 
 class Proxies:
-    """Hollow proxies, and the book of what each heard when."""
+    """Headless proxies, and the book of what each heard when."""
 
     def __init__(self, spec: Spec, write: typing.Callable[[list[typing.Any]], None]) -> None:
         self._write = write
@@ -132,6 +145,7 @@
         return taken
 
     async def run(self) -> None:
+        """Run all proxies."""
         async with asyncio.TaskGroup() as group:
             group.create_task(self._until_ready())
             for proxy in self.members.values():
@@ -147,11 +161,12 @@
                 self._write(["ready", time.monotonic(), name])
             await asyncio.sleep(LOOK_S)
 
-    async def obey(self, ask: Page) -> Page:
+    async def handle(self, ask: Page) -> Page:
+        """Mark an endpoint, or give the counts."""
         if ask["do"] == "mark":
             proxy = self.members[ask["name"]]
             at = time.monotonic()
-            proxy.marks.set(ask["endpoint"], "hollow mark", ask["name"])
+            proxy.marks.set(ask["endpoint"], "test mark", ask["name"])
             return {"at": at, "key": timeline.down_key(ask["endpoint"])}
         counts: dict[str, int] = {}
         for proxy in self.members.values():
@@ -176,7 +191,7 @@
             self._members[raw["name"]] = endpoints.Endpoint(
                 raw["name"],
                 raw["service"],
-                raw["spot"],
+                raw["address"],
                 raw["zone"],
                 machine,
                 lambda: spec["registries"],
@@ -187,6 +202,7 @@
         self._interval_s = float(spec["interval_s"])
 
     async def run(self) -> None:
+        """Run all endpoints."""
         async with asyncio.TaskGroup() as group:
             for member in self._members.values():
                 await member.open()
@@ -197,11 +213,12 @@
         await asyncio.sleep(self._rng.random() * self._interval_s)
         await member.beat_for_ever()
 
-    async def obey(self, ask: Page) -> Page:
+    async def handle(self, ask: Page) -> Page:
+        """Have an endpoint leave, or give the counts."""
         if ask["do"] == "leave":
             at = time.monotonic()
             return {"at": at, "heard": await self._members[ask["name"]].leave()}
-        return {"counts": dict(self._net.book)}
+        return {"counts": dict(self._net.events)}
 
 
 class Relay:
@@ -212,13 +229,14 @@
         self._net = real.RealNetwork()
 
     async def run(self) -> None:
+        """Listen for ever."""
         for raw in self._members:
-            await self._net.listen(raw["spot"], self._bring(raw["ear"]))
+            await self._net.listen(raw["address"], self._bring(raw["target"]))
         await asyncio.Event().wait()
 
-    def _bring(self, ear: str) -> ports.Serve:
+    def _bring(self, driver: str) -> ports.Serve:
         async def serve(connection: ports.Connection) -> None:
-            there = await self._net.dial(ear, 1.0)
+            there = await self._net.dial(driver, 1.0)
             async with asyncio.TaskGroup() as group:
                 group.create_task(self._pump(connection, there))
                 group.create_task(self._pump(there, connection))
@@ -230,17 +248,18 @@
             await two.write(part)
         two.close()
 
-    async def obey(self, ask: Page) -> Page:
+    async def handle(self, ask: Page) -> Page:
+        """Nothing can be asked of a relay."""
         return {}
 
 
-def _herd(spec: Spec, write: typing.Callable[[list[typing.Any]], None]) -> Herd:
+def _make_members(spec: Spec, write: typing.Callable[[list[typing.Any]], None]) -> Members:
     if spec["kind"] == "relay":
         return Relay(spec)
     return Proxies(spec, write) if spec["kind"] == "proxy" else Endpoints(spec, write)
 
 
-async def _listen(herd: Herd) -> None:
+async def _listen(members: Members) -> None:
     """Answer the driver until it says stop or its end of the pipe closes."""
     reader = asyncio.StreamReader()
     loop = asyncio.get_running_loop()
@@ -249,28 +268,28 @@
         ask = json.loads(line)
         if ask["do"] == "stop":
             return
-        print(json.dumps(await herd.obey(ask)), flush=True)
+        print(json.dumps(await members.handle(ask)), flush=True)
 
 
 async def serve(spec: Spec) -> None:
-    """Run a herd until told to stop, left alone, or out of time."""
+    """Run a worker until told to stop, left alone, or out of time."""
     # Opened once, before anything is served: nobody waits for it.
-    print(json.dumps({"memory_mb": gauge.read(os.getpid()).memory_mb}), flush=True)
-    with pathlib.Path(spec["book"]).open("a", buffering=1) as book:  # noqa: ASYNC230
+    print(json.dumps({"memory_mb": process_stats.read(os.getpid()).memory_mb}), flush=True)
+    with pathlib.Path(spec["events"]).open("a", buffering=1) as events:  # noqa: ASYNC230
 
         def write(line: list[typing.Any]) -> None:
-            book.write(json.dumps(line) + "\n")
+            events.write(json.dumps(line) + "\n")
 
-        herd = _herd(spec, write)
-        work = asyncio.create_task(herd.run())
-        ear = asyncio.create_task(_listen(herd))
-        # Whatever comes first: the driver's word, a fault of the herd, the end of its time.
-        await asyncio.wait([work, ear], timeout=spec["span_s"], return_when=asyncio.FIRST_COMPLETED)
+        members = _make_members(spec, write)
+        work = asyncio.create_task(members.run())
+        driver = asyncio.create_task(_listen(members))
+        # Whatever comes first: the driver's word, a fault of the worker, the end of its time.
+        await asyncio.wait([work, driver], timeout=spec["span_s"], return_when=asyncio.FIRST_COMPLETED)
         if work.done():
             work.result()
-        for task in (work, ear):
+        for task in (work, driver):
             task.cancel()
-        await asyncio.wait([work, ear], timeout=2)
+        await asyncio.wait([work, driver], timeout=2)
 
 
 if __name__ == "__main__":
--- a/tests/test_hollow.py
+++ b/tests/test_scale.py
@@ -1,16 +1,23 @@
-"""Hollow fleets: slopes, the page against its records, and a small fleet of real processes."""
+"""Scale tests: slopes, the page against its records, and a small fleet of real processes."""
 
 import asyncio
 import pathlib
 import re
+import shutil
 import typing
 
+import pytest
+
+import dykeswitch.cli.main as cli
 import dykeswitch.frames as frames
-import dykeswitch.hollow.fit as fits
-import dykeswitch.hollow.ground as grounds
-import dykeswitch.hollow.report as reports
 import dykeswitch.outcome as outcome
 import dykeswitch.ports as ports
+import dykeswitch.scale.dataset as datasets
+import dykeswitch.scale.fit as fits
+import dykeswitch.scale.report as reports
+import dykeswitch.scale.size as sizes
+import dykeswitch.scale.sweep as sweeps
+import dykeswitch.scale.testbed as testbeds
 
 ROOT: typing.Final = pathlib.Path(__file__).parent.parent
 PAGE: typing.Final = ROOT / "docs" / "CAPACITY.md"
@@ -29,7 +36,7 @@
     records = [_record(t, 5 + 2 * n + 3 * n * e, nodes=n, endpoints=e) for n, e in points for t in (1, 2)]
     terms = ("1", "nodes", "endpoints", "nodes*endpoints")
     sizes = {"nodes": 100.0, "endpoints": 1000.0}
-    found = fits.reach(records, _told, terms, sizes)
+    found = fits.extrapolate(records, _told, terms, sizes)
     assert abs(found.value - (5 + 200 + 300000)) < 1
     assert found.fit.spread < 1e-6
     assert abs(found.least - found.most) < 1
@@ -44,16 +51,42 @@
 
 
 def test_terms_are_products_and_parts() -> None:
-    assert fits.worth("nodes*rules/cores", {"nodes": 6, "rules": 5, "cores": 3}) == 10
-    assert fits.worth("1", {}) == 1
+    assert fits.term_value("nodes*rules/cores", {"nodes": 6, "rules": 5, "cores": 3}) == 10
+    assert fits.term_value("1", {}) == 1
 
 
 def test_the_page_says_what_its_records_say() -> None:
-    book = reports.load(reports.read(ROOT / "docs" / "capacity"))
+    book = datasets.load(datasets.read(ROOT / "docs" / "capacity"))
     page = PAGE.read_text()
     assert reports.fill(page, book) == page
 
 
+@pytest.mark.parametrize("command", ["scale", "hollow"])
+def test_the_command_makes_the_page_under_its_name_and_its_earlier_one(
+    command: str, tmp_path: pathlib.Path
+) -> None:
+    shutil.copytree(ROOT / "docs" / "capacity", tmp_path / "capacity")
+    page = tmp_path / "page.md"
+    page.write_text(re.sub(r"<!--= runs -->.*?<!--/-->", "<!--= runs -->?<!--/-->", PAGE.read_text()))
+    args = ["--page", str(page), "--records", str(tmp_path / "capacity")]
+    assert cli.main([command, "report", *args]) == 0
+    assert page.read_text() == PAGE.read_text()
+
+
+@pytest.mark.parametrize("option", ["--output", "--book"])
+def test_a_simulated_sweep_writes_its_records(
+    option: str, tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    small = sizes.Size(nodes=2, endpoints=2, services=1, rules=2)
+    monkeypatch.setitem(sweeps.SWEEPS, "base", (small,))
+    path = tmp_path / "runs.jsonl"
+    args = ["--sweeps", "base", "--turns", "1", "--simulated"]
+    assert cli.main(["scale", "run", *args, option, str(path)]) == 0
+    (record,) = sweeps.read(path)
+    assert record["kind"] == "run" and record["size"]["nodes"] == 2
+    assert set(record["roles"]) == {sizes.HEADLESS, "registry", "store"}
+
+
 def test_no_figure_on_the_page_is_typed_by_hand() -> None:
     prose = reports.prose(PAGE.read_text())
     # Numbers of list items and the names of quantiles are no figures.
@@ -125,27 +158,27 @@
 
 
 async def _small() -> None:
-    size = grounds.Size(nodes=4, endpoints=4, services=2, rules=5)
-    async with grounds.standing(size, 1) as ground:
-        up = await ground.start()
+    size = sizes.Size(nodes=4, endpoints=4, services=2, rules=5)
+    async with testbeds.standing(size, 1) as testbed:
+        up = await testbed.start()
         assert up["count"] == 3
-        clock = ground.fleet.machine.clock
+        clock = testbed.fleet.machine.clock
         begun = clock.now()
-        version, _ = await ground.change()
-        _, name = await ground.leave(0)
-        _, key = await ground.mark(1)
+        version, _ = await testbed.change()
+        _, name = await testbed.leave(0)
+        _, key = await testbed.mark(1)
         wanted = {"layout": version, "left": name, "mark": key}
-        while not all(len(ground.seen(kind, begun).get(what, {})) == 3 for kind, what in wanted.items()):
+        while not all(len(testbed.seen(kind, begun).get(what, {})) == 3 for kind, what in wanted.items()):
             assert clock.now() - begun < 30
             await clock.sleep(0.05)
-        counts = await ground.counts()
-        assert counts["hollow"][0]["frames_asked_poll_sent_bytes"] > 0
+        counts = await testbed.counts()
+        assert counts[sizes.HEADLESS][0]["frames_asked_poll_sent_bytes"] > 0
         assert counts["store"][0]["frames_heard_accept_got_bytes"] > 0
         assert counts["registry"][0]["frames_heard_poll_calls"] > 0
-        assert all(r.memory_mb > 1 for readings in ground.readings().values() for r in readings)
-        herds = [*ground.proxies, *ground.endpoints]
-    assert all(herd.ended() for herd in herds)
+        assert all(r.memory_mb > 1 for readings in testbed.readings().values() for r in readings)
+        workers = [*testbed.proxies, *testbed.endpoints]
+    assert all(worker.ended() for worker in workers)
 
 
-def test_a_small_hollow_fleet_starts_hears_and_ends() -> None:
+def test_a_small_fleet_starts_hears_and_ends() -> None:
     asyncio.run(_small())
--- a/tests/test_style.py
+++ b/tests/test_style.py
@@ -14,8 +14,6 @@
 # Not split yet. Both lists only shrink: what is no longer too long has to be taken off.
 LONG_MODULES: typing.Final = frozenset(
     {
-        "hollow/ground.py",
-        "hollow/report.py",
         "membership/__init__.py",
         "proxy/carrier.py",
         "proxy/program.py",
@@ -32,7 +30,6 @@
 )
 LONG_FUNCTIONS: typing.Final = frozenset(
     {
-        "hollow/worked.py:figures",
         "proxy/program.py:__init__",
         "register/proposer.py:change",
         "registry/endpoints.py:read_beat",
@@ -44,10 +41,13 @@
 WITHDRAWN: typing.Final = {
     "burden": "load",
     "dice": "rng",
+    "ground": "testbed",
+    "hollow": "scale, headless",
     "papers": "documents",
     "shelf": "storage",
     "spot": "address",
     "tongue": "adapter",
+    "warden": "watchdog",
 }
 
 
