--- a/packages/proxy/src/dykeswitch/proxy/carrier.py
+++ b/packages/proxy/src/dykeswitch/proxy/carrier.py
@@ -1,7 +1,6 @@
 """The carrier: the passes that bring an exchange from request to reply."""
 
 import asyncio
-import collections
 import json
 import random
 import typing
@@ -13,72 +12,28 @@
 import dykeswitch.ports as ports
 import dykeswitch.proxy.budget as budgets
 import dykeswitch.proxy.exchange as exchanges
-import dykeswitch.proxy.resting as resting
+import dykeswitch.proxy.headers as headers
+import dykeswitch.proxy.matching as matching
+import dykeswitch.proxy.pool as pools
 import dykeswitch.proxy.selection as selection
+import dykeswitch.proxy.senses as senses_port
+import dykeswitch.proxy.trails as trails
 import dykeswitch.settings as settings
 import dykeswitch.soundness as soundness
 import dykeswitch.soundness.connection as connections
 import dykeswitch.timeline as timeline
 
-# Fields of one hop, which the HTTP standard forbids to pass on.
-HOP: typing.Final = frozenset(
-    {
-        b"connection",
-        b"keep-alive",
-        b"proxy-connection",
-        b"proxy-authenticate",
-        b"proxy-authorization",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-    }
-)
 # Pipes that failed before anything was sent cost the endpoint nothing; still one
 # exchange does not try the whole fleet.
 MISSES_MOST: typing.Final = 6
-IDLE_MOST: typing.Final = 16
-# How many exchanges that are over can still be explained.
-OVER_MOST: typing.Final = 2048
 
 Stage = exchanges.Stage
 
 
-class Senses(typing.Protocol):
-    """What the carrier asks of the proxy that it is part of."""
-
-    async def sure(self, by: float) -> bool:
-        """Whether what we hold is of today, found out first, by then, where that is in doubt."""
-        ...
-
-    def gapped(self) -> bool:
-        """Whether our own clock shows that we were frozen."""
-        ...
-
-    def silent(self) -> float:
-        """For how long no other node was heard."""
-        ...
-
-    def sharing(self) -> float | None:
-        """Since when we have a part of the fleet's extra go's, if we have one."""
-        ...
-
-
 class BrokenReply(Exception):
     """A reply that can't be finished: the caller's pipe must break."""
 
 
-def kept_heads(heads: connections.Heads) -> connections.Heads:
-    """Header fields that go on to the next hop."""
-    named = {
-        part.strip().lower()
-        for key, text in heads
-        if key.lower() == b"connection"
-        for part in text.split(b",")
-    }
-    return [(k, v) for k, v in heads if k.lower() not in HOP and k.lower() not in named]
-
-
 class Carrier:
     """Holds the table of exchanges and runs the passes over it."""
 
@@ -90,32 +45,26 @@
         marks: timeline.Marks,
         log: logs.Log,
         rng: random.Random,
-        senses: Senses,
+        senses: senses_port.Senses,
         adapter: adapters.Adapter | None = None,
     ) -> None:
         self._adapter: adapters.Adapter = adapter or adapters.Own()
         self._heads = self._adapter.heads
         self._rng = rng
         self._bounds = bounds
-        self._net = machine.net
         self._clock = machine.clock
-        self._line = line
         self._marks = marks
         self._log = log
         self._senses = senses
         self.layout: layouts.Layout | None = None
         self.selector = selection.Selector(line, marks, bounds, rng)
         self.table: dict[str, exchanges.Exchange] = {}
-        self._idle: dict[str, list[connections.EndpointConnection]] = {}
+        self._trails = trails.Trails(self.table)
+        self._pool = pools.ConnectionPool(bounds, machine, line, self._heads)
         self._budgets: dict[str, budgets.Budget] = {}
-        self._rests = resting.RestLimits(bounds.mark_s)
         self._strikes = soundness.Strikes(bounds.mark_s)
         self.closing = False
         self.counts: dict[str, int] = {}
-        self._over: collections.OrderedDict[str, tuple[exchanges.Step, list[exchanges.Step]]] = (
-            collections.OrderedDict()
-        )
-        line.on_change(self._on_entry)
         self._passes: dict[Stage, typing.Callable[[exchanges.Exchange], typing.Awaitable[Stage]]] = {
             Stage.MATCH: self._match,
             Stage.SELECT: self._select,
@@ -132,16 +81,6 @@
         """Keep the most that was seen of something."""
         self.counts[name] = max(self.counts.get(name, 0), value)
 
-    def _on_entry(self, entry: timeline.Entry) -> None:
-        """Pipes to an endpoint that is leaving, gone or moved are closed at once."""
-        if entry.kind != timeline.ENDPOINT:
-            return
-        for connection in self._idle.get(entry.key, []):
-            if entry.fields["state"] != timeline.UP or connection.address != entry.fields["address"]:
-                connection.close()
-        if entry.fields["state"] != timeline.UP:
-            self._idle.pop(entry.key, None)
-
     async def carry(self, x: exchanges.Exchange) -> None:
         """Run the passes over one exchange until it is done."""
         self.count("exchanges")
@@ -151,7 +90,7 @@
         finally:
             if x.connection is not None:
                 self._put_away(x, sound=False)
-            self._remember(x)
+            self._trails.remember(x, self._clock.now())
             self._log.info(
                 "exchange",
                 exchange=x.name,
@@ -168,32 +107,9 @@
                 span_ms=round((self._clock.now() - x.born) * 1000, 1),
             )
 
-    def _remember(self, x: exchanges.Exchange) -> None:
-        """Keep the trail for who asks; the exchange itself holds pipes and bodies and is let go."""
-        if x.stage is Stage.DONE:
-            self._step(x, f"answered {x.status}", self._ending(x))
-        self._over[x.name] = (self._heading(x), x.trail)
-        if len(self._over) > OVER_MOST:
-            self._over.popitem(last=False)
-
     def trail(self, name: str) -> list[exchanges.Step] | None:
         """What was done for an exchange that is over or at work."""
-        over = self._over.get(name)
-        if over is not None:
-            return [over[0], *over[1]]
-        x = self.table.get(name)
-        return [self._heading(x), *x.trail] if x is not None else None
-
-    def _heading(self, x: exchanges.Exchange) -> exchanges.Step:
-        rule = f"rule {x.rule.name}" if x.rule else "no rule"
-        kind = "writing" if x.writing else "reading"
-        why = f"{rule}, service {x.service or 'none'}, {kind}"
-        return (0.0, f"{x.method} {x.host}{x.path}"[: exchanges.TEXT_MOST], why)
-
-    def _ending(self, x: exchanges.Exchange) -> str:
-        if x.bad is None:
-            return "by the endpoint"
-        return f"{x.bad.code.number} {x.bad.code.tag}: {x.bad.why or x.bad.code.text}"
+        return self._trails.get(name)
 
     def _step(self, x: exchanges.Exchange, what: str, why: str = "") -> None:
         x.note(self._clock.now(), what, why)
@@ -229,10 +145,14 @@
     async def _match(self, x: exchanges.Exchange) -> Stage:
         # Its expiry by the rule in hand bounds the wait to be sure of that very rule.
         if self.layout is not None:
-            self._find_rule(x)
+            matching.find_rule(x, self.layout, self._bounds, self._rng)
         # After a freeze the layout and list in hand may be long out of date.
         sure = await self._senses.sure(x.expiry)
-        found = self._find_rule(x) if x.layout is None or x.layout is not self.layout else None
+        found = (
+            matching.find_rule(x, self.layout, self._bounds, self._rng)
+            if x.layout is None or x.layout is not self.layout
+            else None
+        )
         if not sure and found != "no_layout":
             return self._give_up(x, "cut_off" if self._clock.now() < x.expiry else "expired")
         if found is not None:
@@ -240,36 +160,6 @@
         self._budget(x.service).request()
         return Stage.SELECT
 
-    def _find_rule(self, x: exchanges.Exchange) -> str | None:
-        if self.layout is None:
-            x.retry_after = 1
-            return "no_layout"
-        rule = self.layout.match(x.host, x.path, x.method)
-        if rule is None:
-            return "no_rule"
-        # Drawn once where the rule is split, and again only if the rule has moved on.
-        if x.service not in rule.services():
-            x.service = rule.draw(self._rng)
-        if not x.service:
-            return "no_rule"
-        limits = layouts.limits(self.layout, rule, x.service)
-        x.layout = self.layout
-        x.rule = rule
-        x.writing = rule.writes(x.method)
-        x.request_s = limits.get("request_s", self._bounds.request_s)
-        x.max_tries = limits.get("max_tries", self._bounds.max_tries)
-        # The earlier of the caller's own expiry and the rule's holds.
-        span = limits.get("expiry_s", self._bounds.request_s)
-        x.expiry = x.born + (span if x.asked_s is None else min(span, x.asked_s))
-        return None
-
-    def _still_ruled(self, x: exchanges.Exchange) -> bool:
-        """Whether the layout of this very moment still sends the exchange where it was selected for."""
-        if self.layout is x.layout or self.layout is None:
-            return self.layout is not None
-        rule = self.layout.match(x.host, x.path, x.method)
-        return rule is not None and x.service in rule.services()
-
     def _budget(self, service: str) -> budgets.Budget:
         budget = self._budgets.get(service)
         if budget is None:
@@ -279,7 +169,7 @@
     async def _select(self, x: exchanges.Exchange) -> Stage:
         sure = await self._senses.sure(x.expiry)
         # A layout may have come since: the rule of this moment decides.
-        found = self._find_rule(x)
+        found = matching.find_rule(x, self.layout, self._bounds, self._rng)
         if found is not None:
             return self._end(x, found) if not x.unknown else Stage.REPLY
         now = self._clock.now()
@@ -300,7 +190,7 @@
         x.ahead = self.selector.ahead(entry)
         self.selector.begun(entry.key)
         try:
-            x.connection = await self._connection_to(x, entry)
+            x.connection = await self._connect(x, entry)
         except connections.Flaw as flaw:
             # Nothing was sent: this is no go, and another endpoint may be selected.
             self.selector.ended(entry.key)
@@ -322,84 +212,17 @@
             return self._give_up(x, "not_run")
         return Stage.DELIVER
 
-    async def _connection_to(
-        self, x: exchanges.Exchange, entry: timeline.Entry
-    ) -> connections.EndpointConnection:
-        address = str(entry.fields["address"])
-        now = self._clock.now()
+    async def _connect(self, x: exchanges.Exchange, entry: timeline.Entry) -> connections.EndpointConnection:
         assert self.layout is not None
         probe = self.layout.services[x.service].probe
-        held = self._idle.get(entry.key, [])
-        while held:
-            connection = held.pop()
-            stale = self._stale(connection, x.service, now)
-            if not connection.usable() or connection.address != address or stale:
-                connection.close()
-                continue
-            connection.rested_s = now - connection.used
-            # A pipe that lay idle may by now lead to whoever took the address over without
-            # our hearing of it: only a fresh proof tells, or the id that the request bears.
-            if now - connection.used < self._bounds.drain_s / 4 or self._bounds.proof == "header":
-                return connection
-            if await self._still_proven(connection, probe, max(0.0, x.expiry - self._clock.now())):
-                return connection
-        dial_s = self._bounds.dial_s
-        try:
-            async with asyncio.timeout(x.expiry - self._clock.now()):
-                if self._bounds.proof == "header":
-                    names = self._heads.exchange
-                    return await connections.open_connection(
-                        self._net, self._clock, entry.key, address, dial_s, names
-                    )
-                wait = self._bounds.probe_wait_s
-                return await connections.open_proven(
-                    self._net, self._clock, entry.key, address, probe, dial_s, wait, self._heads
-                )
-        except TimeoutError as flaw:
-            # It had less time than a dial and a probe have: that says nothing of the endpoint.
-            raise connections.Flaw("expired", False) from flaw
-
-    def _stale(self, connection: connections.EndpointConnection, service: str, now: float) -> bool:
-        """Whether the endpoint may be about to close an idle connection, or have forgotten it."""
-        rested_s = now - connection.used
-        told = connection.idle_s is not None and rested_s > connection.idle_s / 2
-        return told or rested_s > self._rests.longest(service, now)
-
-    async def _still_proven(
-        self, connection: connections.EndpointConnection, probe: str, left: float
-    ) -> bool:
-        """Prove an idle pipe anew; one that fails is closed, and judged by a fresh one."""
-        try:
-            async with asyncio.timeout(min(self._bounds.probe_wait_s, left)):
-                if (
-                    await connections.prove(connection, probe, self._heads.served_by) is None
-                    and connection.usable()
-                ):
-                    return True
-        except TimeoutError as flaw:
-            # It hangs: a fresh pipe would only hang as long again.
-            connection.close()
-            hurried = left < self._bounds.probe_wait_s
-            raise connections.Flaw("expired" if hurried else soundness.PROBE_TIMED_OUT, False) from flaw
-        except connections.Flaw:
-            pass
-        connection.close()
-        return False
+        return await self._pool.connect(entry, x.service, probe, x.expiry)
 
     def _put_away(self, x: exchanges.Exchange, sound: bool) -> None:
-        """Give a pipe back for the next exchange, or close it."""
+        """Give a connection back for the next exchange, or close it."""
         connection, x.connection = x.connection, None
-        if connection is None:
-            return
-        self.selector.ended(connection.endpoint)
-        entry = self._line.get(timeline.ENDPOINT, connection.endpoint)
-        held = self._idle.setdefault(connection.endpoint, [])
-        stays = entry is not None and entry.fields["state"] == timeline.UP
-        if sound and stays and connection.usable() and len(held) < IDLE_MOST and not self.closing:
-            connection.used = self._clock.now()
-            held.append(connection)
-        else:
-            connection.close()
+        if connection is not None:
+            self.selector.ended(connection.endpoint)
+            self._pool.put_back(connection, sound and not self.closing)
 
     def _go_s(self, x: exchanges.Exchange) -> float:
         """How long this go may take."""
@@ -425,12 +248,18 @@
                 and self._clock.now() < x.expiry
                 and not self._deaf()
                 and self.selector.usable(entry)
-                and self._still_ruled(x)
+                and matching.is_still_ruled(x, self.layout)
             )
 
         try:
             async with asyncio.timeout(span):
-                x.head = await connection.send(x.method, x.target, self._heads_for(x), x.body, gate)
+                x.head = await connection.send(
+                    x.method,
+                    x.target,
+                    headers.request_heads(x, self._adapter, self._heads, self._clock.now()),
+                    x.body,
+                    gate,
+                )
                 await self._gather(x)
         except TimeoutError:
             x.flaw = soundness.TIMED_OUT
@@ -448,28 +277,10 @@
                 x.goes += 1
         return Stage.JUDGE
 
-    def _heads_for(self, x: exchanges.Exchange) -> connections.Heads:
-        left = max(1, int((x.expiry - self._clock.now()) * 1000))
-        names = self._heads
-        ours = {names.expiry, names.expected, b"content-length"}
-        if not self._adapter.named_by_caller:
-            ours.add(names.exchange)
-        heads = [(k, v) for k, v in kept_heads(x.heads) if k not in ours]
-        # One that came in chunks goes on with a length: it is whole by now.
-        if x.body or any(k in (b"content-length", b"transfer-encoding") for k, _ in x.heads):
-            heads.append((b"content-length", str(len(x.body)).encode()))
-        heads.append((names.expiry, str(left).encode()))
-        if x.endpoint is not None:
-            heads.append((names.expected, x.endpoint.key.encode()))
-        if not self._adapter.named_by_caller:
-            heads.append((b"via", b"1.1 dykeswitch"))
-            heads.append((names.exchange, x.name.encode()))
-        return heads
-
     async def _gather(self, x: exchanges.Exchange) -> None:
         """Hold the reply's body up to the bound, so that a cut one is never passed on."""
         assert x.head is not None and x.connection is not None
-        if not _framed(x):
+        if not headers.is_framed(x):
             raise connections.Flaw(soundness.UNFRAMED, True)
         rest = x.connection.parts()
         held = bytearray()
@@ -530,7 +341,7 @@
     ) -> Stage:
         """What an attempt that ended without a reply says of the endpoint and of the exchange."""
         if x.flaw == soundness.BROKE_OFF and x.head is None and connection.rested_s:
-            self._rests.reset(x.service, connection.rested_s, self._clock.now())
+            self._pool.rests.reset(x.service, connection.rested_s, self._clock.now())
         self._put_away(x, sound=False)
         self._step(x, f"go to {name} failed, {'sent' if x.sent else 'nothing sent'}", x.flaw)
         if x.flaw not in ("expired", "no longer to be used"):
@@ -584,22 +395,7 @@
             await self.refuse(x, bad)
             return Stage.DONE
         x.status = x.head.status
-        heads = [(k.lower(), v) for k, v in kept_heads(x.head.heads)]
-        if x.status >= 400 and (x.writing or x.unknown):
-            # An endpoint's own "come back" without a promise: it may have run the
-            # request, and a caller who obeys would run it twice.
-            heads = [(k, v) for k, v in heads if k != b"retry-after"]
-        elif x.status in soundness.FREE and not any(k == b"retry-after" for k, _ in heads):
-            # Given up on, and nothing of it runs any more: say when to come back.
-            heads.append((b"retry-after", self._adapter.hint(self._come_back(x))))
-        bodiless = x.method == "HEAD" or x.status in (204, 304) or x.status < 200
-        if x.rest is None and not bodiless:
-            heads = [(k, v) for k, v in heads if k != b"content-length"]
-            heads.append((b"content-length", str(len(x.buffer)).encode()))
-        if not self._adapter.named_by_caller:
-            heads = [(k, v) for k, v in heads if k != self._heads.exchange]
-            heads.append((b"via", b"1.1 dykeswitch"))
-            heads.append((self._heads.exchange, x.name.encode()))
+        heads = headers.reply_heads(x, self._adapter, self._heads, lambda: self._come_back(x))
         if self._parting():
             heads.append((b"connection", b"close"))
         if x.rest is None:
@@ -637,14 +433,7 @@
         self.count(f"result_{bad.code.number}")
         page = {**bad.page(), "exchange": x.name}
         body = json.dumps(page).encode()
-        heads = [
-            (b"content-type", b"application/json"),
-            (b"content-length", str(len(body)).encode()),
-            (b"dykeswitch-result", str(bad.code.number).encode()),
-            (self._heads.exchange, x.name.encode()),
-        ]
-        if x.retry_after is not None:
-            heads.append((b"retry-after", self._adapter.hint(x.retry_after)))
+        heads = headers.refusal_heads(x, bad, len(body), self._adapter, self._heads)
         if self._parting():
             heads.append((b"connection", b"close"))
         x.replied = True
@@ -652,21 +441,9 @@
         await x.send({"type": "http.response.body", "body": b"" if x.method == "HEAD" else body})
 
     def idle(self) -> int:
-        """How many usable pipes lie idle."""
-        return sum(1 for held in self._idle.values() for connection in held if connection.usable())
+        """How many usable connections lie idle."""
+        return self._pool.idle()
 
     def close(self) -> None:
-        for held in self._idle.values():
-            for connection in held:
-                connection.close()
-        self._idle.clear()
-
-
-def _framed(x: exchanges.Exchange) -> bool:
-    """Whether the reply says where it ends; one that ends with its pipe can't be told from a cut one."""
-    assert x.head is not None
-    if x.method == "HEAD" or x.head.status in (204, 304):
-        return True
-    if x.head.get(b"content-length") is not None:
-        return True
-    return b"chunked" in (x.head.get(b"transfer-encoding") or b"").lower()
+        """Close every idle connection."""
+        self._pool.close()
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -7,7 +7,8 @@
 
 import pytest
 
-import dykeswitch.proxy.carrier as carriers
+import dykeswitch.proxy.headers as headers
+import dykeswitch.proxy.pool as pools
 import dykeswitch.proxy.program as proxies
 import dykeswitch.simulator.fleet as fleets
 import dykeswitch.simulator.loop as loops
@@ -204,10 +205,10 @@
     """Behind a kept pipe someone else serves by now, and nobody has said so yet."""
     if not guarded:
 
-        async def proven(self: carriers.Carrier, connection: object, probe: str, left: float) -> bool:
+        async def proven(self: pools.ConnectionPool, connection: object, probe: str, left: float) -> bool:
             return True
 
-        monkeypatch.setattr(carriers.Carrier, "_still_proven", proven)
+        monkeypatch.setattr(pools.ConnectionPool, "_still_proven", proven)
 
     async def work(fleet: fleets.SimFleet) -> None:
         if not guarded:
@@ -285,7 +286,7 @@
         (b"Content-Encoding", b"gzip"),
     ]
     # Repeated fields stay repeated, in their order; encodings are nobody's business here.
-    assert carriers.kept_heads(heads) == heads[4:]
+    assert headers.kept_heads(heads) == heads[4:]
 
 
 def test_two_runs_of_callers_are_told_apart_in_the_endpoints_books(tmp_path: pathlib.Path) -> None:
--- a/tests/test_style.py
+++ b/tests/test_style.py
@@ -2,6 +2,7 @@
 
 import ast
 import pathlib
+import re
 import tokenize
 import typing
 
@@ -121,6 +122,19 @@
     return "dykeswitch." + _short(path).removesuffix(".py").removesuffix("/__init__").replace("/", ".")
 
 
+def test_the_map_for_newcomers_names_what_is_there() -> None:
+    """Each file in docs/contribute.md is there, and has the functions that are named after it."""
+    page = (ROOT / "docs" / "contribute.md").read_text()
+    section = page.partition("## Where to find things")[2].partition("\n## ")[0]
+    files = {_short(path): path for path in PRODUCT}
+    found = re.findall(r"`([a-z_/]+\.py)`((?:(?::|,) `[a-z_]+`)*)", section)
+    assert len(found) > 15
+    for name, functions in found:
+        assert name in files, name
+        for function in re.findall(r"`([a-z_]+)`", functions):
+            assert f"def {function}(" in files[name].read_text(), f"{name}: {function}"
+
+
 def test_what_the_readme_tells_to_run_can_be_run() -> None:
     """Without a run bit in git a fresh clone answers `./check` with "Permission denied"."""
     assert "\n./check\n" in (ROOT / "README.md").read_text()
