--- /dev/null
+++ b/packages/proxy/src/dykeswitch/proxy/intake.py
@@ -0,0 +1,95 @@
+"""What comes in from callers: each request is read and checked, and becomes an exchange."""
+
+import asyncio
+import random
+import typing
+
+import dykeswitch.adapter as adapters
+import dykeswitch.layout as layouts
+import dykeswitch.outcome as outcome
+import dykeswitch.ports as ports
+import dykeswitch.proxy.exchange as exchanges
+import dykeswitch.settings as settings
+
+NO_BOUNDS: typing.Final = layouts.Bounds()
+# Digits of a caller's expiry in milliseconds: more is no number that anyone means.
+EXPIRY_DIGITS: typing.Final = 9
+
+
+class Intake:
+    """Reads requests within the bounds of the layout and of the settings."""
+
+    def __init__(
+        self,
+        bounds: settings.Settings,
+        clock: ports.Clock,
+        rng: random.Random,
+        adapter: adapters.Adapter,
+        layout: typing.Callable[[], layouts.Layout | None],
+    ) -> None:
+        self._bounds = bounds
+        self._clock = clock
+        self._adapter = adapter
+        self._layout = layout
+        # Names of exchanges are never used again, not even after a restart.
+        self._names = f"{rng.getrandbits(32):08x}"
+        self._turn = 0
+
+    def exchange(self, scope: ports.Scope, send: ports.Send) -> exchanges.Exchange:
+        """A new exchange for a request whose head is here."""
+        self._turn += 1
+        heads: list[tuple[bytes, bytes]] = list(scope["headers"])
+        raw: bytes = scope.get("raw_path") or scope["path"].encode()
+        query: bytes = scope.get("query_string") or b""
+        path = raw.partition(b"?")[0]
+        host = next((v for k, v in heads if k == b"host"), b"").decode("latin-1")
+        return exchanges.Exchange(
+            name=f"{self._bounds.name}-{self._names}-{self._turn}",
+            method=str(scope["method"]),
+            host=host,
+            path=path.decode("latin-1"),
+            target=path + (b"?" + query if query else b""),
+            heads=heads,
+            body=b"",
+            born=self._clock.now(),
+            asked_s=None,
+            send=send,
+        )
+
+    async def read(self, x: exchanges.Exchange, receive: ports.Receive) -> outcome.Bad | None:
+        """Check the head and read the body; what is wrong with the request, if anything is."""
+        if sum(len(k) + len(v) for k, v in x.heads) > (self._limits().head_most or self._bounds.head_most):
+            return outcome.bad("head_too_big")
+        text = adapters.find(x.heads, self._adapter.heads.expiry)
+        if text is not None:
+            if not text.isdigit() or len(text) > EXPIRY_DIGITS:
+                return outcome.bad("bad_expiry", text[:40].decode("latin-1"))
+            x.asked_s = int(text) / 1000
+        # Until a rule is found: a longer wait than the caller's helps nobody.
+        span = self._bounds.request_s if x.asked_s is None else min(self._bounds.request_s, x.asked_s)
+        x.expiry = x.born + span
+        try:
+            async with asyncio.timeout(span):
+                return await self._body(x, receive)
+        except TimeoutError:
+            return outcome.bad("expired", "the request's body did not come in time")
+
+    def _limits(self) -> layouts.Bounds:
+        """What the operator lets callers send; the settings hold where the layout says nothing."""
+        layout = self._layout()
+        return layout.bounds if layout is not None else NO_BOUNDS
+
+    async def _body(self, x: exchanges.Exchange, receive: ports.Receive) -> outcome.Bad | None:
+        body = bytearray()
+        most = min(self._limits().body_most or self._bounds.body_most, self._bounds.body_most)
+        while True:
+            message = await receive()
+            if message["type"] == "http.disconnect":
+                return outcome.bad("caller_left")
+            body += message.get("body", b"")
+            if len(body) > most:
+                return outcome.bad("body_too_big", f"over {most} bytes")
+            if not message.get("more_body"):
+                break
+        x.body = bytes(body)
+        return None
--- a/packages/proxy/src/dykeswitch/proxy/pages.py
+++ b/packages/proxy/src/dykeswitch/proxy/pages.py
@@ -7,12 +7,29 @@
 import dykeswitch.layout.documents as documents
 import dykeswitch.logs.counters as counters
 import dykeswitch.ports as ports
+import dykeswitch.settings as settings
 
-if typing.TYPE_CHECKING:
-    import dykeswitch.proxy.program as programs
 
+class Shown(typing.Protocol):
+    """What the pages show of a proxy."""
 
-def app(proxy: "programs.Proxy") -> ports.App:
+    bounds: settings.Settings
+    documents: documents.Documents
+
+    def ready(self) -> str | None:
+        """Why the proxy is not ready, or nothing."""
+        ...
+
+    def counts(self) -> dict[str, float]:
+        """What the proxy counts, by name."""
+        ...
+
+    async def gateway(self, scope: ports.Scope, receive: ports.Receive, send: ports.Send) -> None:
+        """Carry one request of a caller."""
+        ...
+
+
+def app(proxy: Shown) -> ports.App:
     """Readiness, life and counters; all other requests are callers'."""
 
     def alive() -> dict[str, str]:
--- a/packages/proxy/src/dykeswitch/proxy/program.py
+++ b/packages/proxy/src/dykeswitch/proxy/program.py
@@ -17,12 +17,12 @@
 import dykeswitch.proxy.borrower as borrowers
 import dykeswitch.proxy.carrier as carrier
 import dykeswitch.proxy.exchange as exchanges
+import dykeswitch.proxy.intake as intakes
 import dykeswitch.settings as settings
 import dykeswitch.timeline as timeline
 
 # The part of the grace after which work still in hand is answered.
 LAST_CALL: typing.Final = 0.88
-NO_BOUNDS: typing.Final = layouts.Bounds()
 
 
 class Proxy:
@@ -45,20 +45,7 @@
         self.marks = timeline.Marks(self.line, bounds.mark_s)
         self.meter = frames.Tally()
         self.caller = frames.Caller(machine.net, self.meter)
-        me = membership.Member(bounds.name, "proxy", bounds.member)
-        self.spread = membership.Spread(
-            me,
-            self.line,
-            machine,
-            self.caller,
-            rng,
-            bounds.shuffle_s,
-            bounds.call_s,
-            bounds.hold_s,
-            bounds.seeds,
-            log.note,
-            bounds.zone,
-        )
+        self.spread = self._join(rng)
         self.documents = documents.Documents(self.line, self.caller, bounds.call_s, self._reads, bounds.name)
         self.carrier = carrier.Carrier(bounds, machine, self.line, self.marks, log, rng, self, self.adapter)
         # The carrier has a budget for each service it carried; the borrower fills them.
@@ -73,8 +60,7 @@
         )
         self._pauses: list[pauses.Pause] = []
         self.carrier.selector.paused = self.paused
-        self._names = f"{rng.getrandbits(32):08x}"
-        self._turn = 0
+        self.intake = intakes.Intake(bounds, self.clock, rng, self.adapter, lambda: self.carrier.layout)
         self._tick = self.clock.now()
         # Until a core has confirmed what we hold, we are not sure of it.
         self._doubt = True
@@ -88,14 +74,31 @@
         self._ends: float | None = None
         self._server: ports.WebServer | None = None
         self._ready_server: ports.WebServer | None = None
-        self._ear: ports.Listener | None = None
+        self._listener: ports.Listener | None = None
         self.stopping = False
         self._stop = asyncio.Event()
 
-    # Papers.
+    def _join(self, rng: random.Random) -> membership.Spread:
+        """This proxy's part in the membership, not yet running."""
+        bounds = self.bounds
+        return membership.Spread(
+            membership.Member(bounds.name, "proxy", bounds.member),
+            self.line,
+            self.machine,
+            self.caller,
+            rng,
+            bounds.shuffle_s,
+            bounds.call_s,
+            bounds.hold_s,
+            bounds.seeds,
+            self.log.note,
+            bounds.zone,
+        )
+
+    # Documents.
 
     async def _reads(self, name: str, version: int, data: bytes) -> documents.Take | None:
-        """Read a paper while exchanges go on; what is handed back takes it up at once."""
+        """Read a document while exchanges go on; what is handed back takes it up at once."""
         if name == documents.PAUSES:
             planned = pauses.read(data)
 
@@ -265,9 +268,10 @@
     # Callers.
 
     async def gateway(self, scope: ports.Scope, receive: ports.Receive, send: ports.Send) -> None:
+        """Carry one request of a caller from its head to its reply."""
         if scope["type"] != "http":
             return
-        x = self._exchange(scope, send)
+        x = self.intake.exchange(scope, send)
         # Overload is answered at once; a queue would only hide it. Requests whose body
         # is still on its way count too, or slow senders would be without bound.
         if len(self.carrier.table) >= self.bounds.exchanges_most:
@@ -278,7 +282,7 @@
         try:
             async with x.timer:
                 self._hurry(x)
-                bad = await self._intake(x, receive)
+                bad = await self.intake.read(x, receive)
                 if bad is not None:
                     await self.carrier.refuse(x, bad)
                     return
@@ -296,63 +300,6 @@
             left = max(0.0, self._ends - self.clock.now())
             x.timer.reschedule(asyncio.get_running_loop().time() + left)
 
-    def _exchange(self, scope: ports.Scope, send: ports.Send) -> exchanges.Exchange:
-        self._turn += 1
-        heads: list[tuple[bytes, bytes]] = list(scope["headers"])
-        raw: bytes = scope.get("raw_path") or scope["path"].encode()
-        query: bytes = scope.get("query_string") or b""
-        path = raw.partition(b"?")[0]
-        host = next((v for k, v in heads if k == b"host"), b"").decode("latin-1")
-        return exchanges.Exchange(
-            name=f"{self.bounds.name}-{self._names}-{self._turn}",
-            method=str(scope["method"]),
-            host=host,
-            path=path.decode("latin-1"),
-            target=path + (b"?" + query if query else b""),
-            heads=heads,
-            body=b"",
-            born=self.clock.now(),
-            asked_s=None,
-            send=send,
-        )
-
-    async def _intake(self, x: exchanges.Exchange, receive: ports.Receive) -> outcome.Bad | None:
-        if sum(len(k) + len(v) for k, v in x.heads) > (self._taken().head_most or self.bounds.head_most):
-            return outcome.bad("head_too_big")
-        text = adapters.find(x.heads, self.adapter.heads.expiry)
-        if text is not None:
-            if not text.isdigit() or len(text) > 9:
-                return outcome.bad("bad_expiry", text[:40].decode("latin-1"))
-            x.asked_s = int(text) / 1000
-        # Until a rule is found: a longer wait than the caller's helps nobody.
-        span = self.bounds.request_s if x.asked_s is None else min(self.bounds.request_s, x.asked_s)
-        x.expiry = x.born + span
-        try:
-            async with asyncio.timeout(span):
-                return await self._body(x, receive)
-        except TimeoutError:
-            return outcome.bad("expired", "the request's body did not come in time")
-
-    def _taken(self) -> layouts.Bounds:
-        """What the operator lets callers send; the settings hold where the layout says nothing."""
-        layout = self.carrier.layout
-        return layout.bounds if layout is not None else NO_BOUNDS
-
-    async def _body(self, x: exchanges.Exchange, receive: ports.Receive) -> outcome.Bad | None:
-        body = bytearray()
-        most = min(self._taken().body_most or self.bounds.body_most, self.bounds.body_most)
-        while True:
-            message = await receive()
-            if message["type"] == "http.disconnect":
-                return outcome.bad("caller_left")
-            body += message.get("body", b"")
-            if len(body) > most:
-                return outcome.bad("body_too_big", f"over {most} bytes")
-            if not message.get("more_body"):
-                break
-        x.body = bytes(body)
-        return None
-
     async def _on_exchange(self, body: frames.Body) -> frames.Result:
         """What was done for one exchange."""
         trail = self.carrier.trail(str(body["exchange"]))
@@ -365,8 +312,8 @@
     async def run(self) -> None:
         """Serve until told to stop."""
         kinds = {**self.spread.kinds(), **self.documents.kinds(), "exchange": self._on_exchange}
-        ear = frames.Ear(kinds, self.log.note, self.meter)
-        self._ear = await self.machine.net.listen(self.bounds.ear or self.bounds.member, ear.serve)
+        server = frames.Ear(kinds, self.log.note, self.meter)
+        self._listener = await self.machine.net.listen(self.bounds.ear or self.bounds.member, server.serve)
         try:
             # With an address of its own for readiness, all that comes on `web` is for endpoints.
             self._server = await self.machine.web.serve(self.bounds.web, self._app())
@@ -392,7 +339,7 @@
         finally:
             if self._ready_server is not None:
                 await self._ready_server.stop(0.0)
-            self._ear.close()
+            self._listener.close()
             self.caller.close()
             self.carrier.close()
         self.log.info("stopped")
@@ -440,7 +387,7 @@
             await self.clock.sleep(self.bounds.tick_s)
 
     async def _keep_documents(self) -> None:
-        """Fetch a paper as soon as a higher version of it is named."""
+        """Fetch a document as soon as a higher version of it is named."""
         while True:
             async with self.line.news:
                 await ports.wait_for(
