--- a/packages/cli/src/dykeswitch/cli/main.py
+++ b/packages/cli/src/dykeswitch/cli/main.py
@@ -40,7 +40,7 @@
     text = "start a whole fleet on this machine, send it traffic, print the figures"
     sub = words.add_parser("fleet", help=text, description=text)
     sub.add_argument("shape", choices=list(shapes.SHAPES))
-    sub.add_argument("--span", type=float, default=20.0, help="seconds of traffic (default 20)")
+    sub.add_argument("--duration", "--span", type=float, default=20.0, help="seconds of traffic (default 20)")
     sub.add_argument("--scale", type=float, default=1.0, help="times the shape's rate (default 1)")
     sub.add_argument("--seed", type=int, default=1)
 
@@ -55,7 +55,7 @@
     sub.add_argument("--set", action="append", default=[], metavar="NAME=VALUE", help="a setting")
     sub.add_argument("--versus-event", action="append", default=[], help="events of a second variant")
     sub.add_argument("--versus-set", action="append", default=[], metavar="NAME=VALUE", help="its settings")
-    sub.add_argument("--span", type=float, default=30.0, help="seconds of traffic (default 30)")
+    sub.add_argument("--duration", "--span", type=float, default=30.0, help="seconds of traffic (default 30)")
     sub.add_argument("--scale", type=float, default=0.2, help="times the shape's rate (default 0.2)")
     sub.add_argument("--seeds", type=int, default=3, help="seeds, the same for both variants")
     text = "play the first variant on real processes too ('down' events only) and set both side by side"
@@ -92,7 +92,7 @@
     sub.add_argument("shape", choices=list(shapes.UNEQUAL))
     sub.add_argument("--first-seed", type=int, default=1)
     sub.add_argument("--seeds", type=int, default=3, help="how many seeds (default 3)")
-    sub.add_argument("--span", type=float, default=20.0, help="seconds of traffic (default 20)")
+    sub.add_argument("--duration", "--span", type=float, default=20.0, help="seconds of traffic (default 20)")
     text = "a part of the fleet at the same load (default 1, all of it)"
     sub.add_argument("--part", type=float, default=1.0, help=text)
     text = "so many times fewer requests, each so many times as long (default 1)"
@@ -154,14 +154,14 @@
         if isinstance(side, str):
             sys.stderr.write(f"dykeswitch: {side}\n")
             return 2
-        pages.append(whatif.ask(shapes.SHAPES[spoken.shape], side, seeds, spoken.span, spoken.scale))
+        pages.append(whatif.ask(shapes.SHAPES[spoken.shape], side, seeds, spoken.duration, spoken.scale))
     first = sides[0]
     if spoken.real and isinstance(first, whatif.Variant):
         if any(event.act != "down" for event in first.events):
             sys.stderr.write("dykeswitch: --real plays 'down' events only\n")
             return 2
         shape = shapes.SHAPES[spoken.shape]
-        found = asyncio.run(whatreal.ask(shape, first, 1, spoken.span, spoken.scale))
+        found = asyncio.run(whatreal.ask(shape, first, 1, spoken.duration, spoken.scale))
         print(json.dumps([pages[0], found, whatreal.compare(pages[0], found)], indent=2))
         return 0
     if len(pages) == 2:
@@ -206,8 +206,8 @@
     if spoken.slower != 1.0:
         shape = shape.slower(spoken.slower)
     seeds = range(spoken.first_seed, spoken.first_seed + spoken.seeds)
-    page = worths.over_seeds(shape, seeds, spoken.span, workers=spoken.workers)
-    head = {"shape": shape.name, "proxies": shape.proxies, "seeds": list(seeds), "span_s": spoken.span}
+    page = worths.over_seeds(shape, seeds, spoken.duration, workers=spoken.workers)
+    head = {"shape": shape.name, "proxies": shape.proxies, "seeds": list(seeds), "span_s": spoken.duration}
     print(json.dumps({**head, **page}, indent=2))
     return 0
 
@@ -232,7 +232,7 @@
     if spoken.word in scale.NAMES:
         return scale.run(spoken)
     if spoken.word == "fleet":
-        figures = asyncio.run(fleets.show(spoken.shape, spoken.span, spoken.seed, spoken.scale))
+        figures = asyncio.run(fleets.show(spoken.shape, spoken.duration, spoken.seed, spoken.scale))
         print(json.dumps(figures, indent=2))
         return 0
     if spoken.word == "simulate":
--- a/packages/proxy/src/dykeswitch/proxy/program.py
+++ b/packages/proxy/src/dykeswitch/proxy/program.py
@@ -313,7 +313,7 @@
         """Serve until told to stop."""
         kinds = {**self.spread.kinds(), **self.documents.kinds(), "exchange": self._on_exchange}
         server = frames.Ear(kinds, self.log.note, self.meter)
-        self._listener = await self.machine.net.listen(self.bounds.ear or self.bounds.member, server.serve)
+        self._listener = await self.machine.net.listen(self.bounds.listen or self.bounds.member, server.serve)
         try:
             # With an address of its own for readiness, all that comes on `web` is for endpoints.
             self._server = await self.machine.web.serve(self.bounds.web, self._app())
--- a/packages/registry/src/dykeswitch/registry/program.py
+++ b/packages/registry/src/dykeswitch/registry/program.py
@@ -82,7 +82,7 @@
         bounds = self.bounds
         kinds = {**self.members.kinds(), **self.relay.kinds()}
         ear = frames.Ear(kinds, self.log.note, self.parts.meter)
-        listener = await self.machine.net.listen(bounds.ear or bounds.member, ear.serve)
+        listener = await self.machine.net.listen(bounds.listen or bounds.member, ear.serve)
         try:
             self._server = await self.machine.web.serve(bounds.web, self.app)
             self.log.info("started", web=bounds.web, member=bounds.member)
--- a/packages/standin/src/dykeswitch/standin/fleet.py
+++ b/packages/standin/src/dykeswitch/standin/fleet.py
@@ -113,8 +113,8 @@
     def _relayed(self, flags: dict[str, str]) -> None:
         """Where others may be cut off from it, a process listens behind the relay."""
         if self.slots:
-            flags["ear"] = next(self._spare)
-            self._relayed_addresses[flags["name"]] = (flags["member"], flags["ear"])
+            flags["listen"] = next(self._spare)
+            self._relayed_addresses[flags["name"]] = (flags["member"], flags["listen"])
 
     def address(self) -> str:
         """One more free address."""
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -1,5 +1,6 @@
 """The command line: exit codes, plain lines, and checks without any fleet."""
 
+import argparse
 import dataclasses
 import json
 import pathlib
@@ -87,6 +88,36 @@
     assert "603 no_folder: /no/such" in capsys.readouterr().err
 
 
+@pytest.mark.parametrize("name", ["listen", "ear"])
+def test_a_setting_is_understood_by_its_earlier_name(name: str, tmp_path: pathlib.Path) -> None:
+    raw = {"name": "p", "zone": "z", "member": "127.0.0.1:1", "web": "127.0.0.1:2", "seeds": ["127.0.0.1:3"]}
+    checked = settings.check("proxy", {**raw, name: "127.0.0.1:4"})
+    assert isinstance(checked, outcome.Good) and checked.value.listen == "127.0.0.1:4"
+    flags = argparse.ArgumentParser()
+    settings.add_flags(flags)
+    path = _file(tmp_path, f'{name} = "127.0.0.1:4"\n', "file.toml")
+    words = ["--name=p", "--zone=z", "--member=127.0.0.1:1", "--web=127.0.0.1:2", "--seeds=127.0.0.1:3"]
+    found = settings.gather("proxy", flags.parse_args([*words, "--settings", path]))
+    assert isinstance(found, outcome.Good) and found.value.listen == "127.0.0.1:4"
+    # A flag wins over the file, under whichever of the two names.
+    for flag in ("--listen", "--ear"):
+        found = settings.gather("proxy", flags.parse_args([*words, "--settings", path, flag, "127.0.0.1:5"]))
+        assert isinstance(found, outcome.Good) and found.value.listen == "127.0.0.1:5"
+
+
+def test_a_setting_under_both_of_its_names_is_a_fault() -> None:
+    both = {"name": "s", "store": "127.0.0.1:1", "data": "/", "ear": "127.0.0.1:4", "listen": "127.0.0.1:4"}
+    checked = settings.check("store", both)
+    assert isinstance(checked, outcome.Bad)
+    assert checked.faults == ("ear: the earlier name of listen, which is given too",)
+
+
+@pytest.mark.parametrize("option", ["--duration", "--span"])
+def test_a_duration_is_understood_by_its_earlier_name(option: str) -> None:
+    for command in ("fleet ghent", "simulate ghent", "worth delta"):
+        assert cli.parser().parse_args([*command.split(), option, "7"]).duration == 7.0
+
+
 def test_a_command_without_a_fleet_says_so(capsys: pytest.CaptureFixture[str]) -> None:
     # Nothing listens on port 1 of the loopback.
     assert cli.main(["query", "--at", "127.0.0.1:1", "who", "is", "paused"]) == 3
