--- a/packages/registry/src/dykeswitch/registry/orders.py
+++ b/packages/registry/src/dykeswitch/registry/orders.py
@@ -1,8 +1,5 @@
 """Operators' orders: a layout is put into the register, and the newest is read from it."""
 
-import asyncio
-import typing
-
 import dykeswitch.adapter as adapters
 import dykeswitch.layout as layouts
 import dykeswitch.layout.documents as documents
@@ -13,9 +10,6 @@
 import dykeswitch.registry.order_rules as order_rules
 import dykeswitch.registry.standing as standing
 
-# The part of a call's span in which a registry that had no majority lately looks for one.
-LOOK_PART: typing.Final = 0.5
-
 
 class Orders:
     """Puts and reads layouts on behalf of operators."""
@@ -27,7 +21,7 @@
 
     async def newest(self) -> outcome.Good[register.Value] | outcome.Bad:
         """The newest layout, as it was sent, from a majority."""
-        bad = await self._without_majority()
+        bad = await self._standing.without_majority()
         if bad is not None:
             return bad
         result = await self._parts.proposer.read(documents.LAYOUT)
@@ -48,7 +42,7 @@
         checked = raw if isinstance(raw, outcome.Bad) else await layouts.check_gently(raw.value)
         if isinstance(checked, outcome.Bad):
             return checked
-        bad = await self._without_majority()
+        bad = await self._standing.without_majority()
         if bad is not None:
             return bad
         kept = layouts.pack(checked.value) if isinstance(parts.adapter, adapters.Own) else data
@@ -62,16 +56,6 @@
         parts.log.info("layout accepted", version=version, number=order.number)
         return outcome.Good(version)
 
-    async def _without_majority(self) -> outcome.Bad | None:
-        """Say soon that there is no majority: an operator waits a second, and goes on elsewhere."""
-        if self._standing.has_majority():
-            return None
-        try:
-            async with asyncio.timeout(self._parts.bounds.call_s * LOOK_PART):
-                return await self._parts.publisher.read_documents()
-        except TimeoutError:
-            return outcome.bad("no_majority", "not heard of for a while")
-
     def _order(self, body: bytes, want: int | None, number: int | None) -> order_rules.Order:
         self._ops += 1
         operation = f"{self._parts.bounds.name}/{self._parts.boot}/{documents.LAYOUT}/{self._ops}"
--- a/packages/registry/src/dykeswitch/registry/planned.py
+++ b/packages/registry/src/dykeswitch/registry/planned.py
@@ -9,6 +9,7 @@
 import dykeswitch.register as register
 import dykeswitch.registry.components as components
 import dykeswitch.registry.replies as replies
+import dykeswitch.registry.standing as standing
 
 # How long a planned pause that is over stays listed.
 PAUSES_KEPT_S: typing.Final = 86400.0
@@ -19,8 +20,9 @@
 class PlannedPauses:
     """Changes the list of planned pauses."""
 
-    def __init__(self, parts: components.Components) -> None:
+    def __init__(self, parts: components.Components, stand: standing.Standing) -> None:
         self._parts = parts
+        self._standing = stand
         self._ops = 0
 
     async def add(self, ask: language.Pause, by: str) -> replies.Table | outcome.Bad:
@@ -47,6 +49,9 @@
         return await self._edit(edit)
 
     async def _edit(self, edit: Edit) -> replies.Table | outcome.Bad:
+        bad = await self._standing.without_majority()
+        if bad is not None:
+            return bad
         parts = self._parts
         self._ops += 1
         op = f"{parts.bounds.name}/{parts.boot}/{documents.PAUSES}/{self._ops}"
--- a/packages/registry/src/dykeswitch/registry/program.py
+++ b/packages/registry/src/dykeswitch/registry/program.py
@@ -51,7 +51,7 @@
         self.upkeep = upkeeps.Upkeep(self.parts, self.members, self.standing)
         self._server: ports.WebServer | None = None
         self._stop = asyncio.Event()
-        commands = queries.Queries(self.parts, self.members, planned.PlannedPauses(self.parts))
+        commands = queries.Queries(self.parts, self.members, planned.PlannedPauses(self.parts, self.standing))
         shown = pages.Pages(self.parts, self.members)
         handlers = routes.Routes(bounds, log, self.standing, self.heartbeats, self.orders, commands, shown)
         self.app = handlers.application(self.parts.adapter.calls(self))
--- a/packages/registry/src/dykeswitch/registry/standing.py
+++ b/packages/registry/src/dykeswitch/registry/standing.py
@@ -1,9 +1,14 @@
 """Where a registry stands: stopping, and how long ago it read from a majority."""
 
+import asyncio
 import typing
 
+import dykeswitch.outcome as outcome
 import dykeswitch.registry.components as components
 
+# The part of a call's span in which a registry that had no majority lately looks for one.
+LOOK_PART: typing.Final = 0.5
+
 
 class Standing:
     """Tells whether this registry may speak for the fleet."""
@@ -20,6 +25,16 @@
         age = self._parts.clock.now() - self._parts.publisher.majority_at
         return age <= self._parts.bounds.drain_s
 
+    async def without_majority(self) -> outcome.Bad | None:
+        """Say soon that there is no majority: an operator waits a second, and goes on elsewhere."""
+        if self.has_majority():
+            return None
+        try:
+            async with asyncio.timeout(self._parts.bounds.call_s * LOOK_PART):
+                return await self._parts.publisher.read_documents()
+        except TimeoutError:
+            return outcome.bad("no_majority", "not heard of for a while")
+
     def unready(self) -> str | None:
         """Why this registry is not ready; nothing if it is."""
         if self.stopping:
--- a/tests/test_cut_off.py
+++ b/tests/test_cut_off.py
@@ -62,8 +62,11 @@
     return status
 
 
-async def _member_call(fleet: fleets.SimFleet, core: fleets.Core, kind: str) -> frames.Result:
-    return await frames.Caller(fleet.outside.net).ask(core.member, kind, {}, 3.0)
+async def _confirm(fleet: fleets.SimFleet, core: fleets.Core) -> str:
+    """What a proxy is told that asks what a majority holds."""
+    ask: frames.Body = {"name": "proxy-9", "cursor": ["", 0]}
+    told = await frames.Caller(fleet.outside.net).ask(core.member, "confirm", ask, 3.0)
+    return told.code.tag if isinstance(told, outcome.Bad) else "good"
 
 
 def _up(fleet: fleets.SimFleet) -> list[int]:
@@ -79,7 +82,7 @@
             assert (await _ask(fleet, core, "GET", "/v1/health"))[0] == 200
             assert (await _ask(fleet, core, "GET", "/readyz"))[0] == 200
             assert (await fleet.query("show pauses", core)) is not None
-            assert isinstance(await _member_call(fleet, core, "confirm"), outcome.Good)
+            assert await _confirm(fleet, core) == "good"
         assert await _beat(fleet, fleet.cores[0], leaving=True) == 200
 
     _run(tmp_path, work)
@@ -114,9 +117,12 @@
             status, _, took = await _ask(fleet, core, method, "/v1/layout", layout)
             assert status == 503
             assert took < 0.6 * PATIENCE_S
-        assert (await fleet.query("show pauses", core)) is None
+        for text in ("show pauses", "pause pages-0 for 5s because test"):
+            begun = fleet.clock.now()
+            assert (await fleet.query(text, core)) is None
+            assert fleet.clock.now() - begun < 1.1 * PATIENCE_S
         assert (await _ask(fleet, core, "GET", "/readyz"))[0] == 503
-        assert isinstance(await _member_call(fleet, core, "confirm"), outcome.Bad)
+        assert await _confirm(fleet, core) == "no_majority"
 
     _run(tmp_path, work)
 
@@ -145,6 +151,7 @@
         core = fleet.cores[0]
         core.registry.kill()
         _cut_off(fleet, core)
+        await asyncio.sleep(0.1)
         core.registry.restart()
         await asyncio.sleep(0.3)
         assert await _beat(fleet, core) == 503
@@ -153,7 +160,7 @@
         assert (await fleet.get(core)).status == 503
         assert (await fleet.put(SMALL.layout(), core)).status == 503
         assert (await _ask(fleet, core, "GET", "/readyz"))[0] == 503
-        assert isinstance(await _member_call(fleet, core, "confirm"), outcome.Bad)
+        assert await _confirm(fleet, core) == "no_majority"
         fleet.world.wires.heal()
         await asyncio.sleep(1.5)
         assert await _beat(fleet, core) == 200
@@ -165,6 +172,7 @@
     async def work(fleet: fleets.SimFleet) -> None:
         core = fleet.cores[0]
         core.registry.kill()
+        await asyncio.sleep(0.1)
         core.registry.restart()
         await asyncio.sleep(0.3)
         assert await _beat(fleet, core) == 200
