--- a/packages/registry/src/dykeswitch/registry/member_calls.py
+++ b/packages/registry/src/dykeswitch/registry/member_calls.py
@@ -40,7 +40,9 @@
         bad = await self._parts.publisher.read_documents()
         if bad is not None:
             return bad
-        return outcome.Good({"items": self._parts.line.wire_since(0)})
+        # Polls carry marks: whether one is sure of the layout and of who left does not hang on them.
+        spread = self._parts.spread
+        return outcome.Good({"items": spread.news_for(spread.known_to(body), marks=False)})
 
     async def _on_seen(self, body: frames.Body) -> frames.Result:
         """What our own probes found last, and how long ago: walls differ, spans do not."""
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -10,6 +10,7 @@
 
 import dykeswitch.layout.documents as documents
 import dykeswitch.membership as membership
+import dykeswitch.outcome as outcome
 import dykeswitch.proxy.program as proxies
 import dykeswitch.simulator.fleet as fleets
 import dykeswitch.simulator.loop as loops
@@ -238,7 +239,7 @@
         await asyncio.sleep(REJOINED_S)
         for core in fleet.cores:
             registry = core.registry.daemon
-            assert len(registry.live()) == 5
+            assert len(registry.spread.cores()) == len(fleet.cores) - 1
             entry = registry.line.get(timeline.ENDPOINT, "pages-0")
             assert entry is not None and entry.fields["state"] == timeline.LEFT
 
@@ -300,3 +301,24 @@
         assert proxy.documents.version(documents.LAYOUT) == held
 
     _run(tmp_path, work)
+
+
+def test_to_be_sure_again_a_proxy_is_not_told_the_whole_timeline(tmp_path: pathlib.Path) -> None:
+    """Each core told it all of every endpoint, proxy and mark: at a slow proxy this made the next gap."""
+
+    async def work(fleet: fleets.SimFleet) -> None:
+        proxy = _proxies(fleet)[0]
+        for address in proxy.spread.polled():
+            ask = {"cursor": proxy.spread.position(address)}
+            result = await proxy.caller.ask(address, "confirm", ask, proxy.bounds.call_s)
+            assert isinstance(result, outcome.Good)
+            assert len(result.value["items"]) < len(fleet.cores)
+        # One that knows nothing of a core is told all, but for what proxies say of themselves.
+        unknown = {"cursor": ["", 0]}
+        result = await proxy.caller.ask(proxy.spread.polled()[0], "confirm", unknown, proxy.bounds.call_s)
+        assert isinstance(result, outcome.Good)
+        kinds = {item[0] for item in result.value["items"]}
+        assert timeline.PROXY not in kinds
+        assert {timeline.ENDPOINT, timeline.CORE, timeline.DOCUMENT} <= kinds
+
+    _run(tmp_path, work)
--- a/tests/test_frames.py
+++ b/tests/test_frames.py
@@ -262,6 +262,73 @@
     loops.run(main())
 
 
+def test_a_caller_of_a_release_without_ids_gets_answers_without_them(tmp_path: pathlib.Path) -> None:
+    async def main() -> None:
+        world = worlds.World(1, tmp_path)
+
+        async def echo(body: frames.Body) -> frames.Result:
+            return outcome.Good({"word": body["word"]})
+
+        ear = frames.Ear({"echo": echo}, lambda event, what: None)
+        await world.machine_for("peer").net.listen(ADDRESS, ear.serve)
+        raw = await world.machine_for("caller").net.dial(ADDRESS, WAIT_S)
+        connection = frames.FrameConnection(raw)
+        for word in ("a", "b"):
+            await connection.write({"kind": "echo", "word": word})
+            assert await connection.read() == {"kind": "good", "word": word}
+
+    loops.run(main())
+
+
+def test_a_doubled_call_is_answered_twice_and_misleads_nobody(tmp_path: pathlib.Path) -> None:
+    """Both answers bear the id of the first call; the second one ends the connection."""
+
+    class Doubling:
+        """A connection that sends everything twice until told otherwise."""
+
+        def __init__(self, whole: ports.Connection) -> None:
+            self._whole = whole
+            self.read, self.close, self.ended = whole.read, whole.close, whole.ended
+
+        async def write(self, data: bytes) -> None:
+            await self._whole.write(data)
+            if doubled:
+                doubled.pop()
+                await asyncio.sleep(0)
+                await self._whole.write(data)
+
+    doubled = [True]
+
+    async def main() -> None:
+        world = worlds.World(1, tmp_path)
+        heard = []
+
+        async def echo(body: frames.Body) -> frames.Result:
+            heard.append(body["word"])
+            await asyncio.sleep(0.05)
+            return outcome.Good({"word": body["word"]})
+
+        ear = frames.Ear({"echo": echo}, lambda event, what: None)
+        await world.machine_for("peer").net.listen(ADDRESS, ear.serve)
+        net = world.machine_for("caller").net
+
+        class Network:
+            """Dials connections that double."""
+
+            async def dial(self, address: str, wait: float) -> ports.Connection:
+                return typing.cast(ports.Connection, Doubling(await net.dial(address, wait)))
+
+        caller = frames.Caller(typing.cast(ports.Network, Network()))
+        said = []
+        for word in ("a", "b", "c"):
+            result = await caller.ask(ADDRESS, "echo", {"word": word}, WAIT_S)
+            said.append(result.value["word"] if isinstance(result, outcome.Good) else result.code.tag)
+        assert said == ["a", "bad_frame", "c"]
+        assert heard == ["a", "a", "b", "c"]
+
+    loops.run(main())
+
+
 def test_a_disk_does_not_answer_for_another(tmp_path: pathlib.Path) -> None:
     """Another disk at the address that a call was made for refuses all that binds or counts."""
 
--- a/tests/test_garbage.py
+++ b/tests/test_garbage.py
@@ -265,7 +265,7 @@
         {"kind": "shuffle", **head, "view": view, "cursor": ["", 0]},
         {"kind": "tell", **head},
         {"kind": "poll", **head, "cursor": ["", 0], "hold": 0.0},
-        {"kind": "confirm", "name": "m"},
+        {"kind": "confirm", "name": "m", "cursor": ["", 0]},
         {"kind": "paper", "name": "layout", "want": 1, "name_of": "m"},
         {"kind": "prepare", "key": "layout", "ballot": ballot, "epoch": 1, "disk": "d"},
         {"kind": "accept", "key": "layout", "ballot": ballot, "value": value, "epoch": 1, "disk": "d"},
@@ -377,10 +377,10 @@
         rng = random.Random(7)
         said = b""
 
-        async def act(talk: typing.Any, connection: ports.Connection, *rest: typing.Any) -> bool:
+        async def act(talk: typing.Any, *rest: typing.Any) -> bool:
             if rest[-1]:
-                return bool(await whole(talk, connection, *rest))
-            await connection.write(said)
+                return bool(await whole(talk, *rest))
+            await talk.connection.write(said)
             return False
 
         for endpoint in fleet.endpoints.values():
--- a/tests/test_stalled_disk.py
+++ b/tests/test_stalled_disk.py
@@ -14,6 +14,7 @@
 import dykeswitch.outcome as outcome
 import dykeswitch.ports as ports
 import dykeswitch.ports.real as real
+import dykeswitch.ports.threads as threads
 import dykeswitch.register as register
 import dykeswitch.register.messages as messages
 import dykeswitch.register.voter as voters
@@ -311,3 +312,47 @@
     stuck = [thread for thread in threading.enumerate() if thread.name == "disk"]
     assert stuck and all(thread.daemon for thread in stuck)
     disk.flows.set()
+
+
+def test_a_write_that_was_cut_off_leaves_nothing_to_answer_from(tmp_path: pathlib.Path) -> None:
+    """The disk may still be at it, so neither the older record nor the newer one is sure."""
+
+    async def main() -> None:
+        disk = _sim_disk(tmp_path / "disk")
+        lone = Lone(disk)
+        await lone.start()
+        disk.stall()
+        write = asyncio.create_task(lone.accept(2, NEW))
+        await _begun(write)
+        write.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await write
+        disk.flow()
+        assert await lone.refusal(lone.prepare(3)) == "disk_fault"
+        assert (await lone.state())["damaged"] == "a write was cut off"
+
+    loops.run(main())
+
+
+def test_threads_of_a_disk_work_side_by_side_and_tell_of_failures() -> None:
+    """One stalled work holds no other; more than there are threads wait their turn."""
+    pool = threads.DaemonThreads()
+    flows = threading.Event()
+
+    def fail() -> None:
+        raise OSError("input/output error")
+
+    async def main() -> None:
+        stalled = asyncio.create_task(pool.run(flows.wait))
+        await asyncio.sleep(0.01)
+        found = await asyncio.gather(*(pool.run(lambda n=n: n * 2) for n in range(20)))  # type: ignore[misc]
+        assert found == [n * 2 for n in range(20)]
+        with pytest.raises(OSError, match="input/output error"):
+            await pool.run(fail)
+        assert not stalled.done()
+        flows.set()
+        assert await stalled
+
+    before = threading.active_count()
+    asyncio.run(main())
+    assert threading.active_count() - before <= threads.THREADS_MOST
