--- a/packages/simulator/src/dykeswitch/simulator/faults/cores.py
+++ b/packages/simulator/src/dykeswitch/simulator/faults/cores.py
@@ -6,6 +6,9 @@
 import dykeswitch.simulator.history as histories
 import dykeswitch.simulator.stage as stages
 
+# How long a disk that stalls answers nothing.
+STALL_S: typing.Final = 3.0
+
 
 async def lose_store_power(stage: stages.Stage) -> None:
     """Power goes right after a change was confirmed."""
@@ -247,6 +250,24 @@
     await stage.fleet.get(core)
 
 
+async def stall_disk(stage: stages.Stage) -> None:
+    """A disk answers nothing for a while: changes and reads go on, and its store votes again after."""
+    core = stage.core()
+    disk = core.store.disk
+    assert disk is not None
+    disk.stall(after=stage.rng.random() < 0.5)
+    begun = stage.fleet.clock.now()
+    for _ in range(3):
+        await stage.change()
+    await stage.fleet.get(core)
+    await asyncio.sleep(max(0.0, begun + STALL_S - stage.fleet.clock.now()))
+    disk.flow()
+    await stage.change(core)
+    if core.store.daemon.voter.damaged:
+        stage.flaw("a store whose disk goes on does not vote")
+    await stage.fleet.get(core)
+
+
 async def damage_disk(stage: stages.Stage) -> None:
     """A file is found damaged at start: the store refuses, until its disk is emptied."""
     core = stage.core()
@@ -371,6 +392,7 @@
     "restart_all_cores": restart_all_cores,
     "stop_cores_in_turn": stop_cores_in_turn,
     "fill_disk": fill_disk,
+    "stall_disk": stall_disk,
     "fail_sync": fail_sync,
     "fail_rename": fail_rename,
     "damage_disk": damage_disk,
