--- a/packages/simulator/src/dykeswitch/simulator/faults/control.py
+++ b/packages/simulator/src/dykeswitch/simulator/faults/control.py
@@ -121,6 +121,11 @@
     await stage.fleet.get(stage.core())
 
 
+def _replace(stage: stages.Stage, gone: fleets.Core) -> fleets.Core:
+    """An empty core in another's place, told of those that are there now."""
+    return stage.new_core(gone, tuple(c.member for c in stage.fleet.cores if c is not gone))
+
+
 async def second_loss(stage: stages.Stage) -> None:
     """A core is lost with its disk and replaced; at that very moment the next one goes."""
     operator = stage.operator(lost_answers=0.1)
@@ -129,7 +134,7 @@
         await _settled(stage, _change_once(operator))
         for node in (first.store, first.registry):
             node.lose_power()
-        fresh = stage.new_core(first)
+        fresh = _replace(stage, first)
         await stage.seated()
         # Whoever was seated just now, or has been there all along: either may be the next.
         await asyncio.sleep(stage.rng.choice((0.0, 0.05, 0.3)))
@@ -137,7 +142,7 @@
         for node in (victim.store, victim.registry):
             node.lose_power()
         await _settled(stage, _change_once(operator))
-        stage.new_core(victim)
+        _replace(stage, victim)
         await stage.seated()
         await _settled(stage, _change_once(operator))
 
@@ -149,7 +154,7 @@
         await stage.change(leaving)
         for node in (leaving.registry, leaving.store):
             await stage.stop(node)
-        stage.new_core(leaving)
+        _replace(stage, leaving)
         await stage.seated()
         for node in (second.store, second.registry):
             node.lose_power()
--- a/packages/simulator/src/dykeswitch/simulator/history.py
+++ b/packages/simulator/src/dykeswitch/simulator/history.py
@@ -2,6 +2,7 @@
 
 import bisect
 import dataclasses
+import hashlib
 import math
 import typing
 
@@ -538,6 +539,11 @@
 }
 
 
+def digest(story: History) -> str:
+    """A digest of all that was recorded, to the last bit of every moment."""
+    return hashlib.sha256(repr(story).encode()).hexdigest()
+
+
 def judge(story: History) -> dict[str, list[str]]:
     """Every breach, by the point it breaks."""
     return {name: found for name, check in CHECKS.items() if (found := check(story))}
--- a/packages/simulator/src/dykeswitch/simulator/scenario.py
+++ b/packages/simulator/src/dykeswitch/simulator/scenario.py
@@ -37,6 +37,8 @@
     excuses: dict[str, int] = dataclasses.field(default_factory=dict)
     # For each fault, after how many seconds the last request failed once it was over.
     back_s: dict[str, float] = dataclasses.field(default_factory=dict)
+    # Of the whole recorded history: the same from the same shape, seed, faults and scale.
+    digest: str = ""
 
 
 async def day(
@@ -100,4 +102,5 @@
         stage.notes,
         histories.excuses(story),
         histories.back_by_fault(story, spans),
+        histories.digest(story),
     )
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -18,11 +18,16 @@
 import dykeswitch.proxy.exchange as exchanges
 import dykeswitch.proxy.program as proxies
 import dykeswitch.proxy.selection as selection
+import dykeswitch.register as register
+import dykeswitch.register.proposer as proposers
 import dykeswitch.register.storage as storage
 import dykeswitch.registry.lender as lenders
+import dykeswitch.registry.order_memory as order_memory
+import dykeswitch.registry.orders as orders
 import dykeswitch.registry.prober as probers
 import dykeswitch.registry.publisher as publishers
 import dykeswitch.registry.upkeep as upkeeps
+import dykeswitch.simulator.faults.control as control
 import dykeswitch.simulator.trial as trials
 import dykeswitch.soundness.connection as connections
 import dykeswitch.timeline as timeline
@@ -196,6 +201,38 @@
     patch.setattr(proxies.Proxy, "_keep_documents", keep)
 
 
+def _reads_by_memory(patch: pytest.MonkeyPatch) -> None:
+    async def newest(self: orders.Orders) -> outcome.Good[register.Value] | outcome.Bad:
+        held = self._parts.publisher.documents
+        version = held.version(documents.LAYOUT)
+        return outcome.Good(register.Value(version, held.body(documents.LAYOUT)))
+
+    patch.setattr(orders.Orders, "newest", newest)
+
+
+def _forgets_orders(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(order_memory.Ledger, "digest", lambda self, number: None)
+
+
+def _one_vote_decides(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(register, "majority", lambda group, yes: any(disk in yes for disk, _ in group))
+
+
+def _never_mends(patch: pytest.MonkeyPatch) -> None:
+    async def sweep_copies(self: proposers.Proposer) -> int:
+        return 0
+
+    patch.setattr(proposers.Proposer, "sweep_copies", sweep_copies)
+
+
+def _takes_any_answer(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(connections.EndpointConnection, "_answers", lambda self, head, name: True)
+
+
+def _keeps_heartbeats_to_itself(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(upkeeps.Upkeep, "_may_judge", lambda self: True)
+
+
 GUARDS: typing.Final[list[tuple[Wreck, str, str]]] = [
     (_no_proof, "hand_over_address", "right_owner"),
     (_always_retry, "lose_replies", "run_twice"),
@@ -218,6 +255,23 @@
     (_confirms_by_memory, "cut_one_core", "layout_in_time"),
     (_slips_back, "jump_all_clocks", "layout_order_by_traffic"),
     (_breaks_are_accepted, "race_operators", "broken_refused"),
+    # A core that is cut off for long.
+    (_reads_by_memory, "cut_core_long", "register_holds"),
+    (_reads_by_memory, "cut_core_long_in", "register_holds"),
+    (_reads_by_memory, "cut_core_long_out", "register_holds"),
+    (_keeps_heartbeats_to_itself, "cut_core_long", "not_turned_away"),
+    # Two operators, and orders sent again.
+    (_one_vote_decides, "two_operators", "one_body_per_version"),
+    (_forgets_orders, "two_operators", "never_refused_again"),
+    # A second loss after a repair, and a member that leaves.
+    (_one_vote_decides, "second_loss", "register_holds"),
+    (_one_vote_decides, "leaving_core", "register_holds"),
+    # Hundreds of changes, and members that start again or wake.
+    (_never_mends, "hundreds_of_changes", "no_crash"),
+    (_reads_by_memory, "hundreds_of_changes", "register_holds"),
+    # Answers that come late, and calls that may not be repeated.
+    (_takes_any_answer, "late_answers", "own_replies"),
+    (_always_retry, "late_answers", "run_twice"),
 ]
 
 
@@ -226,6 +280,7 @@
     wreck: Wreck, fault: str, point: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     wreck(monkeypatch)
+    shape = "brook" if fault in control.FAULTS else "ghent"
     found: set[str] = set()
     # Some failures need luck to show: a few seeds may be needed for one.
     # With seeds 31, 32 and 34 the writing service is the one that misbehaves.
@@ -233,7 +288,7 @@
     seeds = (31, 32, 34, 35) if fault in ("lose_replies", "lose_lenders") else (33, 31, 32, 34, 35, 36)
     for seed in seeds:
         try:
-            found |= set(trials.one_day("ghent", seed, (fault,), 0.1, 3.0).breaches)
+            found |= set(trials.one_day(shape, seed, (fault,), 0.1, 3.0).breaches)
         except TimeoutError as flaw:
             found.add(str(flaw))
         if point in found:
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -235,6 +235,40 @@
     story.crashes.append("core0: ValueError")
 
 
+def _two_confirmed(story: histories.History) -> None:
+    # Two operators, and the same number told to both.
+    story.puts.append(_put(2, 96.5, body=_doc("b3")))
+
+
+def _another_body_read(story: histories.History) -> None:
+    story.gots.append(fleets.Got(97.0, 97.1, 200, 2, _doc("b1")))
+
+
+def _refused_when_sent_again(story: histories.History) -> None:
+    story.puts += [_put(3, 96.0, match=2), _put(0, 97.0, body=_doc("b3"), match=2, status=412)]
+
+
+def _lost_then_refused(story: histories.History) -> None:
+    # The first answer was lost, and a read shows that the order was taken.
+    story.puts += [_put(0, 96.0, body=_doc("b3"), match=2, status=0)]
+    story.gots.append(fleets.Got(96.2, 96.3, 200, 3, _doc("b3")))
+    story.puts += [_put(0, 97.0, body=_doc("b3"), match=2, status=409)]
+
+
+def _refused_unheard(story: histories.History) -> None:
+    # Nobody heard how the second arrival was answered; it was refused all the same.
+    story.puts += [_put(3, 96.0, match=2)]
+    story.puts += [_put(0, 97.0, body=_doc("b3"), match=2, status=0, lost_status=412)]
+
+
+def _lags_at_the_end(story: histories.History) -> None:
+    story.read_back = [fleets.Got(119.0, 119.1, 200, 1, _doc("b1"))]
+
+
+def _silent_at_the_end(story: histories.History) -> None:
+    story.read_back = [fleets.Got(119.0, 119.1, 503)]
+
+
 BREAKS: typing.Final[dict[str, list[typing.Callable[[histories.History], None]]]] = {
     "run_twice": [_twice, _twice_begun],
     "told_not_done": [_told, _told_by_endpoint],
@@ -253,7 +287,10 @@
     "broken_explained": [_connection_broke],
     "excuses_bounded": [_all_excused],
     "nothing_leaked": [_leak],
-    "register_holds": [_stale_read, _none_read, _lost_layout, _refused_stands],
+    "register_holds": [_stale_read, _none_read, _refused_stands],
+    "one_body_per_version": [_lost_layout, _two_confirmed, _another_body_read],
+    "never_refused_again": [_refused_when_sent_again, _lost_then_refused, _refused_unheard],
+    "read_back": [_lags_at_the_end, _silent_at_the_end],
     "broken_refused": [_broken_taken, _good_refused],
     "extra_bound": [_many_extra, _extra_turned],
     "not_dropped": [_dropped],
@@ -277,6 +314,24 @@
     assert histories.judge(story) == {}
 
 
+def test_an_order_sent_again_may_be_told_its_own_version() -> None:
+    story = sound()
+    # Taken as version 3 without an answer, passed by version 4, and then sent again.
+    story.puts += [_put(0, 96.0, body=_doc("b3"), match=2, status=0), _put(4, 96.6, match=3)]
+    story.puts += [_put(3, 97.0, match=2)]
+    story.samples = [_sample(at, version) for at, version in ((96.5, 2), (98.5, 4), (99.5, 4))]
+    assert histories.judge(story) == {}
+    # The same version told to a read would be one that goes back.
+    story.gots.append(fleets.Got(97.5, 97.6, 200, 3, _doc("b3")))
+    assert set(histories.judge(story)) == {"register_holds"}
+
+
+def test_an_order_that_lost_its_race_may_be_refused_again() -> None:
+    story = sound()
+    story.puts += [_put(0, at, body=_doc("b0"), match=1, status=412) for at in (96.0, 97.0)]
+    assert histories.judge(story) == {}
+
+
 def test_every_check_is_broken_by_some_history() -> None:
     assert set(BREAKS) == set(histories.CHECKS)
 
