--- a/packages/simulator/src/dykeswitch/simulator/faults/control.py
+++ b/packages/simulator/src/dykeswitch/simulator/faults/control.py
@@ -6,12 +6,16 @@
 import dykeswitch.layout.documents as documents
 import dykeswitch.outcome as outcome
 import dykeswitch.simulator.fleet as fleets
+import dykeswitch.simulator.history as histories
 import dykeswitch.simulator.operator as operators
 import dykeswitch.simulator.stage as stages
 
 # How long a core is cut off, and how soon after that it must answer with what stands.
 CUT_S: typing.Final = 20.0
 WHOLE_S: typing.Final = 3.0
+# How long a core is cut off together with proxies that know it as a seed, and how long a disk stalls.
+JOINT_CUT_S: typing.Final = 6.0
+STALL_S: typing.Final = 8.0
 # Orders of the day of many changes, a part of which comes while a core is down.
 CHANGES: typing.Final = 210
 # How many generations a store may keep of one record once its writes are over.
@@ -113,6 +117,48 @@
     return act
 
 
+async def restart_beside_cut_seed(stage: stages.Stage) -> None:
+    """Proxies and a seed of theirs start anew while they are cut off from all others together."""
+    core = stage.core()
+    herd = stage.rng.sample(stage.up_edges(), 2)
+    inside = core.names() + [edge.node.name for edge in herd]
+    others = set(stage.core_names() + stage.edge_names()).difference(inside)
+    begun = stage.now
+    for edge in herd:
+        edge.node.kill()
+    stage.wires.cut(inside, sorted(others))
+    # Down for as long as the platform takes to send their callers elsewhere.
+    await asyncio.sleep(stages.PLATFORM_S)
+    for node in [core.registry] + [edge.node for edge in herd]:
+        node.restart()
+    await _settled(stage, _orders_until(stage, stage.operator(lost_answers=0.1), stage.now + JOINT_CUT_S))
+    early = [edge.node.name for edge in herd if _ready(edge)]
+    if early:
+        stage.flaw(f"{early} were ready, and reached no majority since they started")
+    stage.wires.heal()
+    stage.gone(herd, begun)
+    await stage.fleet.until(lambda: all(map(_ready, herd)), histories.RECOVER_S, "ready after the cut")
+    await _current(stage, core)
+
+
+def _ready(edge: fleets.Edge) -> bool:
+    daemon = edge.node.daemon
+    return daemon is not None and daemon.ready() is None
+
+
+async def stall_disk(stage: stages.Stage) -> None:
+    """A core's disk answers nothing for a while: orders and reads go on by the others."""
+    core = stage.core()
+    disk = core.store.disk
+    assert disk is not None
+    disk.stall(after=stage.rng.random() < 0.5)
+    end = stage.now + STALL_S
+    operator = stage.operator(lost_answers=0.1)
+    await _settled(stage, _orders_until(stage, operator, end), _reads_until(stage, core, end))
+    disk.flow()
+    await _current(stage, core)
+
+
 async def two_operators(stage: stages.Stage) -> None:
     """Two operators with eight orders under way; answers are lost, and old orders come once more."""
     pair = [stage.operator(lost_answers=0.3, duplicates=0.2) for _ in range(2)]
@@ -239,6 +285,8 @@
     "cut_core_long": cut_core_long("both"),
     "cut_core_long_in": cut_core_long("in"),
     "cut_core_long_out": cut_core_long("out"),
+    "restart_beside_cut_seed": restart_beside_cut_seed,
+    "stall_disk": stall_disk,
     "two_operators": two_operators,
     "second_loss": second_loss,
     "leaving_core": leaving_core,
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -26,6 +26,7 @@
 import dykeswitch.registry.orders as orders
 import dykeswitch.registry.prober as probers
 import dykeswitch.registry.publisher as publishers
+import dykeswitch.registry.standing as standing
 import dykeswitch.registry.upkeep as upkeeps
 import dykeswitch.simulator.faults.control as control
 import dykeswitch.simulator.trial as trials
@@ -230,7 +231,7 @@
 
 
 def _keeps_heartbeats_to_itself(patch: pytest.MonkeyPatch) -> None:
-    patch.setattr(upkeeps.Upkeep, "_may_judge", lambda self: True)
+    patch.setattr(standing.Standing, "has_majority", lambda self: True)
 
 
 GUARDS: typing.Final[list[tuple[Wreck, str, str]]] = [
