Orders held by the fewest before a loss; catching up shown to fail without its guards

- `second_loss` and `leaving_core` first put an order where only the fewest stores hear of it: with a single vote taken for a majority the order is lost (`register_holds`).

--- a/packages/simulator/src/dykeswitch/simulator/faults/control.py
+++ b/packages/simulator/src/dykeswitch/simulator/faults/control.py
@@ -16,6 +16,8 @@
 # How long a core is cut off together with proxies that know it as a seed, and how long a disk stalls.
 JOINT_CUT_S: typing.Final = 6.0
 STALL_S: typing.Final = 8.0
+# How far away stores are that are to hear late of a change; well within a call.
+FAR_S: typing.Final = 0.2
 # Orders of the day of many changes, a part of which comes while a core is down.
 CHANGES: typing.Final = 210
 # How many generations a store may keep of one record once its writes are over.
@@ -172,12 +174,20 @@
     return stage.new_core(gone, tuple(c.member for c in stage.fleet.cores if c is not gone))
 
 
+async def _change_held_by_few(stage: stages.Stage, core: fleets.Core) -> None:
+    """A change by one core while the other stores are far away: it is confirmed by the fewest."""
+    far = [other.store.name for other in stage.fleet.cores if other is not core]
+    stage.wires.slow = dict.fromkeys(far, FAR_S)
+    await stage.change(core)
+    stage.wires.slow = {}
+
+
 async def second_loss(stage: stages.Stage) -> None:
     """A core is lost with its disk and replaced; at that very moment the next one goes."""
     operator = stage.operator(lost_answers=0.1)
     for _ in range(2):
         first, second = stage.rng.sample(stage.fleet.cores, 2)
-        await _settled(stage, _change_once(operator))
+        await _change_held_by_few(stage, first)
         for node in (first.store, first.registry):
             node.lose_power()
         fresh = _replace(stage, first)
@@ -185,6 +195,7 @@
         # Whoever was seated just now, or has been there all along: either may be the next.
         await asyncio.sleep(stage.rng.choice((0.0, 0.05, 0.3)))
         victim = stage.rng.choice((second, fresh))
+        await _change_held_by_few(stage, victim)
         for node in (victim.store, victim.registry):
             node.lose_power()
         await _settled(stage, _change_once(operator))
@@ -194,17 +205,20 @@
 
 
 async def leaving_core(stage: stages.Stage) -> None:
-    """A core stops in order right after an order was confirmed by it, and never comes back."""
+    """A core stops in order right after an order that no other store heard of, and never comes back."""
     for _ in range(2):
         leaving, second = stage.rng.sample(stage.fleet.cores, 2)
+        # What it alone holds it may not confirm.
+        far = [other.store.name for other in stage.fleet.cores if other is not leaving]
+        stage.wires.cut([leaving.registry.name], far)
         await stage.change(leaving)
         for node in (leaving.registry, leaving.store):
             await stage.stop(node)
+        stage.wires.heal()
         _replace(stage, leaving)
         await stage.seated()
         for node in (second.store, second.registry):
             node.lose_power()
-        await stage.fleet.get(stage.fleet.cores[-1])
         await _settled(stage, _change_once(stage.operator()))
         second.store.wipe()
         for node in (second.store, second.registry):
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -220,10 +220,20 @@
 
 
 def _never_mends(patch: pytest.MonkeyPatch) -> None:
+    # Reads that find copies apart and the sweep cover for each other: both are taken away.
     async def sweep_copies(self: proposers.Proposer) -> int:
         return 0
 
+    async def read(self: proposers.Proposer, key: str) -> proposers.Read:
+        copies = await self._everyone(key)
+        if len(copies) < 2:
+            return outcome.bad("no_majority")
+        top = max(copy.ballot for copy in copies.values())
+        newest = {disk: copy for disk, copy in copies.items() if copy.ballot == top}
+        return outcome.Good(self._keep(key, top, newest, self._held.get(key)))
+
     patch.setattr(proposers.Proposer, "sweep_copies", sweep_copies)
+    patch.setattr(proposers.Proposer, "read", read)
 
 
 def _takes_any_answer(patch: pytest.MonkeyPatch) -> None:
