--- a/packages/register/src/dykeswitch/register/replica.py
+++ b/packages/register/src/dykeswitch/register/replica.py
@@ -67,7 +67,8 @@
             "blank": self.blank,
             "seated": self.seated,
             "set": self.members.wire(),
-            "damaged": self.damaged,
+            # What a system says of a disk may hold a long path: it must not cost the state.
+            "damaged": self.damaged[:TEXT_MOST],
             "zone": self.site.zone,
             "region": self.site.region,
             "eligible": self.site.eligible,
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -140,6 +140,14 @@
     assert replicas.decode(state.encode(), "10.0.0.1:1") == state
 
 
+def test_a_long_fault_of_a_disk_does_not_make_its_state_an_odd_one() -> None:
+    fault = "[Errno 28] No space left on device: " + "/long" * 100
+    state = replicas.ReplicaState("d", False, True, _MEMBERS, fault)
+    told = replicas.decode(state.encode(), "10.0.0.1:1")
+    assert told.damaged and fault.startswith(told.damaged)
+    assert told.members == _MEMBERS
+
+
 def test_a_state_without_the_later_fields_is_one_that_counts_and_stays() -> None:
     old = {"disk": "d", "blank": True, "seated": False, "set": [0, []], "damaged": ""}
     state = replicas.decode(old, "10.0.0.1:1")
