--- a/packages/registry/src/dykeswitch/registry/program.py
+++ b/packages/registry/src/dykeswitch/registry/program.py
@@ -51,7 +51,7 @@
         self.upkeep = upkeeps.Upkeep(self.parts, self.members, self.standing)
         self._server: ports.WebServer | None = None
         self._stop = asyncio.Event()
-        commands = queries.Queries(self.parts, self.members, planned.PlannedPauses(self.parts))
+        commands = queries.Queries(self.parts, self.members, planned.PlannedPauses(self.parts, self.standing))
         shown = pages.Pages(self.parts, self.members)
         handlers = routes.Routes(bounds, log, self.standing, self.heartbeats, self.orders, commands, shown)
         self.app = handlers.application(self.parts.adapter.calls(self))
@@ -82,7 +82,7 @@
         bounds = self.bounds
         kinds = {**self.members.kinds(), **self.relay.kinds()}
         ear = frames.Ear(kinds, self.log.note, self.parts.meter)
-        listener = await self.machine.net.listen(bounds.ear or bounds.member, ear.serve)
+        listener = await self.machine.net.listen(bounds.listen or bounds.member, ear.serve)
         try:
             self._server = await self.machine.web.serve(bounds.web, self.app)
             self.log.info("started", web=bounds.web, member=bounds.member)
