--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -113,6 +113,12 @@
     patch.setattr(selection.Selector, "up", _up_of_all)
     patch.setattr(selection.Selector, "usable", lambda self, entry: True)
 
+    def subset(self: typing.Any, service: str, tried: set[str]) -> list[typing.Any]:
+        return [entry for entry in self.up(service) if entry.key not in tried]
+
+    # The subset that selection is made among looks at the state of endpoints by itself.
+    patch.setattr(selection.Selector, "_subset", subset)
+
 
 def _up_of_all(self: typing.Any, service: str) -> list[typing.Any]:
     return [e for e in self._line.all("endpoint") if e.fields["service"] == service]
