Hundreds of changes: a core that comes back finds out by itself what it missed

It waits now for 1.5 s, until no call is left, before the core comes back, and without mending the core is found not to be current within 3 s.

--- a/packages/simulator/src/dykeswitch/simulator/faults/control.py
+++ b/packages/simulator/src/dykeswitch/simulator/faults/control.py
@@ -20,6 +20,8 @@
 FAR_S: typing.Final = 0.2
 # Orders of the day of many changes, a part of which comes while a core is down.
 CHANGES: typing.Final = 210
+# After this long no call of a change is still under way to a machine that is down.
+LAST_CALL_S: typing.Final = 1.5
 # How many generations a store may keep of one record once its writes are over.
 GENERATIONS_MOST: typing.Final = 1
 # How endpoints fail besides, while their answers come late.
@@ -241,6 +243,8 @@
     for node in (down.store, down.registry):
         node.lose_power()
     await some(1 / 3)
+    # Until no call of those changes waits for it any more: it has to find out by itself.
+    await asyncio.sleep(LAST_CALL_S)
     for node in (down.store, down.registry):
         node.restart()
     await _current(stage, down)
