dykeswitch explore: a model checker over the real register, votes and documents

Ruled out on the way, each seen to hide states: an answer taken first where losing it leads elsewhere (the loss is now tried too); a checker that counted majorities by the very function a test had replaced (it has its own now); power losses as one event for each subset of unsynced changes (one choice for each change instead).

--- a/packages/cli/src/dykeswitch/cli/main.py
+++ b/packages/cli/src/dykeswitch/cli/main.py
@@ -8,6 +8,7 @@
 import typing
 
 import dykeswitch.cli.daemons as daemons
+import dykeswitch.cli.explore as explore
 import dykeswitch.cli.operate as operate
 import dykeswitch.outcome as outcome
 import dykeswitch.scale.commands as scale
@@ -118,6 +119,7 @@
     _add_simulate(words)
     _add_trial(words)
     scale.add_words(words)
+    explore.add_words(words)
     _add_worth(words)
     _add_fuzz(words)
     return top
@@ -229,6 +231,8 @@
     spoken = parser().parse_args(argv)
     if spoken.word in ("query", "apply", "fetch", "compare", "check"):
         return operate.run(spoken)
+    if spoken.word == explore.WORD:
+        return explore.run(spoken)
     if spoken.word in scale.NAMES:
         return scale.run(spoken)
     if spoken.word == "fleet":
--- /dev/null
+++ b/packages/explorer/src/dykeswitch/explorer/calls.py
@@ -0,0 +1,120 @@
+"""Calls between hosts: each is a request and a reply that the model delivers, or does not."""
+
+import asyncio
+import dataclasses
+import enum
+import typing
+
+import cbor2
+
+import dykeswitch.explorer.fingerprint as fingerprint
+import dykeswitch.explorer.hosts as hosts
+import dykeswitch.frames as frames
+import dykeswitch.outcome as outcome
+
+
+class Phase(enum.Enum):
+    """Where a call is."""
+
+    REQUEST = "request"
+    RUNNING = "running"
+    REPLY = "reply"
+    # The host that ran it ended; the caller has yet to learn it.
+    BROKEN = "broken"
+
+
+@fingerprint.leave_out
+@dataclasses.dataclass(eq=False)
+class Call:
+    """One call on its way."""
+
+    source: hosts.Host
+    target: hosts.Host
+    kind: str
+    body: bytes
+    label: str
+    # Nothing where the caller waits no more: it gave up, or this is a second delivery.
+    future: asyncio.Future[frames.Result] | None
+    phase: Phase = Phase.REQUEST
+    reply: frames.Result | None = None
+
+    def __post_init__(self) -> None:
+        self.source_only = frozenset({self.source.name})
+        self.target_only = frozenset({self.target.name})
+        self.both_ends = self.source_only | self.target_only
+
+    def settle(self, result: frames.Result) -> None:
+        """Hand the caller its result, if it still waits."""
+        if self.future is not None and not self.future.done() and self.source.up:
+            self.future.set_result(result)
+        self.future = None
+
+    def state(self) -> str:
+        """The call as text for a fingerprint."""
+        reply = "" if self.reply is None else repr(self.reply)
+        return f"{self.label} {self.body!r} {self.phase.value} {self.future is not None} {reply}"
+
+
+Send = typing.Callable[[hosts.Host, str, str, frames.Body], asyncio.Future[frames.Result]]
+
+
+@fingerprint.leave_out
+class ModelCaller(frames.Caller):
+    """Makes calls by way of the model."""
+
+    def __init__(self, host: hosts.Host, send: Send) -> None:
+        super().__init__(hosts.NoNetwork())
+        self._host = host
+        self._send = send
+
+    async def ask(self, address: str, kind: str, body: frames.Body, wait: float) -> frames.Result:
+        """Send one request and wait for what the model makes of it."""
+        return await self._send(self._host, address, kind, body)
+
+
+async def serve(handlers: typing.Mapping[str, frames.Handle], call: Call) -> None:
+    """Run a call at its target, as `frames.Ear` does."""
+    handler = handlers.get(call.kind)
+    if handler is None:
+        result: frames.Result = outcome.bad("no_kind", call.kind)
+    else:
+        try:
+            result = await handler(cbor2.loads(call.body))
+        except (KeyError, TypeError, ValueError, IndexError, AttributeError, OverflowError) as flaw:
+            result = outcome.bad("bad_frame", f"{type(flaw).__name__}: {flaw}")
+    call.reply = over_the_wire(result)
+    call.phase = Phase.REPLY
+
+
+def over_the_wire(result: frames.Result) -> frames.Result:
+    """A result as its caller reads it."""
+    if isinstance(result, outcome.Good):
+        body: frames.Body = cbor2.loads(cbor2.dumps(result.value))
+        return outcome.Good(body)
+    return outcome.bad(result.code.tag, result.why)
+
+
+def describe(source: str, target: str, kind: str, body: frames.Body) -> str:
+    """A call in a few words."""
+    words = [f"{source}->{target}", kind]
+    if "key" in body:
+        words.append(str(body["key"]))
+    if "ballot" in body:
+        count, name = body["ballot"]
+        words.append(f"ballot {count}.{name}")
+    if "value" in body:
+        version, held = body["value"][:2]
+        words.append(f"version {version} {_short(held)}")
+    if "set" in body:
+        words.append(f"set {body['set'][0]}")
+    if "epoch" in body:
+        words.append(f"epoch {body['epoch']}")
+    for name in ("order", "name", "want"):
+        if name in body:
+            words.append(f"{name} {body[name]}")
+    return " ".join(words)
+
+
+def _short(body: bytes) -> str:
+    text = body.decode("ascii", "replace")
+    return text if text.isprintable() and len(text) <= 16 else f"#{fingerprint.digest(repr(body)).hex()[:6]}"
--- /dev/null
+++ b/packages/explorer/src/dykeswitch/explorer/randomised.py
@@ -0,0 +1,89 @@
+"""Draws schedules of a wide scope, each by its own seed."""
+
+import random
+import time
+import typing
+
+import dykeswitch.explorer.events as events
+import dykeswitch.explorer.execution as executions
+
+
+class Randomised:
+    """Random schedules by priorities (probabilistic concurrency testing), each by its own seed.
+
+    Each channel between two hosts has a random priority, and of what may happen the event with
+    the highest is taken. At a few random steps the channel just used falls to the lowest, and at
+    a few others a random fault is taken.
+    """
+
+    PRIORITY_CHANGES: typing.Final = 4
+
+    def __init__(self, plan: executions.Plan, seed: int, progress: executions.Progress | None = None) -> None:
+        self._plan = plan
+        self._seed = seed
+        self._progress = progress
+        # How long executions are, as measured: random steps are drawn from it.
+        self._length = 40
+        self.figures = executions.Figures()
+
+    def run(self, schedules: int, seconds: float) -> executions.Figures:
+        """Execute so many schedules, or until something breaks or time is up."""
+        begin, spent = time.monotonic(), time.process_time()
+        for number in range(schedules):
+            self._execute(random.Random(f"{self._seed}/{number}"))
+            self.figures.seconds = time.monotonic() - begin
+            self.figures.processor_seconds = time.process_time() - spent
+            if self.figures.violation is not None or self.figures.seconds > seconds:
+                break
+            if self._progress is not None and number % 50 == 0:
+                self._progress(self.figures)
+        return self.figures
+
+    def _execute(self, rng: random.Random) -> None:
+        faults = sum(self._plan.settings.budget.values())
+        fault_steps = {rng.randrange(self._length) for _ in range(faults)}
+        falls = {rng.randrange(self._length) for _ in range(self.PRIORITY_CHANGES)}
+        priorities: dict[str, float] = {}
+        execution = executions.Execution(self._plan)
+        figures = self.figures
+        figures.executions += 1
+        try:
+            while (enabled := execution.enabled()) and len(execution.trace) < self._plan.most_events:
+                step = len(execution.trace)
+                event = _drawn(enabled, rng, priorities, step in fault_steps)
+                if event is None:
+                    break
+                if step in falls:
+                    priorities[_channel(event)] = min(priorities.values(), default=0.0) - 1.0
+                execution.perform(event)
+                figures.events += 1
+            figures.depth = max(figures.depth, len(execution.trace))
+            figures.cut_short += len(execution.trace) >= self._plan.most_events
+            figures.violation = execution.violation()
+            self._length = max(self._length, len(execution.trace))
+        finally:
+            execution.close()
+
+
+def _channel(event: events.Event) -> str:
+    """The thread of control that an event belongs to: requests and replies between two hosts, a timer."""
+    if event.kind in (events.Kind.DELIVER, events.Kind.ANSWER):
+        kind, pair, _ = event.key.split(" ", 2)
+        return f"{kind} {pair}"
+    return event.key
+
+
+def _drawn(
+    enabled: list[events.Event], rng: random.Random, priorities: dict[str, float], fault: bool
+) -> events.Event | None:
+    """A random fault where one is due, else the event of the highest priority."""
+    faults = [event for event in enabled if event.costs]
+    if fault and faults:
+        kind = rng.choice(sorted({event.kind.value for event in faults}))
+        return rng.choice([event for event in faults if event.kind.value == kind])
+    usual = [event for event in enabled if not event.costs]
+    if usual and usual[0].kind in (events.Kind.KEEP, events.Kind.DROP):
+        return rng.choice(usual)
+    for event in usual:
+        priorities.setdefault(_channel(event), rng.random())
+    return max(usual, key=lambda event: priorities[_channel(event)], default=None)
--- /dev/null
+++ b/packages/explorer/src/dykeswitch/explorer/records.py
@@ -0,0 +1,117 @@
+"""What a store's disk holds, as the real `Storage` writes it or as an atomic stand-in does.
+
+`ObservedStorage` is the real class over real files; it only notes what was written.
+`AtomicStorage` has the contract that the `power` scope checks of the real one (a put is there
+whole or not at all, and lasts once it has returned) without its files, which cost half a
+millisecond a put. Scopes that lose no power amid a write use it.
+"""
+
+import contextlib
+import functools
+import typing
+
+import cbor2
+
+import dykeswitch.explorer.disk as disks
+import dykeswitch.explorer.fingerprint as fingerprint
+import dykeswitch.ports as ports
+import dykeswitch.register as register
+import dykeswitch.register.messages as messages
+import dykeswitch.register.storage as storage
+
+
+class Record(typing.NamedTuple):
+    """One key's record on a disk."""
+
+    promised: register.Ballot
+    ballot: register.Ballot
+    value: register.Value
+
+
+class ObservedStorage(storage.Storage):
+    """The real storage; each record that it made last is noted on the disk."""
+
+    def __init__(self, disk: ports.Disk, points: ports.Points) -> None:
+        super().__init__(disk, points)
+        assert isinstance(disk, disks.FileDisk)
+        self._observed = disk
+
+    def open(self) -> dict[str, typing.Any]:
+        """Every record on the disk."""
+        records = super().open()
+        self._observed.records = {key: cbor2.dumps(record) for key, record in records.items()}
+        return records
+
+    def put(self, key: str, record: typing.Any) -> None:
+        """Make one record last."""
+        super().put(key, record)
+        self._observed.records[key] = cbor2.dumps(record)
+
+    def erase(self) -> None:
+        """Drop every record."""
+        super().erase()
+        self._observed.records.clear()
+
+
+@fingerprint.leave_out
+class AtomicStorage:
+    """Records in memory, each put whole."""
+
+    def __init__(self, disk: ports.Disk, points: ports.Points) -> None:
+        assert isinstance(disk, disks.MemoryDisk)
+        self._disk = disk
+
+    def open(self) -> dict[str, typing.Any]:
+        """Every record on the disk."""
+        return {key: cbor2.loads(data) for key, data in self._disk.records.items()}
+
+    def put(self, key: str, record: typing.Any) -> None:
+        """Make one record last."""
+        self._disk.records[key] = cbor2.dumps(record)
+
+    def voted_before(self) -> bool:
+        """Whether a replica with a vote was once erased from this disk."""
+        return self._disk.voted_before
+
+    def erase(self) -> None:
+        """Drop every record, and remember that there were some."""
+        self._disk.voted_before = True
+        self._disk.records.clear()
+
+
+@contextlib.contextmanager
+def storage_class(kind: type) -> typing.Iterator[None]:
+    """Let voters made meanwhile keep their records by the given class."""
+    real = storage.Storage
+    storage.Storage = kind  # type: ignore[misc, assignment]
+    try:
+        yield
+    finally:
+        storage.Storage = real  # type: ignore[misc]
+
+
+class View(typing.NamedTuple):
+    """A disk's records, read."""
+
+    disk: str
+    members: register.MemberSet
+    keys: dict[str, Record]
+
+
+def view(raw: dict[str, bytes]) -> View:
+    """What a disk holds."""
+    disk, members, keys = "", register.NOBODY, {}
+    for key, data in raw.items():
+        if key == messages.DISK_KEY:
+            disk = str(cbor2.loads(data))
+        elif key == messages.SET_KEY:
+            members = register.set_of(cbor2.loads(data))
+        else:
+            keys[key] = _record(data)
+    return View(disk, members, keys)
+
+
+@functools.lru_cache(4096)
+def _record(data: bytes) -> Record:
+    promised, ballot, value = cbor2.loads(data)[:3]
+    return Record(register.ballot_of(promised), register.ballot_of(ballot), register.value_of(value))
--- /dev/null
+++ b/packages/explorer/src/dykeswitch/explorer/world.py
@@ -0,0 +1,350 @@
+"""The world of one execution: hosts, calls on their way, disks, and what may happen next."""
+
+import asyncio
+import contextvars
+import dataclasses
+import itertools
+import pathlib
+import random
+import typing
+
+import cbor2
+
+import dykeswitch.explorer.calls as calls
+import dykeswitch.explorer.choices as choices
+import dykeswitch.explorer.disk as disks
+import dykeswitch.explorer.events as events
+import dykeswitch.explorer.fingerprint as fingerprint
+import dykeswitch.explorer.history as histories
+import dykeswitch.explorer.hosts as hosts
+import dykeswitch.explorer.invariants as invariants
+import dykeswitch.explorer.loop as loops
+import dykeswitch.explorer.nodes as nodes
+import dykeswitch.explorer.records as records
+import dykeswitch.frames as frames
+import dykeswitch.outcome as outcome
+import dykeswitch.ports as ports
+import dykeswitch.register as register
+import dykeswitch.register.storage as storage
+import dykeswitch.register.voter as voters
+
+
+class World:
+    """Everything in one execution."""
+
+    def __init__(
+        self,
+        settings: nodes.Settings,
+        scratch: pathlib.Path,
+        known: dict[bytes, fingerprint.HostState] | None = None,
+    ) -> None:
+        self.settings = settings
+        # States of hosts by what happened at them: a host's own events decide its state, so
+        # executions of one scope share them.
+        self._known = {} if known is None else known
+        self._pasts: dict[str, bytes] = {}
+        # Hosts that something happened to since the scope was set up.
+        self.touched: set[str] = set()
+        # At run time the base class is no abstract one.
+        self.loop = loops.CooperativeLoop()  # type: ignore[abstract]
+        self.hosts: dict[str, hosts.Host] = {}
+        self.stores: dict[str, nodes.Store] = {}
+        self.registries: dict[str, nodes.Registry] = {}
+        self.handlers: dict[str, typing.Mapping[str, frames.Handle]] = {}
+        self.calls: list[calls.Call] = []
+        self.history = histories.History()
+        self.told: dict[tuple[str, int], bytes] = {}
+        self.violation = ""
+        self.spent: dict[events.Kind, int] = {}
+        self.cuts: set[tuple[str, str]] = set()
+        # Cuts that are part of the scope and never heal.
+        self.lasting_cuts: set[tuple[str, str]] = set()
+        # A machine that lost power, while it is not settled what its disk keeps.
+        self.unsettled: nodes.PowerLoss | None = None
+        self._scratch = scratch
+        self._folders = itertools.count(1)
+
+    # Building.
+
+    def add_store(self, name: str) -> nodes.Store:
+        """A store with a blank disk, started."""
+        host = self.hosts[name] = hosts.Host(name)
+        store = self.stores[name] = nodes.Store(host, self._blank_disk())
+        self._start_store(store)
+        return store
+
+    def add_registry(self, name: str, start: nodes.Start) -> nodes.Registry:
+        """A registry that runs a coroutine from each start on."""
+        host = self.hosts[name] = hosts.Host(name)
+        registry = self.registries[name] = nodes.Registry(self, host, start)
+        self._start_registry(registry)
+        return registry
+
+    def _blank_disk(self) -> disks.MemoryDisk:
+        if not self.settings.real_files:
+            return disks.MemoryDisk(self.settings.stepwise_disks)
+        return disks.FileDisk(self._scratch / f"disk{next(self._folders)}", self.settings.stepwise_disks)
+
+    def spawn(self, host: hosts.Host, work: typing.Coroutine[typing.Any, typing.Any, object]) -> None:
+        """Run a coroutine on a host."""
+        context = contextvars.Context()
+        context.run(hosts.CURRENT.set, host)
+        host.main_tasks.add(self.loop.create_task(work, context=context))
+
+    def _start_store(self, store: nodes.Store) -> None:
+        host = store.host
+        host.up = True
+        host.starts += 1
+        seed = f"{host.name} {host.starts}"
+        store.voter = voter = voters.Voter(store.disk, ports.NoPoints(), random.Random(seed))
+        host.memory = [voter]
+
+        async def open_and_serve() -> None:
+            try:
+                await voter.open()
+            except storage.Damage as flaw:
+                self.violate(f"I8 {host.name} can't read its disk: {flaw}")
+                return
+            self.handlers[host.name] = voter.kinds()
+
+        self.spawn(host, open_and_serve())
+
+    def _start_registry(self, registry: nodes.Registry) -> None:
+        registry.host.up = True
+        registry.host.starts += 1
+        registry.highest_epoch = 0
+        registry.highest_versions = {}
+        self.spawn(registry.host, registry.start(registry))
+
+    def address(self, name: str) -> str:
+        """The address that a host's calls are sent to."""
+        return f"10.0.0.{list(self.hosts).index(name) + 1}:7000"
+
+    def settle(self) -> None:
+        """Let all that needs no choice happen, as while a scope is set up."""
+        self.loop.run_until_idle()
+        while chosen := next((e for e in choices.enabled(self) if not e.costs), None):
+            self.perform(chosen)
+        self.touched.clear()
+
+    # Calls.
+
+    def send(
+        self, source: hosts.Host, address: str, kind: str, body: frames.Body
+    ) -> asyncio.Future[frames.Result]:
+        """Put a request on its way."""
+        target = self.hosts[list(self.hosts)[int(address.split(":")[0].split(".")[3]) - 1]]
+        future: asyncio.Future[frames.Result] = self.loop.create_future()
+        label = calls.describe(source.name, target.name, kind, body)
+        self.calls.append(calls.Call(source, target, kind, cbor2.dumps(body), label, future))
+        return future
+
+    def deliver(self, call: calls.Call) -> None:
+        """Run a request at its target."""
+        call.phase = calls.Phase.RUNNING
+        self.spawn(call.target, self._run(call))
+
+    async def _run(self, call: calls.Call) -> None:
+        await calls.serve(self.handlers.get(call.target.name, {}), call)
+        store = self.stores.get(call.target.name)
+        if store is not None and isinstance(call.reply, outcome.Good):
+            self.violate(invariants.note_answer(store, call.kind, cbor2.loads(call.body)))
+
+    def answer(self, call: calls.Call) -> None:
+        """Hand a reply to its caller."""
+        self.calls.remove(call)
+        assert call.reply is not None
+        call.source.now += self.settings.answer_time
+        call.settle(call.reply)
+
+    def lose(self, call: calls.Call) -> None:
+        """Let a request or reply come to nothing; its caller learns it."""
+        self.calls.remove(call)
+        call.source.now += self.settings.answer_time
+        call.settle(outcome.bad("no_reply", "lost"))
+
+    def give_up(self, call: calls.Call) -> None:
+        """Let a caller wait no longer; the request may yet come."""
+        call.source.now += self.settings.answer_time
+        call.settle(outcome.bad("no_reply", "late"))
+
+    def duplicate(self, call: calls.Call) -> None:
+        """Deliver a request once more beside the first."""
+        self.calls.append(dataclasses.replace(call, future=None, label=f"{call.label} again"))
+
+    # Faults.
+
+    def stop_host(self, host: hosts.Host) -> None:
+        """End a process; what it held in memory is gone."""
+        host.stop()
+        self.handlers.pop(host.name, None)
+        for call in self.calls:
+            if call.target is host and call.phase is calls.Phase.RUNNING:
+                call.phase = calls.Phase.BROKEN
+            if call.source is host:
+                call.future = None
+        if host.name in self.stores:
+            self.stores[host.name].disk.stop()
+        for operation in self.history.operations.values():
+            # Whoever asked a host that ended is told nothing more.
+            if operation.client == host.name and operation.answer is histories.Answer.NONE:
+                self.history.tell(operation, histories.Answer.UNKNOWN)
+
+    def lose_power(self, store: nodes.Store, step: int) -> None:
+        """Cut the power of a store within its disk's next piece of work."""
+        assert isinstance(store.disk, disks.FileDisk)
+        loose = store.disk.cut_power(step)
+        self.stop_host(store.host)
+        self.unsettled = nodes.PowerLoss(store, loose, [])
+        self._settle_power_loss()
+
+    def decide(self, keep: bool) -> None:
+        """Keep or lose the next of the unsynced changes."""
+        assert self.unsettled is not None
+        change = self.unsettled.loose.pop(0)
+        if keep:
+            self.unsettled.kept.append(change)
+        self._settle_power_loss()
+
+    def _settle_power_loss(self) -> None:
+        """Leave out what no longer matters; lose the power once nothing is left to decide."""
+        assert self.unsettled is not None
+        disk = self.unsettled.store.disk
+        assert isinstance(disk, disks.FileDisk)
+        reached = disk.reached(self.unsettled.kept, self.unsettled.loose)
+        self.unsettled.loose = [c for c in self.unsettled.loose if c.holder in reached]
+        if not self.unsettled.loose:
+            disk.lose_power(self.unsettled.kept)
+            self.unsettled = None
+
+    def restart(self, name: str) -> None:
+        """Start a host's process anew."""
+        if name in self.registries:
+            self._start_registry(self.registries[name])
+            return
+        store = self.stores[name]
+        if isinstance(store.disk, disks.FileDisk):
+            store.disk = store.disk.woken()
+        self._start_store(store)
+
+    def wipe(self, name: str) -> None:
+        """Put an empty disk in the place of a store's, which is down."""
+        store = self.stores[name]
+        store.disk = self._blank_disk()
+        store.view = records.view(store.disk.records)
+
+    def stop(self, name: str) -> None:
+        """End a host's process."""
+        self.stop_host(self.hosts[name])
+
+    def fire_timer(self, host: hosts.Host) -> None:
+        """Let the host's earliest timer fire."""
+        timer = host.earliest_timer()
+        assert timer is not None
+        host.timers.remove(timer)
+        host.now = max(host.now, timer.when)
+        self.loop.fire(timer)
+
+    def cut(self, way: tuple[str, str]) -> None:
+        """Let nothing through from one host to another."""
+        self.cuts.add(way)
+
+    def cut_for_good(self, one: str, other: str) -> None:
+        """Cut two hosts apart, both ways, for the whole execution."""
+        self.lasting_cuts |= {(one, other), (other, one)}
+        self.cuts |= self.lasting_cuts
+
+    def heal(self, way: tuple[str, str]) -> None:
+        """Let everything through again."""
+        self.cuts.discard(way)
+
+    # Steps.
+
+    def perform(self, event: events.Event, judge: bool = True) -> None:
+        """Let an event happen, and all that follows without another choice."""
+        if event.costs:
+            self.spent[event.kind] = self.spent.get(event.kind, 0) + 1
+        self.touched |= event.hosts
+        for name in event.hosts:
+            self._add_to_past(name, f"{event.key} {event.detail()}")
+        event.perform()
+        self.loop.run_until_idle()
+        if self.settings.prompt_replies:
+            self._answer_all()
+        for failure in self.loop.failures:
+            self.violate(f"I10 unhandled: {failure}")
+        self.calls = [call for call in self.calls if self._still_matters(call)]
+        for name in event.hosts & self.stores.keys():
+            self.stores[name].view = records.view(self.stores[name].disk.records)
+        self.violate(invariants.broken_by_hosts(self, event.hosts))
+        # On the way to a state that was judged before only the hosts' own floors are kept up.
+        if judge:
+            self.violate(invariants.broken_together(self))
+
+    def _add_to_past(self, name: str, what: str) -> None:
+        past = self._pasts.get(name, b"")
+        self._pasts[name] = fingerprint.digest(f"{past!r} {what}")
+
+    def _answer_all(self) -> None:
+        """Hand over every reply that nothing holds back."""
+        while ready := next((call for call in self.calls if self._may_be_answered(call)), None):
+            self._add_to_past(ready.source.name, ready.state())
+            self.answer(ready)
+            self.loop.run_until_idle()
+
+    def _may_be_answered(self, call: calls.Call) -> bool:
+        back = (call.target.name, call.source.name)
+        return call.phase is calls.Phase.REPLY and back not in self.cuts
+
+    def _still_matters(self, call: calls.Call) -> bool:
+        # Nobody waits for it, and it has run or never will.
+        gone = call.future is None and call.phase in (calls.Phase.REPLY, calls.Phase.BROKEN)
+        refused = call.future is None and call.phase is calls.Phase.REQUEST and not call.target.up
+        return not gone and not refused
+
+    def violate(self, what: str) -> None:
+        """Note the first violation."""
+        if what and not self.violation:
+            self.violation = what
+
+    def note_told(self, key: str, value: register.Value) -> None:
+        """Note a value that somebody was told."""
+        held = self.told.setdefault((key, value.version), value.body)
+        if held != value.body:
+            self.violate(f"I1 {key} version {value.version} was told as {held!r} and as {value.body!r}")
+
+    def digest(self) -> bytes:
+        """The digest of the whole state."""
+        way = sorted(call.state() for call in self.calls)
+        spent = sorted((kind.value, count) for kind, count in self.spent.items())
+        lost = self.unsettled
+        loose = None if lost is None else (lost.store.host.name, lost.loose, lost.kept)
+        faults = f"{sorted(self.touched)} {spent} {sorted(self.cuts)} {loose}"
+        rest = f"{way} {faults} {self.history.text()} {sorted(self.told.items())}"
+        states = [self.host_state(name) for name in self.hosts]
+        return fingerprint.digest(f"{states} {rest}")
+
+    def host_state(self, name: str) -> fingerprint.HostState:
+        """The digests of a host's parts."""
+        past = name.encode() + self._pasts.get(name, b"")
+        if past not in self._known:
+            self._known[past] = self._new_host_state(self.hosts[name])
+        return self._known[past]
+
+    def _new_host_state(self, host: hosts.Host) -> fingerprint.HostState:
+        found = fingerprint.of_host(host)
+        store = self.stores.get(host.name)
+        if store is None:
+            return found
+        # The work that waits holds the records that it will write.
+        waiting = fingerprint.of_objects([piece.run for piece in store.disk.waiting])
+        floors = sorted(store.answered.items())
+        disk = f"{store.disk.content()} {waiting!r} {floors} {sorted(store.highest_epochs.items())}"
+        return found._replace(core=fingerprint.digest(f"{found.core!r} {disk}"))
+
+    def close(self) -> None:
+        """End every coroutine, so that none is left to the garbage collector."""
+        self.loop.close()
+        for host in self.hosts.values():
+            for task in list(host.tasks):
+                loops.unwind(task)
