Any registry tells of every proxy, also of those that poll others

Cause: since a proxy polls a majority of the cores it says what it holds to those alone, and cores do not hand that on; `show proxies` and the trail of an exchange knew a part of the proxies at each (test_real: proxy0 alone of three; simulated: with five proxies and three cores not five at each). A query now asks the other registries.

--- a/packages/registry/src/dykeswitch/registry/member_calls.py
+++ b/packages/registry/src/dykeswitch/registry/member_calls.py
@@ -5,6 +5,7 @@
 import dykeswitch.frames as frames
 import dykeswitch.outcome as outcome
 import dykeswitch.registry.components as components
+import dykeswitch.timeline as timeline
 
 
 class MemberCalls:
@@ -24,6 +25,7 @@
             "seen": self._on_seen,
             "spans": self._on_spans,
             "heard": self._on_heard,
+            "proxies": self._on_proxies,
         }
 
     async def ask_others(self, kind: str, body: frames.Body) -> list[frames.Body]:
@@ -59,3 +61,9 @@
         """Another registry heard heartbeats of these."""
         self._parts.endpoints.heard([str(name) for name in body["names"]])
         return outcome.Good({})
+
+    async def _on_proxies(self, body: frames.Body) -> frames.Result:
+        """What proxies said of themselves, as far as they said it to us."""
+        now = self._parts.clock.now()
+        entries = self._parts.line.all(timeline.PROXY)
+        return outcome.Good({"items": [entry.wire(now) for entry in entries]})
--- a/packages/registry/src/dykeswitch/registry/queries.py
+++ b/packages/registry/src/dykeswitch/registry/queries.py
@@ -61,6 +61,7 @@
         if ask.subject == "votes":
             return await votes.report(self._parts.reconfiguration, self._parts.proposer, ask)
         if ask.subject == "proxies":
+            await self._hear_of_proxies()
             return self._proxies(ask)
         if ask.subject == "duties":
             return self._duties()
@@ -85,6 +86,7 @@
     async def _trail(self, name: str) -> replies.Table | outcome.Bad:
         """Ask the proxy that carried an exchange what it did; its name begins with the proxy's."""
         parts = self._parts
+        await self._hear_of_proxies()
         entry = parts.line.get(timeline.PROXY, name.rsplit("-", 2)[0])
         if entry is None or "spot" not in entry.fields:
             return outcome.bad("no_such", f"no living proxy carried {name}")
@@ -95,6 +97,11 @@
         rows = [[round(at * 1000, 1), what, why] for at, what, why in result.value["trail"]]
         return replies.Table(("after ms", "what", "why"), rows)
 
+    async def _hear_of_proxies(self) -> None:
+        """Take up what proxies said of themselves to the registries that they poll, which are not all."""
+        for page in await self._members.ask_others("proxies", {}):
+            self._parts.line.merge(page["items"])
+
     def _proxies(self, ask: language.Show) -> replies.Table:
         fields = ("zone", "web", "layout", "ready")
         rows = [
--- a/packages/scale/src/dykeswitch/scale/simulated.py
+++ b/packages/scale/src/dykeswitch/scale/simulated.py
@@ -69,7 +69,9 @@
         for role, members in nodes.items():
             page = found.setdefault(role, {})
             for member in members:
-                for key, count in member.daemon.meter.counts.items():
+                daemon = member.daemon
+                meter = daemon.parts.meter if role == "registry" else daemon.meter
+                for key, count in meter.counts.items():
                     page[key] = page.get(key, 0) + count
         return found
 
