--- a/packages/explorer/src/dykeswitch/explorer/scopes.py
+++ b/packages/explorer/src/dykeswitch/explorer/scopes.py
@@ -83,6 +83,8 @@
                 builds.power(1),
                 budget={_K.POWER: 1},
                 may_lose_power=frozenset({"s1"}),
+                alike=("s2", "s3"),
+                prompt_replies=True,
                 stepwise_disks=True,
                 real_files=True,
             ),
@@ -154,6 +156,8 @@
                 builds.race(reads=0, second_order=False),
                 budget={_K.CRASH: 1},
                 may_crash=frozenset({"s1"}),
+                alike=("s2", "s3"),
+                prompt_replies=True,
                 answer_time=2.0,
             ),
             _plan(
