--- a/packages/scale/src/dykeswitch/scale/simulated.py
+++ b/packages/scale/src/dykeswitch/scale/simulated.py
@@ -60,16 +60,16 @@
 
     def counts(self) -> Counts:
         """Calls and bytes by kind, all members of a role together."""
-        nodes = {
-            HEADLESS: [edge.node for edge in self.fleet.edges],
-            "registry": [core.registry for core in self.fleet.cores],
-            "store": [core.store for core in self.fleet.cores],
+        meters = {
+            HEADLESS: [edge.node.daemon.meter for edge in self.fleet.edges],
+            "registry": [core.registry.daemon.parts.meter for core in self.fleet.cores],
+            "store": [core.store.daemon.meter for core in self.fleet.cores],
         }
         found: Counts = {}
-        for role, members in nodes.items():
+        for role, members in meters.items():
             page = found.setdefault(role, {})
-            for member in members:
-                for key, count in member.daemon.meter.counts.items():
+            for meter in members:
+                for key, count in meter.counts.items():
                     page[key] = page.get(key, 0) + count
         return found
 
