An attempt is broken off for another only where another can be made; never while stopping

Cause: a reading attempt had a part of the time left (a third of it at three tries) and was broken off then, whether or not another could follow. Where no coin of the shared budget was in hand, as at a proxy that has just started or is stopping, or no other endpoint was open, the caller got 504 with most of its time left while its endpoint was at work. Ruled out: the end of the grace (the answers came 1.3 s after the signal); the web server's stop.

Now the attempt goes on while the budget does not afford another, no other endpoint is open, the tries are used up or the proxy stops; it is looked at again each time as long after. test_an_attempt_is_broken_off_only_where_another_can_be_made: three of four cases failed first.

--- a/packages/proxy/src/dykeswitch/proxy/budget.py
+++ b/packages/proxy/src/dykeswitch/proxy/budget.py
@@ -61,9 +61,13 @@
             if owed - paid > CRUMB:
                 self._owed.append((at, owed - paid))
 
+    def affords(self, now: float) -> bool:
+        """Whether one more extra attempt could be paid for now."""
+        return self._sharing() is not None and self.owed(now) + 1 <= self.lent(now) + CRUMB
+
     def take(self, now: float) -> bool:
         """Whether one more extra go may be made, and if so it is counted."""
-        if self._sharing() is None or self.owed(now) + 1 > self.lent(now) + CRUMB:
+        if not self.affords(now):
             self.refused += 1
             self.stir()
             return False
--- a/packages/proxy/src/dykeswitch/proxy/carrier.py
+++ b/packages/proxy/src/dykeswitch/proxy/carrier.py
@@ -14,6 +14,7 @@
 import dykeswitch.proxy.exchange as exchanges
 import dykeswitch.proxy.headers as headers
 import dykeswitch.proxy.matching as matching
+import dykeswitch.proxy.patience as patience
 import dykeswitch.proxy.pool as pools
 import dykeswitch.proxy.selection as selection
 import dykeswitch.proxy.senses as senses_port
@@ -224,19 +225,33 @@
             self.selector.ended(connection.endpoint)
             self._pool.put_back(connection, sound and not self.closing)
 
-    def _go_s(self, x: exchanges.Exchange) -> float:
-        """How long this go may take."""
+    def _patience(self, x: exchanges.Exchange) -> patience.Patience:
+        """How long this attempt may take."""
         left = x.expiry - self._clock.now()
-        if not x.writing:
-            # A go that hangs must leave time for the tries that remain.
-            left = left / max(1, x.max_tries - x.goes)
-        return min(x.request_s, left)
+        limit = min(x.request_s, left)
+        if x.writing:
+            return patience.Patience(limit, limit, lambda: False)
+        # An attempt that hangs must leave time for the tries that remain.
+        first = min(limit, left / max(1, x.max_tries - x.goes))
+        return patience.Patience(first, limit, lambda: self._may_try_another(x))
+
+    def _may_try_another(self, x: exchanges.Exchange) -> bool:
+        """Whether another attempt could be made now in place of the one under way.
+
+        Where none could, to break it off would only end the exchange sooner: its endpoint may
+        still be at work. A proxy that stops breaks nothing off.
+        """
+        return (
+            not self.closing
+            and x.goes + 1 < x.max_tries
+            and self._budget(x.service).affords(self._clock.now())
+            and self.selector.has_another(x.service, x.tried)
+        )
 
     async def _deliver(self, x: exchanges.Exchange) -> Stage:
         assert x.connection is not None and x.endpoint is not None
         entry, connection = x.endpoint, x.connection
         x.head, x.buffer, x.rest, x.flaw, x.sent = None, b"", None, "", False
-        span = self._go_s(x)
         begun = self._clock.now()
         mark = connection.wrote()
 
@@ -252,7 +267,7 @@
             )
 
         try:
-            async with asyncio.timeout(span):
+            async with self._patience(x):
                 x.head = await connection.send(
                     x.method,
                     x.target,
--- a/packages/proxy/src/dykeswitch/proxy/selection.py
+++ b/packages/proxy/src/dykeswitch/proxy/selection.py
@@ -151,6 +151,10 @@
             return min(fresh, key=lambda e: (self._ends(e.key), e.key))
         return None
 
+    def has_another(self, service: str, tried: set[str]) -> bool:
+        """Whether there is an unmarked endpoint besides those tried."""
+        return bool(self._subset(service, tried))
+
     def _subset(self, service: str, tried: set[str]) -> list[timeline.Entry]:
         """The first few unmarked endpoints in this proxy's own order of preference."""
         near = self._first_open(self._preferences.near(service), tried, SUBSET_MOST)
--- a/tests/test_data_path.py
+++ b/tests/test_data_path.py
@@ -168,8 +168,8 @@
         self._clock = clock
         self._turn = 0
 
-    async def ask(self, method: str = "GET") -> Answer:
-        """One request of one caller."""
+    async def ask(self, method: str = "GET", coins: int = 50) -> Answer:
+        """One request of one caller, with so much of the shared budget in hand."""
         answer = Answer()
 
         async def send(message: typing.Any) -> None:
@@ -191,7 +191,7 @@
             send=send,
         )
         # Coins of the shared budget, as registries would have lent them.
-        self.carrier._budget("s").lend(0, 50, self._clock.now() + 60)
+        self.carrier._budget("s").lend(0, coins, self._clock.now() + 60)
         await self.carrier.carry(exchange)
         return answer
 
@@ -298,6 +298,24 @@
     _play(work)
 
 
+@pytest.mark.parametrize("why", ["no coins", "stopping", "no other endpoint", "another can be made"])
+def test_an_attempt_is_broken_off_only_where_another_can_be_made(why: str) -> None:
+    async def work() -> None:
+        # Longer than the part of the time that one attempt has (a third of 5 s), shorter than all of it.
+        slow, other = ScriptedEndpoint(), ScriptedEndpoint()
+        slow.work_s = other.work_s = 2.5
+        stage = Stage(slow) if why == "no other endpoint" else Stage(slow, other)
+        stage.carrier.closing = why == "stopping"
+        answer = await stage.ask(coins=0 if why == "no coins" else 50)
+        sent = len(slow.requests) + len(other.requests)
+        if why == "another can be made":
+            assert sent == 2
+        else:
+            assert (answer.status, answer.body, sent) == (200, b"whole", 1)
+
+    _play(work)
+
+
 def _unsigned(body: str, status: str = "200 OK") -> str:
     return f"HTTP/1.1 {status}\r\nContent-Length: {len(body)}\r\n\r\n{body}"
 
