A fleet of real processes waits for a first registry that does not listen yet

Cause: starting asked the first registry for its endpoints as soon as a layout was taken and all proxies were ready. Now it asks again, for a minute at most. Ruled out: a taken port; a registry that had ended. The new test failed before (no such wait).

--- a/packages/standin/src/dykeswitch/standin/fleet.py
+++ b/packages/standin/src/dykeswitch/standin/fleet.py
@@ -175,10 +175,23 @@
         self.first = shapes.roving(first, 0) if self.slots else first
         self.first_version = await self.apply(self.first)
         await self.until(lambda: len(self.callers.ready) == len(self.proxies), 60, "all proxies ready")
-        while await self.known() < len(self.hosts):
-            await self.machine.clock.sleep(0.05)
+        await self._until_known(60)
         return self.machine.clock.now() - begun
 
+    async def _until_known(self, wait: float) -> None:
+        """Wait until a registry knows every endpoint; it may still be starting when others serve."""
+        end = self.machine.clock.now() + wait
+        while True:
+            try:
+                if await self.known() >= len(self.hosts):
+                    return
+            except OSError:
+                # It does not listen yet: two of three registries are enough for all before this.
+                pass
+            if self.machine.clock.now() > end:
+                raise TimeoutError("every endpoint known to the first registry")
+            await self.machine.clock.sleep(0.05)
+
     async def known(self) -> int:
         """How many endpoints a registry knows to be up."""
         reply = await self.machine.web.ask("GET", self.cores[0][0].web, "/v1/endpoints", [], b"", 5)
--- a/tests/test_real.py
+++ b/tests/test_real.py
@@ -5,6 +5,7 @@
 import pathlib
 import signal
 import socket
+import types
 import typing
 
 import pytest
@@ -237,3 +238,29 @@
         await server.stop(1.0)
 
     asyncio.run(main())
+
+
+def test_a_fleet_starts_although_its_first_registry_is_late() -> None:
+    class LateFleet(fleets.Fleet):
+        """A fleet whose first registry refuses connections the first two times that it is asked."""
+
+        refusals = 2
+
+        async def known(self) -> int:
+            if self.refusals:
+                self.refusals -= 1
+                raise ConnectionRefusedError
+            return len(self.hosts)
+
+    class Clock:
+        def now(self) -> float:
+            return 0.0
+
+        async def sleep(self, span: float) -> None:
+            return None
+
+    fleet = LateFleet.__new__(LateFleet)
+    fleet.hosts = []
+    fleet.machine = typing.cast(typing.Any, types.SimpleNamespace(clock=Clock()))
+    asyncio.run(fleet._until_known(60))
+    assert fleet.refusals == 0
