--- a/packages/explorer/src/dykeswitch/explorer/nodes.py
+++ b/packages/explorer/src/dykeswitch/explorer/nodes.py
@@ -104,7 +104,7 @@
             CALL_WAIT,
             random.Random(0),
         )
-        self.proposer.adopt(members)
+        self.proposer.quorum.adopt(members)
         self.host.memory.append(self.proposer)
         return self.proposer
 
--- a/packages/register/src/dykeswitch/register/__init__.py
+++ b/packages/register/src/dykeswitch/register/__init__.py
@@ -7,6 +7,8 @@
 import dataclasses
 import typing
 
+import cbor2
+
 import dykeswitch.ports as ports
 
 # A proposer's try: a counter, then the proposer's own id to part equals.
@@ -122,3 +124,13 @@
 def carried(groups: typing.Iterable[tuple[tuple[str, str], ...]], yes: typing.Collection[str]) -> bool:
     """Whether every group has its majority."""
     return all(majority(group, yes) for group in groups)
+
+
+def decode_set(value: Value) -> MemberSet:
+    """The member set out of the register's own key."""
+    return set_of(cbor2.loads(value.body)) if value.body else NOBODY
+
+
+def encode_set(members: MemberSet) -> bytes:
+    """A member set as the body of the register's own key."""
+    return cbor2.dumps(members.wire())
--- a/packages/register/src/dykeswitch/register/proposer.py
+++ b/packages/register/src/dykeswitch/register/proposer.py
@@ -1,38 +1,53 @@
 """The proposer: prepares and accepts at a majority of every group of the member set."""
 
 import asyncio
-import contextlib
 import dataclasses
 import random
 import typing
 
-import cbor2
-
 import dykeswitch.frames as frames
 import dykeswitch.outcome as outcome
 import dykeswitch.ports as ports
 import dykeswitch.register as register
+import dykeswitch.register.copies as copies
 import dykeswitch.register.messages as messages
+import dykeswitch.register.quorum as quorums
+import dykeswitch.register.shared_reads as shared_reads
 
 # Numbered points at which a test may inject a fault.
 POINT_BEFORE_PREPARE: typing.Final = 11
 POINT_BEFORE_ACCEPT: typing.Final = 12
 POINT_AFTER_ACCEPT: typing.Final = 13
 
-TRIES: typing.Final = 12
 # How many waits a change may take in all before its operator is told.
 WAITS: typing.Final = 4
-# A read that meets a change under way looks again so many times before it mends.
+# A read that meets a promise to a later change looks again so many times before it mends.
 LOOKS: typing.Final = 2
+# For which part of a call's span a read waits for the one before it, and one of our changes for
+# our others of the same key.
+READ_OVERLAP: typing.Final = 0.05
+QUEUE_WAITS: typing.Final = 2
+# The wait before a change is tried again: the span of the try that failed at least, doubled with
+# each time that it was outvoted, within parts of a call's span.
+RETRY_LEAST: typing.Final = 0.02
+RETRY_MOST: typing.Final = 0.5
+RETRY_DOUBLINGS: typing.Final = 4
 
 Read = outcome.Good[register.Value] | outcome.Bad
 Step = typing.Callable[[register.Value], register.Value | outcome.Bad]
-Groups = tuple[tuple[tuple[str, str], ...], ...]
-Ask = messages.Prepare | messages.Accept | messages.Read | messages.Keys
-Answer = typing.TypeVar("Answer", bound=messages.Reply)
 
-# Stands in a message until it is addressed to one of the disks.
-ANY_DISK: typing.Final = ""
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Attempt:
+    """What came of one ballot."""
+
+    # The end of the change, if this ballot decided it.
+    decided: Read | None = None
+    why: outcome.Bad = outcome.bad("no_majority")
+    # Whether a disk may have accepted a new value under it.
+    sent: bool = False
+    # Whether a disk had promised a higher one.
+    outvoted: bool = False
 
 
 class Proposer:
@@ -49,91 +64,36 @@
     ) -> None:
         # The name must be new with each start, so that no ballot is ever used twice.
         self._name = name
-        self._caller = caller
         self._clock = clock
         self._points = points
         self._wait = wait
         self._rng = rng
         self._count = 0
-        self.members = register.NOBODY
-        # Where a disk was last seen, which beats the address in the member set.
-        self.addresses: dict[str, str] = {}
-        self._held: dict[str, tuple[register.Ballot, register.Value]] = {}
+        self.quorum = quorums.Quorum(caller, clock, wait)
+        self.copies = copies.Copies(self.quorum)
+        # How many copies were found apart and brought together.
         self.mended = 0
-        # Calls whose answer came too late to count, held until they end.
-        self._late: set[asyncio.Task[None]] = set()
+        self._reads = shared_reads.SharedReads(self._read, wait * READ_OVERLAP)
+        # Our changes of one key go one after the other: side by side they would outvote each other.
+        self._turns: dict[str, asyncio.Lock] = {}
 
-    def adopt(self, fresh: register.MemberSet) -> bool:
-        """Take up a committed member set if it is newer."""
-        if fresh.epoch > self.members.epoch:
-            self.members = fresh
-            return True
-        return False
+    @property
+    def members(self) -> register.MemberSet:
+        """The latest committed member set that is known here."""
+        return self.quorum.members
 
     def _ballot(self) -> register.Ballot:
         self._count += 1
         return (self._count, self._name)
 
-    async def _ask(
-        self, disk: str, address: str, ask: Ask, answer: type[Answer]
-    ) -> outcome.Good[Answer] | outcome.Bad:
-        """Ask one disk; an answer that is malformed counts as none."""
-        body = messages.encode(dataclasses.replace(ask, disk=disk))
-        result = await self._caller.ask(address, ask.KIND, body, self._wait)
-        if isinstance(result, outcome.Bad):
-            return result
-        try:
-            return outcome.Good(messages.decode(answer, result.value))
-        except ValueError as flaw:
-            return outcome.bad("bad_frame", f"{address}: {flaw}")
-
-    async def _all(
-        self, groups: Groups, ask: Ask, answer: type[Answer]
-    ) -> tuple[dict[str, Answer], list[outcome.Bad]]:
-        """Ask every disk of the groups; return once each group has its majority or can't."""
-        addresses = {disk: self.addresses.get(disk, address) for group in groups for disk, address in group}
-        yes: dict[str, Answer] = {}
-        no: dict[str, outcome.Bad] = {}
-        news = asyncio.Event()
-
-        async def one(disk: str, address: str) -> None:
-            result = await self._ask(disk, address, ask, answer)
-            if isinstance(result, outcome.Good):
-                yes[disk] = result.value
-            else:
-                no[disk] = result
-            news.set()
-
-        def settled() -> bool:
-            possible = addresses.keys() - no.keys()
-            return register.carried(groups, yes) or not register.carried(groups, possible)
-
-        tasks = [asyncio.create_task(one(disk, address)) for disk, address in addresses.items()]
-        try:
-            while not settled():
-                news.clear()
-                await news.wait()
-        finally:
-            # A straggler's answer is no longer needed, but its vote still helps:
-            # let calls that run end by themselves.
-            self._leave(tasks)
-        return yes, list(no.values())
-
-    def _leave(self, tasks: typing.Iterable["asyncio.Task[None]"]) -> None:
-        """Hold calls that nobody waits for any more until they end."""
-        for task in tasks:
-            if not task.done():
-                self._late.add(task)
-                task.add_done_callback(self._late.discard)
-
-    async def _refusals(self, no: list[outcome.Bad]) -> bool:
+    async def _learn_from(self, no: list[outcome.Bad]) -> bool:
         """Learn from refusals; true if another try under new knowledge makes sense."""
         again = False
         for bad in no:
-            if bad.code.tag == "outvoted":
+            if bad.code.tag == quorums.OUTVOTED:
                 again = self._outvoted(bad.why) or again
-            elif bad.code.tag == "old_epoch":
-                again = await self.learn() or again
+            elif bad.code.tag == quorums.OLD_EPOCH:
+                again = await self.quorum.learn() or again
         return again
 
     def _outvoted(self, why: str) -> bool:
@@ -143,200 +103,162 @@
         self._count = max(self._count, int(why))
         return True
 
-    async def learn(self, more: typing.Iterable[str] = ()) -> bool:
-        """Ask the stores we know of for a newer member set; one that has it is enough."""
-        addresses = {self.addresses.get(d, s) for d, s in self.members.disks().items()} | set(more)
-        before = self.members.epoch
-        news = asyncio.Event()
-
-        async def one(address: str) -> None:
-            result = await self._caller.ask(address, "state", {}, self._wait)
-            if isinstance(result, outcome.Good):
-                with contextlib.suppress(ValueError, TypeError, AttributeError, KeyError, OverflowError):
-                    self.adopt(register.set_of(result.value["set"]))
-            news.set()
-
-        tasks = [asyncio.create_task(one(address)) for address in sorted(addresses)]
+    async def change(self, key: str, step: Step) -> Read:
+        """Move a key by compare-and-set; the step may refuse, and is run on each try."""
+        end = self._clock.now() + self._wait * WAITS
+        turn = self._turns.setdefault(key, asyncio.Lock())
         try:
-            while self.members.epoch == before and not all(task.done() for task in tasks):
-                news.clear()
-                await news.wait()
+            async with asyncio.timeout(self._wait * QUEUE_WAITS):
+                await turn.acquire()
+        except TimeoutError:
+            return outcome.bad("no_majority", "other changes are under way")
+        try:
+            return await self._change(key, step, end)
         finally:
-            self._leave(tasks)
-        return self.members.epoch > before
-
-    def _groups_for(self, key: str, value: register.Value | None) -> Groups:
-        groups = self.members.groups
-        if key == register.MEMBERS and value is not None and value.body:
-            # A member set is written to majorities of both the old set and its own.
-            extra = decode_set(value).groups
-            groups = groups + tuple(g for g in extra if g not in groups)
-        return groups
+            turn.release()
 
-    async def change(self, key: str, step: Step) -> Read:
-        """Move a key by compare-and-set; the step may refuse, and is run on each try."""
+    async def _change(self, key: str, step: Step, end: float) -> Read:
+        """Try until it is decided or the time is up; one change of a key at a time comes here."""
         sent = False
-        why = outcome.bad("no_majority")
-        end = self._clock.now() + self._wait * WAITS
-        trial = 0
-        while not trial or self._clock.now() < end:
-            trial += 1
-            if trial > 1:
-                # Longer with each try, and by chance, so that two that race part.
-                await self._clock.sleep(self._wait * 0.02 * min(trial, TRIES) * self._rng.random())
-            if not self.members.groups:
-                return outcome.bad("unknown") if sent else outcome.bad("no_majority", "no member set known")
-            epoch = self.members.epoch
-            groups = self.members.groups
-            ballot = self._ballot()
-            self._points.hit(POINT_BEFORE_PREPARE)
-            ask = messages.Prepare(key, ballot, epoch, ANY_DISK)
-            yes, no = await self._all(groups, ask, messages.Promise)
-            if not register.carried(groups, yes):
-                why = _reason(no)
-                await self._refusals(no)
-                continue
-            best, now = _highest(yes)
-            fresh = step(now)
-            refused = fresh if isinstance(fresh, outcome.Bad) else None
-            if isinstance(fresh, outcome.Bad):
-                # A refusal may be told only once what it rests on is held by a majority, and
-                # no earlier try of the same change, ours or another's, can still win: what
-                # stands is written again under this ballot before we say so.
-                fresh = now
-            wide = self._groups_for(key, fresh)
-            if wide != groups:
-                # The accept goes out under this very ballot: the counter may be moved by
-                # another change of ours while we wait.
-                ballot = self._ballot()
-                ask = dataclasses.replace(ask, ballot=ballot)
-                more, no = await self._all(wide, ask, messages.Promise)
-                if not register.carried(wide, more):
-                    why = _reason(no)
-                    await self._refusals(no)
-                    continue
-                if _highest(more)[0] > best:
-                    continue
-            if epoch != self.members.epoch:
-                continue
-            self._points.hit(POINT_BEFORE_ACCEPT)
-            sent = sent or refused is None
-            accept = messages.Accept(key, ballot, fresh, epoch, ANY_DISK)
-            accepted, no = await self._all(wide, accept, messages.Accepted)
-            self._points.hit(POINT_AFTER_ACCEPT)
-            if register.carried(wide, accepted):
-                if key not in self._held or self._held[key][0] < ballot:
-                    self._held[key] = (ballot, fresh)
-                return refused if refused is not None else outcome.Good(fresh)
-            why = _reason(no)
-            await self._refusals(no)
+        outvoted = 0
+        while True:
+            begun = self._clock.now()
+            attempt = await self._attempt(key, step)
+            if attempt.decided is not None:
+                return attempt.decided
+            sent = sent or attempt.sent
+            if self._clock.now() >= end or not self.members.groups:
+                break
+            outvoted += attempt.outvoted
+            await self._clock.sleep(self._retry_s(self._clock.now() - begun, outvoted))
+            if self._clock.now() >= end:
+                break
         if sent:
             return outcome.bad("unknown", "the register may or may not have taken it")
-        return why
+        return attempt.why
+
+    async def _attempt(self, key: str, step: Step) -> _Attempt:
+        """One ballot: prepare at a majority, take the step, and have a majority accept."""
+        members = self.members
+        groups = members.groups
+        if not groups:
+            return _Attempt(why=outcome.bad("no_majority", "no member set known"))
+        ballot = self._ballot()
+        self._points.hit(POINT_BEFORE_PREPARE)
+        ask = messages.Prepare(key, ballot, members.epoch, quorums.ANY_DISK)
+        promises = await self.quorum.ask_all(groups, ask, messages.Promise)
+        if not promises.carried():
+            return await self._failed(promises)
+        best, now = _highest(promises.yes)
+        fresh = step(now)
+        refused = fresh if isinstance(fresh, outcome.Bad) else None
+        if isinstance(fresh, outcome.Bad):
+            # A refusal may be told only once what it rests on is held by a majority, and
+            # no earlier try of the same change, ours or another's, can still win: what
+            # stands is written again under this ballot before we say so.
+            fresh = now
+        wide = self.quorum.groups_for(key, fresh)
+        if wide != groups:
+            # The accept goes out under this very ballot: the counter may be moved by
+            # another change of ours while we wait.
+            ballot = self._ballot()
+            ask = dataclasses.replace(ask, ballot=ballot)
+            promises = await self.quorum.ask_all(wide, ask, messages.Promise)
+            if not promises.carried():
+                return await self._failed(promises)
+            if _highest(promises.yes)[0] > best:
+                return _Attempt()
+        if members.epoch != self.members.epoch:
+            return _Attempt()
+        self._points.hit(POINT_BEFORE_ACCEPT)
+        accept = messages.Accept(key, ballot, fresh, members.epoch, quorums.ANY_DISK)
+        accepted = await self.quorum.ask_all(wide, accept, messages.Accepted)
+        self._points.hit(POINT_AFTER_ACCEPT)
+        if not accepted.carried():
+            return await self._failed(accepted, sent=refused is None)
+        self.copies.hold(key, ballot, fresh)
+        return _Attempt(decided=refused if refused is not None else outcome.Good(fresh))
+
+    async def _failed(self, answers: quorums.Answers[typing.Any], sent: bool = False) -> _Attempt:
+        """An attempt that too few disks took part in; what they told is learnt."""
+        await self._learn_from(answers.no)
+        return _Attempt(why=answers.why(), sent=sent, outvoted=answers.outvoted())
+
+    def _retry_s(self, took_s: float, outvoted: int) -> float:
+        """How long to wait before the next try: by chance, so that two that race part."""
+        least = max(took_s, self._wait * RETRY_LEAST)
+        longest = least * float(2 ** min(outvoted, RETRY_DOUBLINGS))
+        return min(longest, self._wait * RETRY_MOST) * self._rng.random()
 
     async def read(self, key: str) -> Read:
-        """The newest value; copies that disagree are mended before the answer."""
-        for look in range(TRIES):
-            groups = self.members.groups
-            if not groups:
-                return outcome.bad("no_majority", "no member set known")
-            have = self._held.get(key)
-            ask = self._read_of(key, have)
-            yes, no = await self._all(groups, ask, messages.ReadReply)
-            if not register.carried(groups, yes):
-                if await self._refusals(no):
-                    continue
-                return _reason(no)
-            ballots = {copy.ballot for copy in yes.values()}
-            # Our next change begins above them: else it is outvoted once for certain.
-            self._count = max(self._count, *(count for count, _ in ballots))
-            if len(ballots) == 1:
-                # Everyone in a majority holds this very ballot: it is the newest.
-                return outcome.Good(self._keep(key, ballots.pop(), yes, have))
-            # A change may be under way: to mend at once would only outvote it.
-            if look < LOOKS:
-                await self._clock.sleep(self._wait * 0.05 * (1 + look) * self._rng.random())
-                continue
-            self.mended += 1
-            return await self.change(key, lambda now: now)
-        return outcome.bad("no_majority")
+        """The newest value; copies that disagree are brought together before the answer.
 
-    def _read_of(self, key: str, have: tuple[register.Ballot, register.Value] | None) -> messages.Read:
-        return messages.Read(key, self.members.epoch, ANY_DISK, None if have is None else have[0])
+        Callers that ask at about the same time are answered by one round.
+        """
+        return await self._reads.read(key)
 
-    def _keep(
-        self,
-        key: str,
-        ballot: register.Ballot,
-        yes: dict[str, messages.ReadReply],
-        have: tuple[register.Ballot, register.Value] | None,
-    ) -> register.Value:
-        """The value read; `have` is what we held when we asked, for whose sake it may be left out."""
-        if have is not None and have[0] == ballot:
-            return have[1]
-        value = next((copy.value for copy in yes.values() if copy.value is not None), register.BLANK)
-        if key not in self._held or self._held[key][0] < ballot:
-            self._held[key] = (ballot, value)
-        return value
+    async def _read(self, key: str) -> Read:
+        end = self._clock.now() + self._wait * WAITS
+        disputes = 0
+        while self.members.groups:
+            begun = self._clock.now()
+            look = await self.copies.look(key)
+            if not isinstance(look, copies.Look):
+                if self._clock.now() < end and await self._learn_from(look.no):
+                    continue
+                return look.why()
+            # Our next change begins above it: else it is outvoted once for certain.
+            self._count = max(self._count, look.ballot[0])
+            if look.alike or await self._completed(look):
+                return outcome.Good(look.value)
+            disputes += 1
+            if disputes > LOOKS:
+                mended = await self._mend(key)
+                if mended is not None:
+                    return mended
+            if self._clock.now() >= end:
+                return outcome.bad("no_majority", "the copies are in dispute")
+            # A later change may be under way: to outvote it at once would help nobody.
+            await self._clock.sleep(self._retry_s(self._clock.now() - begun, disputes))
+        return outcome.bad("no_majority", "no member set known")
+
+    async def _completed(self, look: copies.Look) -> bool:
+        """Whether a majority holds the newest copy, once it was sent to those that lacked it."""
+        answers = await self.copies.complete(look)
+        if answers.carried():
+            return True
+        await self._learn_from(answers.no)
+        return False
 
-    async def keys(self) -> list[str] | None:
-        """Every key ever accepted, or nothing when too few stores answer to be sure."""
-        groups = self.members.groups
-        ask = messages.Keys(self.members.epoch, ANY_DISK)
-        yes, _ = await self._all(groups, ask, messages.KeysReply)
-        if not register.carried(groups, yes):
-            return None
-        return sorted({key for reply in yes.values() for key in reply.keys})
+    async def _mend(self, key: str) -> Read | None:
+        """Try once to write what stands under a ballot of our own; nothing where it is not decided.
+
+        Then it is time to look again: somebody else may have mended it meanwhile.
+        """
+        turn = self._turns.setdefault(key, asyncio.Lock())
+        if turn.locked():
+            async with turn:
+                return None
+        async with turn:
+            self.mended += 1
+            return (await self._attempt(key, lambda now: now)).decided
 
     async def sweep_copies(self) -> int:
-        """Write every key again to all disks that hold an older copy of it."""
+        """Bring the newest copy of every key to all disks that hold an older one."""
         before = self.mended
-        for key in await self.keys() or []:
-            copies = await self._everyone(key)
-            if len({copy.ballot for copy in copies.values()}) > 1:
-                self.mended += 1
+        for key in await self.copies.keys() or []:
+            unlike = await self.copies.unlike(key)
+            if unlike is None:
+                continue
+            self.mended += 1
+            if not await self.copies.spread(*unlike):
+                # One of them promised a later ballot: only a later one still can bring them together.
                 await self.change(key, lambda now: now)
         return self.mended - before
 
-    async def copies(self) -> dict[str, dict[str, int]]:
-        """For each disk that answers, which version of each key it holds."""
-        keys = await self.keys() or []
-        found = await asyncio.gather(*(self._everyone(key) for key in keys))
-        versions: dict[str, dict[str, int]] = {}
-        for key, copies in zip(keys, found):
-            for disk, copy in copies.items():
-                versions.setdefault(disk, {})[key] = copy.version
-        return versions
-
-    async def _everyone(self, key: str) -> dict[str, messages.ReadReply]:
-        """Each reachable disk's copy of a key, waiting for all rather than a majority."""
-        addresses = {d: self.addresses.get(d, s) for d, s in self.members.disks().items()}
-        ask = self._read_of(key, self._held.get(key))
-        results = await asyncio.gather(
-            *(self._ask(disk, address, ask, messages.ReadReply) for disk, address in addresses.items())
-        )
-        return {
-            disk: result.value for disk, result in zip(addresses, results) if isinstance(result, outcome.Good)
-        }
-
-
-def decode_set(value: register.Value) -> register.MemberSet:
-    """The member set out of the register's own key."""
-    return register.set_of(cbor2.loads(value.body)) if value.body else register.NOBODY
-
-
-def encode_set(members: register.MemberSet) -> bytes:
-    """A member set as the body of the register's own key."""
-    return cbor2.dumps(members.wire())
-
 
 def _highest(yes: dict[str, messages.Promise]) -> tuple[register.Ballot, register.Value]:
     best = max(yes.values(), key=lambda promise: promise.ballot, default=None)
     if best is None or best.ballot == register.ZERO:
         return register.ZERO, register.BLANK
     return best.ballot, best.value
-
-
-def _reason(no: list[outcome.Bad]) -> outcome.Bad:
-    seen = ", ".join(sorted({f"{bad.code.tag}" for bad in no}))
-    return outcome.bad("no_majority", seen)
--- a/packages/register/src/dykeswitch/register/voter.py
+++ b/packages/register/src/dykeswitch/register/voter.py
@@ -230,6 +230,9 @@
             self._check(ask.key, ask.disk, ask.epoch)
             if ask.ballot < seat.promised:
                 raise _RefusedError(outcome.bad("outvoted", str(seat.promised[0])))
+            if ask.ballot == seat.ballot != register.ZERO:
+                # Taken before, and durable: whoever sends it once more costs the disk nothing.
+                return messages.Accepted()
             fresh = Seat(ask.ballot, ask.ballot, ask.value)
             await self._vote(ask.key, fresh.record())
             seat.promised = seat.ballot = ask.ballot
--- a/packages/registry/src/dykeswitch/registry/reconfiguration.py
+++ b/packages/registry/src/dykeswitch/registry/reconfiguration.py
@@ -106,7 +106,7 @@
         return [name for name in found if beside[stores[name]]] or found or live
 
     async def _look(self, addresses: typing.Collection[str]) -> None:
-        known = {self._proposer.addresses.get(d, s) for d, s in self._proposer.members.disks().items()}
+        known = {self._proposer.quorum.addresses.get(d, s) for d, s in self._proposer.members.disks().items()}
         # Founders that were replaced are not asked for ever.
         founders = () if self._proposer.members.groups else self._bounds.founders
         asked = sorted(known | set(addresses) | set(founders))
@@ -133,8 +133,8 @@
             return
         self.states[state.disk] = state
         self.sites[state.disk] = state.site
-        self._proposer.addresses[state.disk] = address
-        self._proposer.adopt(state.members)
+        self._proposer.quorum.addresses[state.disk] = address
+        self._proposer.quorum.adopt(state.members)
 
     async def _found(self) -> None:
         """Found only when all founding members are reached and blank."""
@@ -151,7 +151,7 @@
         # Whoever founds writes the very same set: the disks' own ids make it so.
         done = await self._install(first)
         self._note("member set founded", f"{len(done)} of {len(voting)}")
-        self._proposer.adopt(first)
+        self._proposer.quorum.adopt(first)
 
     async def _install(self, members: register.MemberSet) -> set[str]:
         """Bring a committed set to every store that we see at an older one."""
@@ -181,10 +181,10 @@
         result = await self._proposer.read(register.MEMBERS)
         if isinstance(result, outcome.Bad):
             return True
-        decided = proposers.decode_set(result.value)
+        decided = register.decode_set(result.value)
         if decided.epoch <= self._proposer.members.epoch:
             return False
-        self._proposer.adopt(decided)
+        self._proposer.quorum.adopt(decided)
         await self._install(decided)
         return True
 
@@ -196,12 +196,12 @@
         def step(now: register.Value) -> register.Value | outcome.Bad:
             if now.made(op) is not None:
                 return now
-            held = proposers.decode_set(now)
+            held = register.decode_set(now)
             # The founding set stands on the disks alone, not in the register. What the
             # proposer knows by now may be a later set than the one this was made from.
             if held.epoch != (0 if was.epoch == 1 else was.epoch):
                 return outcome.bad("conflict", f"epoch {held.epoch}")
-            return now.next(proposers.encode_set(fresh), op)
+            return now.next(register.encode_set(fresh), op)
 
         result = await self._proposer.change(register.MEMBERS, step)
         return isinstance(result, outcome.Good)
@@ -247,7 +247,7 @@
         if not await self._move(members, joint):
             return
         self._points.hit(POINT_JOINT_WRITTEN)
-        self._proposer.adopt(joint)
+        self._proposer.quorum.adopt(joint)
         await self._install(joint)
         self._points.hit(POINT_JOINT_INSTALLED)
 
@@ -265,7 +265,7 @@
         if not await self._move(joint, fresh):
             return
         self._points.hit(POINT_NEW_WRITTEN)
-        self._proposer.adopt(fresh)
+        self._proposer.quorum.adopt(fresh)
         await self._install(fresh)
         self._silent = {disk: since for disk, since in self._silent.items() if disk in fresh.disks()}
         self._note("votes moved", f"epoch {fresh.epoch}")
@@ -273,7 +273,7 @@
 
     async def _rewrite_keys(self) -> bool:
         """Write every key under the set in force, so that the new voters hold it."""
-        keys = await self._proposer.keys()
+        keys = await self._proposer.copies.keys()
         for key in keys or ():
             if key == register.MEMBERS:
                 continue
--- a/packages/registry/src/dykeswitch/registry/votes.py
+++ b/packages/registry/src/dykeswitch/registry/votes.py
@@ -34,7 +34,7 @@
 ) -> replies.Table:
     """Every replica with its vote, and of the whole what the loss of machines or zones would mean."""
     members = proposer.members
-    versions = await proposer.copies() if members.groups else {}
+    versions = await proposer.copies.versions() if members.groups else {}
     voters = members.disks()
     rows = []
     for disk in sorted({*voters, *reconfiguration.states}):
--- a/packages/simulator/src/dykeswitch/simulator/disk.py
+++ b/packages/simulator/src/dykeswitch/simulator/disk.py
@@ -35,9 +35,12 @@
 class SimDisk:
     """One simulated disk; a process that starts anew sees it through `wake`."""
 
-    def __init__(self, root: pathlib.Path, rng: random.Random) -> None:
+    def __init__(self, root: pathlib.Path, rng: random.Random, sync_s: float = 0.0) -> None:
         self._root = root
         self._rng = rng
+        # How long one sync takes in seconds; syncs of one disk wait for each other.
+        self.sync_s = sync_s
+        self._busy_until = 0.0
         self.dead = False
         self._ids: dict[pathlib.Path, int] = {root: 0}
         self._count = 0
@@ -118,10 +121,21 @@
         self._alive()
         if not self._stalls_after:
             await self._wait_while_stalled()
+        syncs_before = self.syncs
         done = work()
+        await self._wait_for_syncs(self.syncs - syncs_before)
         await self._wait_while_stalled()
         return done
 
+    async def _wait_for_syncs(self, syncs: int) -> None:
+        """Let the time pass that some syncs take, behind those that were asked for before."""
+        if not self.sync_s or not syncs:
+            return
+        now = asyncio.get_running_loop().time()
+        self._busy_until = max(now, self._busy_until) + syncs * self.sync_s
+        await asyncio.sleep(self._busy_until - now)
+        self._alive()
+
     async def _wait_while_stalled(self) -> None:
         if self._flows.is_set():
             return
@@ -143,7 +157,7 @@
 
     def wake(self) -> "SimDisk":
         """The same disk, as a process that starts on it finds it."""
-        fresh = SimDisk(self._root, self._rng)
+        fresh = SimDisk(self._root, self._rng, self.sync_s)
         if not self.dead:
             # Only the process ended: what it did not sync is still not synced.
             self.dead = True
--- a/tests/test_frames.py
+++ b/tests/test_frames.py
@@ -431,11 +431,11 @@
         machine = world.machine_for("registry")
         caller = frames.Caller(machine.net)
         proposer = proposers.Proposer("a", caller, machine.clock, machine.points, WAIT_S, random.Random(1))
-        proposer.adopt(register.MemberSet(1, ((("d", address),),)))
+        proposer.quorum.adopt(register.MemberSet(1, ((("d", address),),)))
         read = await proposer.read("k")
         assert isinstance(read, outcome.Bad) and read.code.tag == "no_majority"
-        assert await proposer.keys() is None
-        assert not await proposer.learn()
+        assert await proposer.copies.keys() is None
+        assert not await proposer.quorum.learn()
         changed = await proposer.change("k", lambda now: now)
         assert isinstance(changed, outcome.Bad) and changed.code.tag == "no_majority"
         # A count that no ballot could pass was not taken up.
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -231,13 +231,13 @@
         return 0
 
     async def read(self: proposers.Proposer, key: str) -> proposers.Read:
-        have = self._held.get(key)
-        copies = await self._everyone(key)
-        if len(copies) < 2:
+        have = self.copies._held.get(key)
+        found = await self.copies.everyone(key)
+        if len(found) < 2:
             return outcome.bad("no_majority")
-        top = max(copy.ballot for copy in copies.values())
-        newest = {disk: copy for disk, copy in copies.items() if copy.ballot == top}
-        return outcome.Good(self._keep(key, top, newest, have))
+        top = max(copy.ballot for copy in found.values())
+        newest = {disk: copy for disk, copy in found.items() if copy.ballot == top}
+        return outcome.Good(self.copies._value_of(key, top, newest, have))
 
     patch.setattr(proposers.Proposer, "sweep_copies", sweep_copies)
     # Each read waits for the core that is down: with all the changes it is a day of five minutes.
@@ -305,11 +305,15 @@
     # Some failures need luck to show: a few seeds may be needed for one.
     # With seeds 31, 32 and 34 the writing service is the one that misbehaves.
     # With 31 those who lent and those who had something die at a bad moment.
-    # With 22 a write's connection is reset amid its run.
+    # With 30, 38 and 42 a write's connection is reset amid its run; with 32, 37 and 40 a late
+    # answer comes where another request waits.
+    # With 24, 41, 42 and 57 the last one that holds an order is the one that is lost.
     picked = {
         "lose_replies": (31, 32, 34, 35),
         "lose_lenders": (31, 32, 34, 35),
-        "late_answers": (22, 33, 31),
+        "late_answers": (32, 30, 37, 38, 40, 42),
+        "second_loss": (24, 41, 46, 48),
+        "leaving_core": (42, 57, 58, 60, 66),
     }
     seeds = picked.get(fault, (33, 31, 32, 34, 35, 36))
     for seed in seeds:
--- a/tests/test_many_changes.py
+++ b/tests/test_many_changes.py
@@ -83,7 +83,7 @@
             WAIT_S,
             random.Random(1),
         )
-        proposer.adopt(members)
+        proposer.quorum.adopt(members)
         return proposer
 
     @staticmethod
@@ -185,7 +185,7 @@
                 return outcome.bad("no_reply", address)
             return await stores.voters[address].kinds()[kind](body)
 
-        proposer._caller.ask = ask  # type: ignore[method-assign]
+        proposer.quorum._caller.ask = ask  # type: ignore[method-assign]
         for change in range(1, changes + 1):
             assert isinstance(await proposer.change("layout", _put(change)), outcome.Good)
         stores.voters[away] = voter
@@ -194,8 +194,8 @@
         assert await proposer.sweep_copies() == 1
         await asyncio.sleep(WAIT_S)
         assert voter._seats["layout"].value.version == changes + 1
-        # A promise and an acceptance: two writes of three files and two folders.
-        assert disk.syncs - syncs == 10
+        # The acceptance that it missed, sent once more: one write of three files and two folders.
+        assert disk.syncs - syncs == 5
 
     loops.run(main())
 
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -73,7 +73,7 @@
         made = proposers.Proposer(
             name, frames.Caller(machine.net), machine.clock, machine.points, 0.5, random.Random(name)
         )
-        made.adopt(self._members)
+        made.quorum.adopt(self._members)
         return made
 
 
--- /dev/null
+++ b/tests/test_read_contention.py
@@ -0,0 +1,250 @@
+"""Reads of the register that meet stores with unlike copies: they end, however many there are."""
+
+import asyncio
+import pathlib
+import typing
+
+import pytest
+
+import dykeswitch.frames as frames
+import dykeswitch.outcome as outcome
+import dykeswitch.register as register
+import dykeswitch.register.messages as messages
+import dykeswitch.register.shared_reads as shared_reads
+import dykeswitch.simulator.fleet as fleets
+import dykeswitch.simulator.loop as loops
+import dykeswitch.simulator.registerbench as benches
+import dykeswitch.standin.shape as shapes
+
+PAGES: typing.Final = shapes.ServiceShape("pages", 3, 20, "/pages", "GET", 0.05)
+# As many proxies as on a small deployment, with disks as slow as there.
+SHAPE: typing.Final = shapes.Shape("eleven", 11, 3, ("z1", "z2"), (PAGES,))
+SYNC_S: typing.Final = 0.005
+
+
+def _layout(path: str) -> dict[str, typing.Any]:
+    doc = SHAPE.layout()
+    doc["rules"].append({"path": path, "service": "pages"})
+    return doc
+
+
+def _slow_down(fleet: fleets.SimFleet) -> None:
+    for core in fleet.cores:
+        assert core.store.disk is not None
+        core.store.disk.sync_s = SYNC_S
+
+
+async def _restart_with_unlike_copies(fleet: fleets.SimFleet) -> None:
+    """One store misses the last change; then all lose their power, and one of the others its disk."""
+    _slow_down(fleet)
+    lagging = fleet.cores[2]
+    names = [name for name in fleet.world.nodes if name != lagging.store.name]
+    fleet.world.wires.cut([lagging.store.name], names)
+    assert (await fleet.put(_layout("/more"), fleet.cores[0])).status == 200
+    for core in fleet.cores:
+        core.registry.lose_power()
+        core.store.lose_power()
+    for edge in fleet.edges:
+        edge.node.lose_power()
+    fleet.world.wires.heal()
+    fleet.cores[0].store.wipe()
+    _slow_down(fleet)
+    await asyncio.sleep(0.5)
+    for core in fleet.cores:
+        core.store.restart()
+        core.registry.restart()
+    for edge in fleet.edges:
+        edge.node.restart()
+
+
+@pytest.mark.parametrize("seed", range(1, 7))
+def test_proxies_are_confirmed_soon_by_stores_with_unlike_copies(seed: int, tmp_path: pathlib.Path) -> None:
+    async def main() -> None:
+        fleet = fleets.SimFleet(SHAPE, seed, tmp_path)
+        await fleet.start()
+        await _restart_with_unlike_copies(fleet)
+
+        def all_ready() -> bool:
+            return all(e.node.daemon and e.node.daemon.ready() is None for e in fleet.edges)
+
+        took = await fleet.until(all_ready, 15.0, "every proxy is confirmed again")
+        print(f"every proxy confirmed after {took:.2f} s")
+        assert took < 1.0
+
+    loops.run(main())
+
+
+READERS: typing.Final = 11
+DISPUTED: typing.Final[register.Ballot] = (900, "gone")
+
+
+async def _ask(bench: benches.RegisterBench, store: int, ask: messages.Prepare | messages.Accept) -> None:
+    caller = frames.Caller(bench.outside.net)
+    result = await caller.ask(bench.addresses[store], ask.KIND, messages.encode(ask), 1.0)
+    assert isinstance(result, outcome.Good), result
+
+
+async def _unlike_copies(bench: benches.RegisterBench, promised_to_one_that_is_gone: bool) -> None:
+    """Store 0 is down, store 1 alone holds the newest value, and perhaps store 2 promised a later one."""
+    first = bench.proposer("first")
+    assert isinstance(await first.change("k", benches.put(b"old", "1")), outcome.Good)
+    await asyncio.sleep(0.2)
+    disks = [node.daemon.voter.disk_id for node in bench.nodes]
+    value = register.Value(2, b"new", (("1", 1), ("2", 2)))
+    epoch = bench.members.epoch
+    await _ask(bench, 1, messages.Prepare("k", (500, "first"), epoch, disks[1]))
+    await _ask(bench, 1, messages.Accept("k", (500, "first"), value, epoch, disks[1]))
+    if promised_to_one_that_is_gone:
+        await _ask(bench, 2, messages.Prepare("k", DISPUTED, epoch, disks[2]))
+    bench.nodes[0].lose_power()
+
+
+@pytest.mark.parametrize("promised", [False, True])
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_many_readers_of_unlike_copies_all_come_to_an_end(
+    seed: int, promised: bool, tmp_path: pathlib.Path
+) -> None:
+    """Three registries with eleven readers each, and two stores of three: both have to agree."""
+
+    async def main() -> None:
+        bench = benches.RegisterBench(seed, tmp_path)
+        await bench.start()
+        for node in bench.nodes:
+            assert node.disk is not None
+            node.disk.sync_s = SYNC_S
+        await _unlike_copies(bench, promised)
+        registries = [bench.proposer(f"r{n}") for n in range(3)]
+        loop = asyncio.get_running_loop()
+        begun = loop.time()
+        found = await asyncio.gather(*(one.read("k") for one in registries for _ in range(READERS)))
+        assert {read.value.body if isinstance(read, outcome.Good) else b"" for read in found} == {b"new"}
+        assert loop.time() - begun < 1.0
+
+    loops.run(main())
+
+
+def test_a_read_completes_what_its_proposer_left_half_written(tmp_path: pathlib.Path) -> None:
+    """It sends that very accept once more: no ballot of its own, so it outvotes nobody."""
+
+    async def main() -> None:
+        bench = benches.RegisterBench(4, tmp_path)
+        await bench.start()
+        await _unlike_copies(bench, promised_to_one_that_is_gone=False)
+        reader = bench.proposer("reader")
+        found = await reader.read("k")
+        assert isinstance(found, outcome.Good) and found.value.body == b"new"
+        seats = [node.daemon.voter._seats["k"] for node in bench.nodes[1:]]
+        assert {seat.ballot for seat in seats} == {(500, "first")}
+        assert reader.mended == 0
+
+    loops.run(main())
+
+
+def test_an_accept_that_comes_again_costs_the_disk_nothing(tmp_path: pathlib.Path) -> None:
+    async def main() -> None:
+        bench = benches.RegisterBench(5, tmp_path, stores=1)
+        await bench.start()
+        node = bench.nodes[0]
+        assert node.disk is not None
+        accept = messages.Accept(
+            "k", (3, "a"), register.Value(1, b"one"), bench.members.epoch, node.daemon.voter.disk_id
+        )
+        await _ask(bench, 0, accept)
+        syncs = node.disk.syncs
+        await _ask(bench, 0, accept)
+        assert node.disk.syncs == syncs
+
+    loops.run(main())
+
+
+class _Rounds:
+    """Reads that end when they are let, each telling the number of its round."""
+
+    def __init__(self) -> None:
+        self.begun = 0
+        self.gates: list[asyncio.Event] = []
+
+    async def read(self, key: str) -> int:
+        self.begun += 1
+        number = self.begun
+        gate = asyncio.Event()
+        self.gates.append(gate)
+        await gate.wait()
+        return number
+
+
+async def _settle() -> None:
+    for _ in range(10):
+        await asyncio.sleep(0)
+
+
+def test_a_reader_never_joins_a_round_that_has_begun() -> None:
+    async def main() -> None:
+        rounds = _Rounds()
+        shared = shared_reads.SharedReads(rounds.read, overlap_s=60.0)
+        first = asyncio.create_task(shared.read("k"))
+        await _settle()
+        later = [asyncio.create_task(shared.read("k")) for _ in range(50)]
+        await _settle()
+        assert rounds.begun == 1
+        rounds.gates[0].set()
+        await _settle()
+        assert rounds.begun == 2
+        rounds.gates[1].set()
+        assert await first == 1
+        assert set(await asyncio.gather(*later)) == {2}
+
+    asyncio.run(main())
+
+
+def test_a_round_that_takes_long_does_not_hold_up_the_next() -> None:
+    async def main() -> None:
+        rounds = _Rounds()
+        shared = shared_reads.SharedReads(rounds.read, overlap_s=0.01)
+        stuck = asyncio.create_task(shared.read("k"))
+        await _settle()
+        later = asyncio.create_task(shared.read("k"))
+        await asyncio.sleep(0.1)
+        assert rounds.begun == 2
+        rounds.gates[1].set()
+        assert await later == 2
+        assert not stuck.done()
+        rounds.gates[0].set()
+        assert await stuck == 1
+
+    asyncio.run(main())
+
+
+def test_a_reader_who_gives_up_does_not_end_the_round_of_the_others() -> None:
+    async def main() -> None:
+        rounds = _Rounds()
+        shared = shared_reads.SharedReads(rounds.read, overlap_s=60.0)
+        impatient, patient = (asyncio.create_task(shared.read("k")) for _ in range(2))
+        await _settle()
+        impatient.cancel()
+        await _settle()
+        rounds.gates[0].set()
+        assert await patient == 1
+        assert impatient.cancelled()
+
+    asyncio.run(main())
+
+
+def test_our_own_changes_of_a_key_do_not_outvote_each_other(tmp_path: pathlib.Path) -> None:
+    """Eight orders at one registry: each is in the register after one try."""
+
+    async def main() -> None:
+        bench = benches.RegisterBench(6, tmp_path)
+        await bench.start()
+        for node in bench.nodes:
+            assert node.disk is not None
+            node.disk.sync_s = SYNC_S
+        proposer = bench.proposer("a")
+        results = await asyncio.gather(
+            *(proposer.change("k", benches.put(f"{n}".encode(), f"{n}")) for n in range(8))
+        )
+        assert sorted(r.value.version for r in results if isinstance(r, outcome.Good)) == list(range(1, 9))
+        # One ballot for each: nothing was tried twice.
+        assert proposer._count == 8
+
+    loops.run(main())
--- a/tests/test_reconfiguration.py
+++ b/tests/test_reconfiguration.py
@@ -434,12 +434,12 @@
         proposer: proposers.Proposer = registry.parts.proposer
         # Lower than what was promised: refused by all that answer.
         begun = fleet.clock.now()
-        yes, no = await proposer._all(
+        answers = await proposer.quorum.ask_all(
             proposer.members.groups,
             messages.Prepare("layout", (0, "x"), proposer.members.epoch, ""),
             messages.Promise,
         )
-        assert not yes and all(isinstance(bad, outcome.Bad) for bad in no)
+        assert not answers.yes and len(answers.no) >= 2
         assert fleet.clock.now() - begun < registry.bounds.call_s / 2
 
     loops.run(main())
--- a/tests/test_register.py
+++ b/tests/test_register.py
@@ -12,79 +12,21 @@
 import dykeswitch.register as register
 import dykeswitch.register.messages as messages
 import dykeswitch.register.proposer as proposers
+import dykeswitch.register.quorum as quorums
 import dykeswitch.register.storage as storage
 import dykeswitch.register.voter as voters
 import dykeswitch.registry.reconfiguration as reconfigurations
 import dykeswitch.settings as settings
 import dykeswitch.simulator.disk as disks
 import dykeswitch.simulator.loop as loops
-import dykeswitch.simulator.world as worlds
+import dykeswitch.simulator.registerbench as benches
 
 POINTS: typing.Final = range(storage.POINT_BEFORE, storage.POINT_OLD_DROPPED + 1)
 
 
-class _Keeper:
-    """A store with nothing round it: just the voter and its ear."""
-
-    def __init__(
-        self, node_address: str, disk: disks.SimDisk, machine: typing.Any, rng: random.Random
-    ) -> None:
-        self.voter = voters.Voter(disk, machine.points, rng)
-        self._address = node_address
-        self._machine = machine
-
-    async def run(self) -> None:
-        await self.voter.open()
-        ear = frames.Ear(self.voter.kinds(), lambda event, what: None)
-        await self._machine.net.listen(self._address, ear.serve)
-        await asyncio.Event().wait()
-
-    def stop(self) -> None:
-        return None
-
-
-class Bench:
-    """Three voters, and proposers on a machine of their own."""
-
-    def __init__(self, seed: int, scratch: pathlib.Path, stores: int = 3) -> None:
-        self.world = worlds.World(seed, scratch)
-        self.nodes: list[worlds.Node] = []
-        self.addresses = [self.world.address() for _ in range(stores)]
-        for n, address in enumerate(self.addresses):
-            self._add(n, address)
-        self.outside = self.world.machine_for("outside")
-
-    def _add(self, n: int, address: str) -> None:
-        def build(machine: typing.Any, log: typing.Any, rng: random.Random) -> _Keeper:
-            assert node.disk is not None
-            return _Keeper(address, node.disk, machine, rng)
-
-        node = self.world.add("store", f"store{n}", build)
-        node.disk = disks.SimDisk(self.world.folder(), self.world.rng)
-        self.nodes.append(node)
-
-    async def start(self) -> register.MemberSet:
-        for node in self.nodes:
-            node.start()
-        await asyncio.sleep(0.1)
-        pairs = tuple(sorted((n.daemon.voter.disk_id, s) for n, s in zip(self.nodes, self.addresses)))
-        members = register.MemberSet(1, (pairs,))
-        caller = frames.Caller(self.outside.net)
-        for disk, address in pairs:
-            await caller.ask(address, "install", {"disk": disk, "set": members.wire()}, 1.0)
-        self.members = members
-        return members
-
-    def proposer(self, name: str) -> proposers.Proposer:
-        caller = frames.Caller(self.outside.net)
-        made = proposers.Proposer(
-            name, caller, self.outside.clock, self.outside.points, 0.5, random.Random(name)
-        )
-        made.adopt(self.members)
-        return made
-
-
-def _seating(bench: Bench, name: str, proposer: proposers.Proposer) -> reconfigurations.Reconfiguration:
+def _seating(
+    bench: benches.RegisterBench, name: str, proposer: proposers.Proposer
+) -> reconfigurations.Reconfiguration:
     bounds = settings.Settings(name=name, founders=tuple(bench.addresses[:3]))
     caller = frames.Caller(bench.outside.net)
     return reconfigurations.Reconfiguration(
@@ -92,13 +34,6 @@
     )
 
 
-def put(body: bytes, op: str) -> proposers.Step:
-    def step(now: register.Value) -> register.Value | outcome.Bad:
-        return now if now.made(op) is not None else now.next(body, op)
-
-    return step
-
-
 def _good(result: proposers.Read) -> register.Value:
     assert isinstance(result, outcome.Good), result
     return result.value
@@ -110,11 +45,11 @@
     """What was acknowledged is there again; what was not is old or new, never torn."""
 
     async def main() -> None:
-        bench = Bench(seed, tmp_path, stores=1)
+        bench = benches.RegisterBench(seed, tmp_path, stores=1)
         await bench.start()
         node = bench.nodes[0]
         proposer = bench.proposer("a")
-        assert _good(await proposer.change("k", put(b"one", "1"))).version == 1
+        assert _good(await proposer.change("k", benches.put(b"one", "1"))).version == 1
 
         def dark() -> None:
             node.lose_power()
@@ -123,7 +58,7 @@
         # The prepare passes the point first; the accept is what may be lost.
         passed = node.points.passed.get(point, 0)
         node.points.armed[point] = lambda: node.points.armed.__setitem__(point, dark)
-        result = await proposer.change("k", put(b"two", "2"))
+        result = await proposer.change("k", benches.put(b"two", "2"))
         assert node.points.passed[point] > passed
         assert isinstance(result, outcome.Bad)
         node.restart()
@@ -142,13 +77,13 @@
     """The simulated disk does lose what was not synced: else the test above proves nothing."""
 
     async def main() -> None:
-        bench = Bench(1, tmp_path, stores=1)
+        bench = benches.RegisterBench(1, tmp_path, stores=1)
         await bench.start()
         node = bench.nodes[0]
         assert node.disk is not None
         node.disk.sync_folder = lambda path: None  # type: ignore[method-assign]
         node.disk.sync_file = lambda path: None  # type: ignore[method-assign]
-        assert _good(await bench.proposer("a").change("k", put(b"one", "1"))).version == 1
+        assert _good(await bench.proposer("a").change("k", benches.put(b"one", "1"))).version == 1
         node.lose_power()
         node.restart()
         await asyncio.sleep(0.1)
@@ -190,12 +125,12 @@
     async def lost(seed: int) -> bool:
         folder = tmp_path / f"{seed}"
         folder.mkdir()
-        bench = Bench(seed, folder, stores=1)
+        bench = benches.RegisterBench(seed, folder, stores=1)
         await bench.start()
         node = bench.nodes[0]
         assert node.disk is not None
         lazy = _Lazy(node.disk, kind, name)
-        assert _good(await bench.proposer("a").change("k", put(b"one", "1"))).version == 1
+        assert _good(await bench.proposer("a").change("k", benches.put(b"one", "1"))).version == 1
         assert lazy.left_out
         node.lose_power()
         node.restart()
@@ -209,10 +144,10 @@
 
 def test_a_damaged_generation_is_refused(tmp_path: pathlib.Path) -> None:
     async def main() -> None:
-        bench = Bench(1, tmp_path, stores=1)
+        bench = benches.RegisterBench(1, tmp_path, stores=1)
         await bench.start()
         node = bench.nodes[0]
-        await bench.proposer("a").change("k", put(b"one" * 100, "1"))
+        await bench.proposer("a").change("k", benches.put(b"one" * 100, "1"))
         node.kill()
         assert node.disk is not None
         [path] = (node.disk.root / "register" / b"k".hex()).glob("g*/db.dat")
@@ -231,16 +166,16 @@
 )
 def test_a_proposer_that_dies_between_phases_leaves_one_truth(point: int, tmp_path: pathlib.Path) -> None:
     async def main() -> None:
-        bench = Bench(4, tmp_path)
+        bench = benches.RegisterBench(4, tmp_path)
         await bench.start()
-        _good(await bench.proposer("a").change("k", put(b"one", "1")))
+        _good(await bench.proposer("a").change("k", benches.put(b"one", "1")))
 
         def die() -> None:
             raise RuntimeError("killed here")
 
         bench.outside.points.armed[point] = die  # type: ignore[attr-defined]
         with pytest.raises(RuntimeError):
-            await bench.proposer("b").change("k", put(b"two", "2"))
+            await bench.proposer("b").change("k", benches.put(b"two", "2"))
         # Each third of the disks in turn is away: all readers tell one story.
         seen = []
         for node in bench.nodes:
@@ -258,11 +193,11 @@
     """Told "lost the race" once, a change never stands later."""
 
     async def main() -> None:
-        bench = Bench(5, tmp_path)
+        bench = benches.RegisterBench(5, tmp_path)
         await bench.start()
         wires = bench.world.wires
         first = bench.proposer("a")
-        _good(await first.change("k", put(b"one", "1")))
+        _good(await first.change("k", benches.put(b"one", "1")))
 
         def conditional(now: register.Value) -> register.Value | outcome.Bad:
             if now.version != 1:
@@ -281,7 +216,7 @@
         # Another goes first, without the disk that holds the stray copy.
         bench.nodes[0].lose_power()
         await asyncio.sleep(1.0)
-        other = _good(await bench.proposer("z").change("k", put(b"theirs", "3")))
+        other = _good(await bench.proposer("z").change("k", benches.put(b"theirs", "3")))
         bench.nodes[0].restart()
         await asyncio.sleep(0.1)
         again = await bench.proposer("c").change("k", conditional)
@@ -316,10 +251,10 @@
         _votes_blank(monkeypatch)
 
     async def main() -> None:
-        bench = Bench(6, tmp_path)
+        bench = benches.RegisterBench(6, tmp_path)
         await bench.start()
         bench.nodes[2].lose_power()
-        _good(await bench.proposer("a").change("k", put(b"new", "1")))
+        _good(await bench.proposer("a").change("k", benches.put(b"new", "1")))
         # Only 0 and 1 hold it; 1 loses its disk, and 2 comes back without it, too late for
         # the call that was on its way to it.
         await asyncio.sleep(1.0)
@@ -334,7 +269,7 @@
             assert _good(await bench.proposer("b").read("k")).version == 0
             return
         assert isinstance(await bench.proposer("b").read("k"), outcome.Bad)
-        refused = await bench.proposer("c").change("k", put(b"old", "2"))
+        refused = await bench.proposer("c").change("k", benches.put(b"old", "2"))
         assert isinstance(refused, outcome.Bad)
         assert refused.code.tag == "no_majority"
         bench.nodes[0].restart()
@@ -349,7 +284,7 @@
     """Random changes and reads under cuts, freezes and power loss: one order explains all."""
 
     async def main() -> None:
-        bench = Bench(seed, tmp_path)
+        bench = benches.RegisterBench(seed, tmp_path)
         await bench.start()
         rng = random.Random(seed)
         facts: list[tuple[float, float, int, bytes]] = []
@@ -361,7 +296,7 @@
                 begun = bench.world.loop.time()
                 if rng.random() < 0.5:
                     body = f"{n}/{turn}".encode()
-                    result = await proposer.change("k", put(body, body.decode()))
+                    result = await proposer.change("k", benches.put(body, body.decode()))
                     if isinstance(result, outcome.Bad) and result.code.tag != "unknown":
                         refused.add(body)
                 else:
@@ -412,8 +347,8 @@
     def __init__(self, proposer: proposers.Proposer) -> None:
         self.promised: dict[register.Ballot, set[str]] = {}
         self.asked: list[tuple[register.Ballot, bytes]] = []
-        self._ask = proposer._caller.ask
-        proposer._caller.ask = self.ask  # type: ignore[method-assign]
+        self._ask = proposer.quorum._caller.ask
+        proposer.quorum._caller.ask = self.ask  # type: ignore[method-assign]
 
     async def ask(self, address: str, kind: str, body: frames.Body, wait: float) -> frames.Result:
         if kind == "accept":
@@ -429,7 +364,7 @@
     """Two changes of the member key by one proposer, both of which widen the groups."""
 
     async def main() -> None:
-        bench = Bench(seed, tmp_path, stores=4)
+        bench = benches.RegisterBench(seed, tmp_path, stores=4)
         every = (await bench.start()).groups[0]
         old = every[:3]
         bench.members = register.MemberSet(1, (old,))
@@ -440,7 +375,7 @@
             fresh = register.MemberSet(2, (old, tuple(sorted((*old[:spare], *old[spare + 1 :], every[3])))))
 
             def step(now: register.Value) -> register.Value | outcome.Bad:
-                return now if now.made(op) is not None else now.next(proposers.encode_set(fresh), op)
+                return now if now.made(op) is not None else now.next(register.encode_set(fresh), op)
 
             return step
 
@@ -448,7 +383,7 @@
         assert book.asked
         bodies: dict[register.Ballot, bytes] = {}
         for ballot, body in book.asked:
-            groups = proposers.decode_set(register.Value(1, body)).groups
+            groups = register.decode_set(register.Value(1, body)).groups
             assert register.carried((old, *groups), book.promised.get(ballot, ())), ballot
             assert bodies.setdefault(ballot, body) == body, f"two changes share {ballot}"
 
@@ -459,22 +394,22 @@
     """Stores left the value out as we held it; by then we held a newer one."""
 
     async def main() -> None:
-        bench = Bench(2, tmp_path)
+        bench = benches.RegisterBench(2, tmp_path)
         await bench.start()
         proposer = bench.proposer("a")
-        _good(await proposer.change("k", put(b"one", "1")))
+        _good(await proposer.change("k", benches.put(b"one", "1")))
         # Until the last of the three holds it too.
         await asyncio.sleep(0.1)
-        whole = proposer._all
+        whole = proposer.quorum.ask_all
 
         async def slowly(groups: typing.Any, ask: typing.Any, answer: typing.Any) -> typing.Any:
             found: typing.Any = await whole(groups, ask, answer)
             if isinstance(ask, messages.Read):
-                proposer._all = whole  # type: ignore[method-assign]
-                _good(await proposer.change("k", put(b"two", "2")))
+                proposer.quorum.ask_all = whole  # type: ignore[method-assign]
+                _good(await proposer.change("k", benches.put(b"two", "2")))
             return found
 
-        proposer._all = slowly  # type: ignore[method-assign]
+        proposer.quorum.ask_all = slowly  # type: ignore[method-assign]
         assert _good(await proposer.read("k")).version in (1, 2)
         assert _good(await proposer.read("k")).body == b"two"
 
@@ -485,7 +420,7 @@
     """One registry sweeps under a joint set while another finishes it and begins the next."""
 
     async def main() -> None:
-        bench = Bench(3, tmp_path, stores=4)
+        bench = benches.RegisterBench(3, tmp_path, stores=4)
         every = (await bench.start()).groups[0]
         bench.members = register.MemberSet(1, (every[:3],))
         slow, fast = bench.proposer("slow"), bench.proposer("fast")
@@ -495,21 +430,21 @@
             await one._look(bench.addresses)
         assert await other._move(register.MemberSet(1, (every[:3],)), joint)
         for one, proposer in ((other, fast), (seating, slow)):
-            proposer.adopt(joint)
+            proposer.quorum.adopt(joint)
             await one._install(joint)
-        keys = slow.keys
+        keys = slow.copies.keys
 
         async def overtaken() -> list[str] | None:
             await other._finish()
             assert fast.members.epoch == 3
             back = register.MemberSet(4, (every[1:], every[:3]))
             assert await other._move(fast.members, back)
-            slow.adopt(back)
+            slow.quorum.adopt(back)
             return await keys()
 
-        slow.keys = overtaken  # type: ignore[method-assign]
+        slow.copies.keys = overtaken  # type: ignore[method-assign]
         await seating._finish()
-        held = proposers.decode_set(_good(await fast.read(register.MEMBERS)))
+        held = register.decode_set(_good(await fast.read(register.MEMBERS)))
         assert held.epoch == 4
 
     loops.run(main())
@@ -520,15 +455,15 @@
 
     async def install(self: reconfigurations.Reconfiguration, members: register.MemberSet) -> set[str]:
         single = register.MemberSet(members.epoch, members.groups[-1:])
-        self._proposer.members = single
+        self._proposer.quorum.members = single
         return await whole(self, single)
 
-    def groups(self: proposers.Proposer, key: str, value: register.Value | None) -> typing.Any:
+    def groups(self: quorums.Quorum, key: str, value: register.Value | None) -> typing.Any:
         return self.members.groups
 
     whole = reconfigurations.Reconfiguration._install
     patch.setattr(reconfigurations.Reconfiguration, "_install", install)
-    patch.setattr(proposers.Proposer, "_groups_for", groups)
+    patch.setattr(quorums.Quorum, "groups_for", groups)
 
 
 @pytest.mark.parametrize("guarded", [True, False])
@@ -538,7 +473,7 @@
     """Of the two disks that hold a change one is replaced, and the other is away when it is read."""
 
     async def main() -> None:
-        bench = Bench(9, tmp_path, stores=4)
+        bench = benches.RegisterBench(9, tmp_path, stores=4)
         every = (await bench.start()).groups[0]
         by_node = {n.daemon.voter.disk_id: n for n in bench.nodes}
         lags, holds, lost, spare = (by_node[disk] for disk, _ in every)
@@ -546,7 +481,7 @@
         spare.daemon.voter._set = register.NOBODY
         bench.members = register.MemberSet(1, (every[:3],))
         lags.lose_power()
-        _good(await bench.proposer("a").change("k", put(b"new", "1")))
+        _good(await bench.proposer("a").change("k", benches.put(b"new", "1")))
         lost.lose_power()
         await asyncio.sleep(1.0)
         lags.restart()
--- a/tests/test_style.py
+++ b/tests/test_style.py
@@ -25,7 +25,6 @@
 )
 LONG_FUNCTIONS: typing.Final = frozenset(
     {
-        "register/proposer.py:change",
         "registry/endpoints.py:read_beat",
         "simulator/scenario.py:day",
     }
