Logs are written by the standard library

Cause: picologging is withdrawn. One logger of our own with a plain handler takes its place; levels are tested before a line is made, so what is not written costs as little as before.

Ruled out: the library's tree of loggers, since its root is where libraries' own records are taken from to become lines of ours.

--- a/packages/logs/src/dykeswitch/logs/__init__.py
+++ b/packages/logs/src/dykeswitch/logs/__init__.py
@@ -4,11 +4,14 @@
 import logging
 import typing
 
-import picologging
-
 import dykeswitch.ports as ports
 
-LEVELS: typing.Final = {"debug": 10, "info": 20, "warning": 30, "error": 40}
+LEVELS: typing.Final = {
+    "debug": logging.DEBUG,
+    "info": logging.INFO,
+    "warning": logging.WARNING,
+    "error": logging.ERROR,
+}
 
 
 class Log:
@@ -20,10 +23,11 @@
         self._level = LEVELS[level]
         # A simulator that keeps its own record wants the events themselves.
         self.hook: typing.Callable[[dict[str, typing.Any]], None] | None = None
-        self._out: picologging.Logger = picologging.Logger(f"{program}.{name}", self._level)
-        hand = picologging.StreamHandler()
-        hand.setFormatter(picologging.Formatter("%(message)s"))
-        self._out.addHandler(hand)
+        # Not one of the library's tree: what libraries log there comes back to us by the bridge.
+        self._out = logging.Logger(f"{program}.{name}", self._level)
+        handler = logging.StreamHandler()
+        handler.setFormatter(logging.Formatter("%(message)s"))
+        self._out.addHandler(handler)
 
     def _write(self, level: str, event: str, fields: dict[str, typing.Any]) -> None:
         if LEVELS[level] < self._level:
