Only a checked address can be dialled, and replies of members are read as a whole

Ruled out: values of peers, endpoints and settings, which were checked where they came in.

Mended with it: an infinite place or version, a body that is a number, odd pauses, a span too large, odd frames, endpoints without an address. The simulated network refuses what a real one does.

--- a/packages/cli/src/dykeswitch/cli/fuzz/__init__.py
+++ b/packages/cli/src/dykeswitch/cli/fuzz/__init__.py
@@ -15,6 +15,7 @@
 import dykeswitch.cli.fuzz.answers as answers
 import dykeswitch.cli.fuzz.outside as outside
 import dykeswitch.cli.fuzz.registry as registry
+import dykeswitch.cli.fuzz.replies as replies
 import dykeswitch.cli.fuzz.store as store
 import dykeswitch.cli.fuzz.target as targets
 
@@ -22,6 +23,7 @@
     store.FRAMES,
     store.CALLS,
     registry.CALLS,
+    replies.REPLIES_OF_MEMBERS,
     outside.REQUESTS,
     outside.HEARTBEATS,
     answers.ANSWERS,
--- a/packages/explorer/src/dykeswitch/explorer/clients.py
+++ b/packages/explorer/src/dykeswitch/explorer/clients.py
@@ -8,6 +8,7 @@
 import dykeswitch.frames as frames
 import dykeswitch.layout.documents as documents
 import dykeswitch.outcome as outcome
+import dykeswitch.ports as ports
 import dykeswitch.register as register
 import dykeswitch.register.proposer as proposers
 import dykeswitch.registry.reconfiguration as reconfigurations
@@ -161,7 +162,7 @@
 
 
 def news_handlers(
-    held: documents.Documents, line: timeline.Timeline, addresses: typing.Sequence[str]
+    held: documents.Documents, line: timeline.Timeline, addresses: typing.Sequence[ports.Address]
 ) -> dict[str, frames.Handle]:
     """Hear which version there is of the layout, and fetch it from these members."""
 
--- a/packages/explorer/src/dykeswitch/explorer/world.py
+++ b/packages/explorer/src/dykeswitch/explorer/world.py
@@ -116,9 +116,9 @@
         registry.highest_versions = {}
         self.spawn(registry.host, registry.start(registry))
 
-    def address(self, name: str) -> str:
+    def address(self, name: str) -> ports.Address:
         """The address that a host's calls are sent to."""
-        return f"10.0.0.{list(self.hosts).index(name) + 1}:7000"
+        return ports.address_of(f"10.0.0.{list(self.hosts).index(name) + 1}:7000")
 
     def settle(self) -> None:
         """Let all that needs no choice happen, as while a scope is set up."""
--- a/packages/frames/src/dykeswitch/frames/__init__.py
+++ b/packages/frames/src/dykeswitch/frames/__init__.py
@@ -108,8 +108,9 @@
         self.got = HEAD.size + size
         try:
             body = cbor2.loads(data)
-        except (cbor2.CBORDecodeError, ValueError, TypeError, RecursionError) as flaw:
-            raise FrameFault(outcome.bad("bad_frame", "not cbor")) from flaw
+        except Exception as flaw:
+            # Whatever the library stumbles over in a peer's bytes, it is the peer's frame that is bad.
+            raise FrameFault(outcome.bad("bad_frame", f"not cbor: {type(flaw).__name__}")) from flaw
         if not isinstance(body, dict) or not isinstance(body.get("kind"), str):
             raise FrameFault(outcome.bad("bad_frame", "no kind"))
         return body
@@ -214,7 +215,7 @@
                 connection.close()
         self._idle.clear()
 
-    async def ask(self, address: str, kind: str, body: Body, wait: float) -> Result:
+    async def ask(self, address: ports.Address, kind: str, body: Body, wait: float) -> Result:
         """One call, answered or given up on within the wait."""
         try:
             async with asyncio.timeout(wait):
@@ -226,7 +227,7 @@
         except OSError as flaw:
             return outcome.bad("no_reply", f"{address}: {flaw}")
 
-    async def _ask(self, address: str, body: Body, wait: float) -> Result:
+    async def _ask(self, address: ports.Address, body: Body, wait: float) -> Result:
         idle = self._idle.setdefault(address, collections.deque())
         while idle:
             connection = idle.pop()
--- a/packages/layout/src/dykeswitch/layout/documents.py
+++ b/packages/layout/src/dykeswitch/layout/documents.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import dataclasses
 import typing
 import zlib
 
@@ -22,6 +23,8 @@
 
 # For which part of a call's span who is asked for a version that it is fetching itself waits for it.
 WAIT_PART: typing.Final = 0.5
+# Versions are counts that the system could have come to.
+VERSION_MOST: typing.Final = 2**53
 # How many papers' holders are kept in mind.
 HANDED_MOST: typing.Final = 64
 
@@ -127,14 +130,14 @@
             if e.key in NAMES and int(e.fields["version"]) > self.version(e.key)
         ]
 
-    async def catch_up(self, addresses: typing.Sequence[str]) -> bool:
+    async def catch_up(self, addresses: typing.Sequence[ports.Address]) -> bool:
         """Fetch what we are behind on from the first member that has it."""
         async with self._lock:
             for name, want in self.behind():
                 await self._fetch(name, want, addresses)
             return not self.behind()
 
-    async def _fetch(self, name: str, want: int, addresses: typing.Sequence[str]) -> None:
+    async def _fetch(self, name: str, want: int, addresses: typing.Sequence[ports.Address]) -> None:
         """Ask one member, and soon another while the first is silent."""
         ask = {"name": name, "want": want, "name_of": self._proxy, "packs": True}
         calls: set[asyncio.Task[frames.Result]] = set()
@@ -158,17 +161,39 @@
     async def take_reply(self, name: str, reply: frames.Body) -> None:
         """Take up what a member answered; what can't be read is as if it had not answered."""
         try:
-            data = _unpack(reply["packed"]) if "packed" in reply else bytes(reply["body"])
-            version = int(reply["version"])
-        except (KeyError, TypeError, ValueError, zlib.error):
+            told = read_reply(reply)
+        except ValueError:
             return
-        await self.take(name, version, data)
+        await self.take(name, told.version, told.data)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DocumentReply:
+    """A document as a member told it: its version in the register and its body."""
+
+    version: int
+    data: bytes
+
+
+def read_reply(reply: frames.Body) -> DocumentReply:
+    """A reply off the wire; raises `ValueError` where it is none."""
+    version, packed, body = reply.get("version"), reply.get("packed"), reply.get("body")
+    if not isinstance(version, int) or isinstance(version, bool) or not 0 <= version < VERSION_MOST:
+        raise ValueError("not a version")
+    if isinstance(packed, bytes):
+        return DocumentReply(version, _unpack(packed))
+    if not isinstance(body, bytes):
+        raise ValueError("no body")
+    return DocumentReply(version, body)
 
 
 def _unpack(packed: bytes) -> bytes:
-    """A paper out of what travelled; none is larger than the largest frame."""
+    """A document out of what travelled; none is larger than the largest frame."""
     unpacker = zlib.decompressobj()
-    data = unpacker.decompress(packed, frames.FRAME_MOST)
+    try:
+        data = unpacker.decompress(packed, frames.FRAME_MOST)
+    except zlib.error as flaw:
+        raise ValueError(str(flaw)) from flaw
     if not unpacker.eof:
-        raise ValueError("a paper that is cut or too large")
+        raise ValueError("a document that is cut or too large")
     return data
--- a/packages/layout/src/dykeswitch/layout/pauses.py
+++ b/packages/layout/src/dykeswitch/layout/pauses.py
@@ -22,11 +22,36 @@
         return self.begins <= wall < self.ends
 
 
+class PausesError(ValueError):
+    """A document that holds no pauses, or odd ones."""
+
+
+TEXTS: typing.Final = ("name", "endpoint", "reason", "by")
+MOMENTS: typing.Final = ("begins", "ends", "made")
+
+
 def read(data: bytes) -> list[Pause]:
-    """The pauses in a paper; an empty paper has none."""
+    """The pauses in a document, none in an empty one; raises `PausesError` where it can't be read."""
     if not data:
         return []
-    return [Pause(**raw) for raw in json.loads(data)]
+    try:
+        rows = json.loads(data)
+    except (ValueError, RecursionError) as flaw:
+        raise PausesError(str(flaw)) from flaw
+    if not isinstance(rows, list):
+        raise PausesError("not a list")
+    return [_read_pause(raw) for raw in rows]
+
+
+def _read_pause(raw: object) -> Pause:
+    if not isinstance(raw, dict) or set(raw) != {*TEXTS, *MOMENTS}:
+        raise PausesError("not a pause")
+    if not all(isinstance(raw[name], str) for name in TEXTS):
+        raise PausesError("a pause with a name that is no text")
+    for name in MOMENTS:
+        if isinstance(raw[name], bool) or not isinstance(raw[name], (int, float)):
+            raise PausesError("a pause with a moment that is no number")
+    return Pause(**raw)
 
 
 def pack(pauses: typing.Iterable[Pause]) -> bytes:
--- a/packages/membership/src/dykeswitch/membership/__init__.py
+++ b/packages/membership/src/dykeswitch/membership/__init__.py
@@ -15,6 +15,7 @@
 import zlib
 
 import dykeswitch.frames as frames
+import dykeswitch.membership.replies as replies
 import dykeswitch.outcome as outcome
 import dykeswitch.ports as ports
 import dykeswitch.timeline as timeline
@@ -50,7 +51,7 @@
 
     name: str
     kind: str
-    address: str
+    address: ports.Address
     age: int = 0
 
     def wire(self) -> list[typing.Any]:
@@ -100,7 +101,7 @@
         self._shuffle_s = shuffle_s
         self._call_s = call_s
         self._hold_s = hold_s
-        self._seeds = [seed for seed in seeds if seed != me.address]
+        self._seeds = _seeds_of(seeds, me.address)
         self._note = note
         self.view: dict[str, Member] = {}
         self._cursors: dict[str, Cursor] = {}
@@ -108,9 +109,9 @@
         self.heard = -1e9
         # When each member was heard last, by its name.
         self._last: dict[str, float] = {}
-        self._tasks: dict[tuple[str, str], asyncio.Task[None]] = {}
+        self._tasks: dict[tuple[str, ports.Address], asyncio.Task[None]] = {}
         # The addresses of the cores that we poll, the first one first, and how far we are with each.
-        self._polled: list[str] = []
+        self._polled: list[ports.Address] = []
         self._poll_cursors: dict[str, PollCursor] = {}
         # When a core last failed to answer a poll, or had no majority behind it, by its address.
         self._failed: dict[str, float] = {}
@@ -118,13 +119,13 @@
         # Whether a majority stands behind what we tell; a registry that is cut off says that it is.
         self.backed: typing.Callable[[], bool] = lambda: True
         # Where members were heard to be, and when last: also those that fell silent.
-        self._book: collections.OrderedDict[str, float] = collections.OrderedDict()
+        self._book: collections.OrderedDict[ports.Address, float] = collections.OrderedDict()
         self._knock: asyncio.Task[bool] | None = None
         self._seeking: asyncio.Task[bool] | None = None
 
     def reseed(self, seeds: typing.Sequence[str]) -> None:
         """Other members to begin with, from now on."""
-        self._seeds = [seed for seed in seeds if seed != self.me.address]
+        self._seeds = _seeds_of(seeds, self.me.address)
 
     def kinds(self) -> dict[str, frames.Handle]:
         return {"shuffle": self._on_shuffle, "tell": self._on_tell, "poll": self._on_poll}
@@ -240,11 +241,11 @@
             if name == self.me.name or address == self.me.address:
                 continue
             if not int(age):
-                self._note_address(str(address))
+                self._note_address(ports.address_of(address))
             old = self.view.get(name)
             # The younger word wins: it was heard from the member itself later.
             if old is None or int(age) < old.age or old.address != address and int(age) <= old.age:
-                self.view[str(name)] = Member(str(name), str(kind), str(address), int(age))
+                self.view[str(name)] = Member(str(name), str(kind), ports.address_of(address), int(age))
         for member in list(self.view.values()):
             if member.age > AGE_MOST:
                 del self.view[member.name]
@@ -252,24 +253,24 @@
             oldest = max(self.view.values(), key=lambda m: (m.age, m.name))
             del self.view[oldest.name]
 
-    def _note_address(self, address: str) -> None:
+    def _note_address(self, address: ports.Address) -> None:
         self._book[address] = self._clock.now()
         self._book.move_to_end(address)
         if len(self._book) > BOOK_MOST:
             self._book.popitem(last=False)
 
-    def _stranger(self) -> str | None:
+    def _stranger(self) -> ports.Address | None:
         """An address where a member once was, that no neighbour has now."""
         young = self._clock.now() - self.line.forget_s
         near = {m.address for m in self.view.values()} | set(self.cores().values())
         addresses = [address for address, at in self._book.items() if at > young and address not in near]
         return self._rng.choice(addresses) if addresses else None
 
-    def known_cores(self) -> dict[str, str]:
+    def known_cores(self) -> dict[str, ports.Address]:
         """Every registry there was of late, by name, with its address."""
-        return {e.key: str(e.fields["spot"]) for e in self.line.all(timeline.CORE) if e.key != self.me.name}
+        return {e.key: _address_of(e) for e in self.line.all(timeline.CORE) if e.key != self.me.name}
 
-    def cores(self) -> dict[str, str]:
+    def cores(self) -> dict[str, ports.Address]:
         """Every registry that is taken to be alive, by name, with its address.
 
         One that we do not poll tells us nothing: it counts unless its last poll failed.
@@ -284,7 +285,7 @@
             if name in heard or address not in self._polled and not self._passed_over(address)
         }
 
-    def near_cores(self) -> list[str]:
+    def near_cores(self) -> list[ports.Address]:
         """The addresses of the living cores, in the order in which it is best to ask them."""
         alive = set(self.cores().values())
         return [address for address in self._ranked() if address in alive]
@@ -294,7 +295,7 @@
         since = self._clock.now() - self._failed.get(address, -math.inf)
         return since < self._hold_s * PASSED_OVER_HOLDS
 
-    def polled(self) -> list[str]:
+    def polled(self) -> list[ports.Address]:
         """The addresses of the cores that we poll; the first one tells us of marks too."""
         return list(self._polled)
 
@@ -310,7 +311,7 @@
         if not known:
             self._choose_again.set()
 
-    def _ranked(self) -> list[str]:
+    def _ranked(self) -> list[ports.Address]:
         """The addresses of all known cores: those that answer first, then those of our own zone."""
 
         def rank(entry: timeline.Entry) -> tuple[bool, bool, int]:
@@ -319,9 +320,9 @@
             return (self._passed_over(str(entry.fields["spot"])), entry.fields["zone"] != self._zone, part)
 
         entries = [e for e in self.line.all(timeline.CORE) if e.key != self.me.name]
-        return [str(entry.fields["spot"]) for entry in sorted(entries, key=rank)]
+        return [_address_of(entry) for entry in sorted(entries, key=rank)]
 
-    def _heard_cores(self) -> dict[str, str]:
+    def _heard_cores(self) -> dict[str, ports.Address]:
         """Every registry heard of late: by us, or by whoever told us of it for the first time."""
         edge = self._clock.now() - self._hold_s * ALIVE_HOLDS
         known = self.known_cores()
@@ -370,7 +371,7 @@
         if not await self._trade(oldest.address, oldest.name):
             self.view.pop(oldest.name, None)
 
-    async def _trade(self, address: str, name: str) -> bool:
+    async def _trade(self, address: ports.Address, name: str) -> bool:
         cursor = self._cursors.get(address) or Cursor()
         seq = self.line.seq
         tells = self._tells()
@@ -400,22 +401,22 @@
         if not reply.get("told", True):
             fresh.boot, fresh.theirs = cursor.boot, cursor.theirs
         self._cursors[address] = fresh
-        if name and reply["name"] != name:
+        if name and reply.get("name") != name:
             self.view.pop(name, None)
         return True
 
     def _take(self, reply: frames.Body, cursor: Cursor, seq: int, address: str) -> Cursor | None:
         """Take up a reply; a malformed one, as from another release, harms nobody."""
         try:
-            self._heard(reply)
-            self._learn(reply.get("view", ()))
-            self.line.merge(reply["items"])
-            same = reply["boot"] == cursor.boot
-            # A member that started anew has forgotten what it was told.
-            return Cursor(str(reply["boot"]), int(reply["seq"]), seq if same else 0)
-        except (KeyError, TypeError, ValueError, AttributeError) as flaw:
-            self._note("reply refused", f"{address}: {type(flaw).__name__}: {flaw}")
+            told = replies.read(reply)
+        except ValueError as flaw:
+            self._note("reply refused", f"{address}: {flaw}")
             return None
+        self._heard(reply)
+        self._learn(told.view)
+        self.line.merge(told.items)
+        # A member that started anew has forgotten what it was told.
+        return Cursor(told.boot, told.seq, seq if told.boot == cursor.boot else 0)
 
     async def _keep_choosing(self, group: asyncio.TaskGroup) -> None:
         """Poll another core as soon as a poll failed."""
@@ -424,7 +425,7 @@
             self._choose_again.clear()
             self._tend(group)
 
-    def _told(self) -> list[str]:
+    def _told(self) -> list[ports.Address]:
         """Whom we push urgent news to."""
         known = list(self.known_cores().values())
         if not self._heard_cores():
@@ -443,7 +444,7 @@
             self._poll_cursors = {a: c for a, c in self._poll_cursors.items() if a in ranked}
             self._failed = {a: at for a, at in self._failed.items() if a in ranked}
         told = self._told()
-        wanted: dict[tuple[str, str], typing.Callable[[str], typing.Awaitable[None]]] = {}
+        wanted: dict[tuple[str, ports.Address], typing.Callable[[ports.Address], typing.Awaitable[None]]] = {}
         for address in told:
             if address != self.me.address:
                 wanted[("push", address)] = self._push
@@ -461,7 +462,7 @@
     def _news(self, since: int) -> bool:
         return self.line.urgent > since
 
-    async def _push(self, address: str) -> None:
+    async def _push(self, address: ports.Address) -> None:
         """Tell one member of urgent news as it comes."""
         core = self.me.kind == "registry"
         # Another core that is new to us, or that had been forgotten, is told all that we hold.
@@ -492,7 +493,7 @@
                 # What comes right after goes together.
                 await self._clock.sleep(self._hold_s * PUSH_PACE)
 
-    async def _pull(self, address: str) -> None:
+    async def _pull(self, address: ports.Address) -> None:
         """Ask one core with what we have; it answers when there is news."""
         while True:
             # The first one tells us of all; the others of all but marks.
@@ -504,7 +505,7 @@
                 # News that comes in a storm goes into few answers.
                 await self._clock.sleep(self._hold_s * (FIRST_PACE if first else OTHER_PACE))
 
-    async def _poll(self, address: str, first: bool) -> int | None:
+    async def _poll(self, address: ports.Address, first: bool) -> int | None:
         """One poll; how many entries the answer held, or nothing if none came."""
         cursor = self._poll_cursors.get(address) or PollCursor()
         seq = self.line.seq
@@ -536,6 +537,16 @@
         return len(result.value["items"])
 
 
+def _seeds_of(seeds: typing.Sequence[str], own: ports.Address) -> list[ports.Address]:
+    """The members to begin with, but for ourselves."""
+    return [ports.address_of(seed) for seed in seeds if seed != own]
+
+
+def _address_of(core: timeline.Entry) -> ports.Address:
+    """Where a core is reached; what an entry tells was checked before it was taken up."""
+    return ports.address_of(core.fields["spot"])
+
+
 def _median(spans: list[float]) -> float:
     """The middle of some spans; the library's own brings in fractions and decimals at each start."""
     ranked, half = sorted(spans), len(spans) // 2
--- a/packages/ports/src/dykeswitch/ports/__init__.py
+++ b/packages/ports/src/dykeswitch/ports/__init__.py
@@ -21,6 +21,22 @@
 App = typing.Callable[..., typing.Coroutine[typing.Any, typing.Any, None]]
 
 
+# An `ip:port` that was checked: only what `address_of` let through can be dialled.
+Address = typing.NewType("Address", str)
+
+
+class AddressError(ValueError):
+    """Something that is no `ip:port`."""
+
+
+def address_of(raw: object) -> Address:
+    """A checked address; raises `AddressError` for anything else."""
+    fault = address_fault(raw) if isinstance(raw, str) else "an address must be text"
+    if fault is not None:
+        raise AddressError(fault)
+    return Address(str(raw))
+
+
 # The same few addresses come with each beat: they are not read anew each time.
 @functools.lru_cache(4096)
 def address_fault(text: str) -> str | None:
@@ -87,7 +103,7 @@
 class Network(typing.Protocol):
     """Pipes by address; an address is `ip:port`."""
 
-    async def dial(self, address: str, wait: float) -> Connection:
+    async def dial(self, address: Address, wait: float) -> Connection:
         """Connect to an address within `wait` seconds."""
         ...
 
--- a/packages/ports/src/dykeswitch/ports/real.py
+++ b/packages/ports/src/dykeswitch/ports/real.py
@@ -104,7 +104,7 @@
 class RealNetwork:
     """TCP by IP numbers."""
 
-    async def dial(self, address: str, wait: float) -> ports.Connection:
+    async def dial(self, address: ports.Address, wait: float) -> ports.Connection:
         """Connect within `wait` seconds."""
         host, port = split_address(address)
         async with asyncio.timeout(wait):
--- a/packages/proxy/src/dykeswitch/proxy/borrower.py
+++ b/packages/proxy/src/dykeswitch/proxy/borrower.py
@@ -13,6 +13,7 @@
 
 import dykeswitch.frames as frames
 import dykeswitch.outcome as outcome
+import dykeswitch.ports as ports
 import dykeswitch.proxy.budget as budgets
 import dykeswitch.settings as settings
 import dykeswitch.timeline as timeline
@@ -73,6 +74,14 @@
     slot: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Lender:
+    """A registry that is asked for loans, where it was known to be when it was chosen."""
+
+    name: str
+    address: ports.Address
+
+
 class Borrower:
     """Borrows for every service that this proxy carries."""
 
@@ -83,7 +92,7 @@
         bounds: settings.Settings,
         line: timeline.Timeline,
         caller: frames.Caller,
-        cores: typing.Callable[[], dict[str, str]],
+        cores: typing.Callable[[], dict[str, ports.Address]],
         lookup: Lookup,
     ) -> None:
         # One that starts anew is another borrower: what it had before still counts.
@@ -118,9 +127,9 @@
         async with asyncio.TaskGroup() as group:
             while True:
                 self._news.clear()
-                for name, wishes in self._wishes().items():
-                    self._flying.add(name)
-                    group.create_task(self._ask(name, wishes))
+                for lender, wishes in self._wishes().items():
+                    self._flying.add(lender.name)
+                    group.create_task(self._ask(lender, wishes))
                 with contextlib.suppress(TimeoutError):
                     async with asyncio.timeout(self._bounds.tick_s):
                         await self._news.wait()
@@ -137,18 +146,18 @@
         self._flying.clear()
         for need in self._needs.values():
             need.due = 0.0
-        calls = [self._ask(name, wishes) for name, wishes in self._wishes().items()]
+        calls = [self._ask(lender, wishes) for lender, wishes in self._wishes().items()]
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(self._bounds.tick_s):
                 await asyncio.gather(*calls)
 
     # What to ask for.
 
-    def _wishes(self) -> dict[str, list[Wish]]:
+    def _wishes(self) -> dict[Lender, list[Wish]]:
         """What is due to be asked, by the lender that it is asked of."""
         now = self._clock.now()
-        found: dict[str, list[Wish]] = {}
-        cores: dict[str, str] = {}
+        found: dict[Lender, list[Wish]] = {}
+        cores: dict[str, ports.Address] = {}
         for service, budget in self._lookup().items():
             need = self._needs.get(service)
             if need is None:
@@ -204,7 +213,9 @@
         wants[(self._home + need.turn) % slots.PARTS] = QUIET
         return wants
 
-    def _lender(self, wish: Wish, need: Need, cores: typing.Container[str], now: float) -> str | None:
+    def _lender(
+        self, wish: Wish, need: Need, cores: typing.Mapping[str, ports.Address], now: float
+    ) -> Lender | None:
         """The registry to ask now, if it is time to, and it is known and not at work for us."""
         side = need.sides[wish.part]
         due = side.asked + (side.haste if need.lack else side.rest)
@@ -214,13 +225,13 @@
         entry = self._line.get(timeline.FENCE, str(wish.slot))
         name = "" if entry is None else str(entry.fields["owner"]).rpartition("/")[0]
         if name in cores and name not in self._flying:
-            return name
+            return Lender(name, cores[name])
         need.due = min(need.due, now + self._bounds.tick_s)
         return None
 
     # Asking.
 
-    async def _ask(self, name: str, wishes: list[Wish]) -> None:
+    async def _ask(self, lender: Lender, wishes: list[Wish]) -> None:
         """One call to one lender, and what comes of it."""
         # What we are lent runs from here on: the lender counts from when it answers.
         now = self._clock.now()
@@ -234,9 +245,9 @@
         asks = [[w.service, w.part, w.want, b.part(w.part, now), b.bound(w.part, now)] for w, b in pairs]
         body: frames.Body = {"who": self._who, "turn": self._turn, "asks": asks}
         try:
-            result = await self._caller.ask(self._cores().get(name, ""), "borrow", body, self._bounds.call_s)
+            result = await self._caller.ask(lender.address, "borrow", body, self._bounds.call_s)
         finally:
-            self._flying.discard(name)
+            self._flying.discard(lender.name)
         page = result.value if isinstance(result, outcome.Good) else {}
         loans = page.get("loans")
         if not isinstance(loans, list) or len(loans) != len(wishes):
@@ -287,4 +298,7 @@
 def _span(page: frames.Body, most: float) -> float:
     """For how long a lender lends, as far as that can be."""
     span = page.get("span")
-    return min(float(span), most) if isinstance(span, (int, float)) and span > 0 else 0.0
+    if isinstance(span, bool) or not isinstance(span, (int, float)) or not span > 0:
+        return 0.0
+    # Compared before it is converted: a whole number may be too large for a float.
+    return float(min(span, most))
--- a/packages/proxy/src/dykeswitch/proxy/program.py
+++ b/packages/proxy/src/dykeswitch/proxy/program.py
@@ -69,7 +69,7 @@
         self._cut_off = False
         self._doubt_at = self._tick
         # The cores we last knew of.
-        self._cores: dict[str, str] = {}
+        self._cores: dict[str, ports.Address] = {}
         # When an orderly stop has no more time for what is at work.
         self._ends: float | None = None
         self._server: ports.WebServer | None = None
@@ -82,7 +82,7 @@
         """This proxy's part in the membership, not yet running."""
         bounds = self.bounds
         return membership.Spread(
-            membership.Member(bounds.name, "proxy", bounds.member),
+            membership.Member(bounds.name, "proxy", ports.address_of(bounds.member)),
             self.line,
             self.machine,
             self.caller,
@@ -100,7 +100,11 @@
     async def _reads(self, name: str, version: int, data: bytes) -> documents.Take | None:
         """Read a document while exchanges go on; what is handed back takes it up at once."""
         if name == documents.PAUSES:
-            planned = pauses.read(data)
+            try:
+                planned = pauses.read(data)
+            except pauses.PausesError as flaw:
+                self.log.error("pauses refused", version=version, why=str(flaw))
+                return None
 
             def plan() -> None:
                 self._pauses = planned
@@ -217,18 +221,23 @@
         """Whether somebody was heard since we began to doubt, and not by words that lay waiting."""
         return self.spread.heard > self._doubt_at + self.bounds.gap_s / 2
 
-    async def _confirm_at(self, address: str) -> bool:
+    async def _confirm_at(self, address: ports.Address) -> bool:
         # All that we knew of it is here still: only what came since need travel.
         position = self.spread.position(address)
         ask = {"name": self.bounds.name, "items": [], "cursor": position, "hold": 0.0}
         result = await self.caller.ask(address, "confirm", ask, self.bounds.call_s)
         if isinstance(result, outcome.Bad):
             return False
-        self.line.merge(result.value["items"])
+        items = result.value.get("items")
+        if not isinstance(items, list):
+            # As good as silent: the others may confirm all the same.
+            self.log.note("reply refused", f"{address}: confirm")
+            return False
+        self.line.merge(items)
         self.spread.heard = self.clock.now()
         return True
 
-    def _addresses(self) -> list[str]:
+    def _addresses(self) -> list[ports.Address]:
         cores = self.spread.near_cores()
         return cores + [m.address for m in self.spread.view.values() if m.address not in cores]
 
--- a/packages/register/src/dykeswitch/register/__init__.py
+++ b/packages/register/src/dykeswitch/register/__init__.py
@@ -92,8 +92,9 @@
     def wire(self) -> list[typing.Any]:
         return [self.epoch, [[list(pair) for pair in group] for group in self.groups]]
 
-    def disks(self) -> dict[str, str]:
-        return {disk: address for group in self.groups for disk, address in group}
+    def disks(self) -> dict[str, ports.Address]:
+        """Each disk with a vote, and the address that the set tells of its store."""
+        return {disk: ports.address_of(told) for group in self.groups for disk, told in group}
 
     def joint(self) -> bool:
         return len(self.groups) > 1
--- a/packages/register/src/dykeswitch/register/quorum.py
+++ b/packages/register/src/dykeswitch/register/quorum.py
@@ -56,7 +56,7 @@
         self._wait = wait
         self.members = register.NOBODY
         # Where a disk was last seen, which beats the address in the member set.
-        self.addresses: dict[str, str] = {}
+        self.addresses: dict[str, ports.Address] = {}
         # Calls whose answer came too late to count, held until they end.
         self._late: set[asyncio.Task[None]] = set()
 
@@ -67,12 +67,12 @@
             return True
         return False
 
-    def address(self, disk: str, told: str) -> str:
+    def address(self, disk: str, told: str) -> ports.Address:
         """Where a disk is reached: as it was seen last, or as the member set tells."""
-        return self.addresses.get(disk, told)
+        return self.addresses.get(disk) or ports.address_of(told)
 
     async def ask(
-        self, disk: str, address: str, ask: Ask, answer: type[Answer]
+        self, disk: str, address: ports.Address, ask: Ask, answer: type[Answer]
     ) -> outcome.Good[Answer] | outcome.Bad:
         """Ask one disk; an answer that is malformed counts as none."""
         body = messages.encode(dataclasses.replace(ask, disk=disk))
@@ -111,7 +111,7 @@
         disks = {disk: told for group in groups for disk, told in group}
         news = asyncio.Event()
 
-        async def one(disk: str, address: str) -> None:
+        async def one(disk: str, address: ports.Address) -> None:
             result = await self.ask(disk, address, ask, answer)
             if isinstance(result, outcome.Good):
                 yes[disk] = result.value
@@ -151,13 +151,13 @@
                 self._late.add(task)
                 task.add_done_callback(self._late.discard)
 
-    async def learn(self, more: typing.Iterable[str] = ()) -> bool:
+    async def learn(self, more: typing.Iterable[ports.Address] = ()) -> bool:
         """Ask the stores we know of for a newer member set; one that has it is enough."""
         addresses = {self.address(d, s) for d, s in self.members.disks().items()} | set(more)
         before = self.members.epoch
         news = asyncio.Event()
 
-        async def one(address: str) -> None:
+        async def one(address: ports.Address) -> None:
             result = await self._caller.ask(address, "state", {}, self._wait)
             if isinstance(result, outcome.Good):
                 with contextlib.suppress(ValueError, TypeError, AttributeError, KeyError, OverflowError):
--- a/packages/registry/src/dykeswitch/registry/components.py
+++ b/packages/registry/src/dykeswitch/registry/components.py
@@ -64,7 +64,7 @@
     def _spread(self) -> membership.Spread:
         bounds = self.bounds
         return membership.Spread(
-            membership.Member(bounds.name, "registry", bounds.member),
+            membership.Member(bounds.name, "registry", ports.address_of(bounds.member)),
             self.line,
             self.machine,
             self.caller,
--- a/packages/registry/src/dykeswitch/registry/publisher.py
+++ b/packages/registry/src/dykeswitch/registry/publisher.py
@@ -49,7 +49,11 @@
     async def _reads(self, name: str, version: int, data: bytes) -> documents.Take | None:
         """Read a document while calls go on; what is handed back takes it up at once."""
         if name == documents.PAUSES:
-            planned = pauses.read(data)
+            try:
+                planned = pauses.read(data)
+            except pauses.PausesError as flaw:
+                self._log.error("pauses refused", version=version, why=str(flaw))
+                return None
             return lambda: setattr(self, "pauses", planned)
         raw = self._adapter.layout(data)
         result = raw if isinstance(raw, outcome.Bad) else await layouts.check_gently(raw.value)
--- a/packages/registry/src/dykeswitch/registry/queries.py
+++ b/packages/registry/src/dykeswitch/registry/queries.py
@@ -6,6 +6,7 @@
 import dykeswitch.language as language
 import dykeswitch.layout.documents as documents
 import dykeswitch.outcome as outcome
+import dykeswitch.ports as ports
 import dykeswitch.registry.components as components
 import dykeswitch.registry.member_calls as member_calls
 import dykeswitch.registry.planned as planned
@@ -91,7 +92,9 @@
         if entry is None or "spot" not in entry.fields:
             return outcome.bad("no_such", f"no living proxy carried {name}")
         ask: frames.Body = {"exchange": name}
-        result = await parts.caller.ask(str(entry.fields["spot"]), "exchange", ask, parts.bounds.call_s)
+        result = await parts.caller.ask(
+            ports.address_of(entry.fields["spot"]), "exchange", ask, parts.bounds.call_s
+        )
         if isinstance(result, outcome.Bad):
             return result
         rows = [[round(at * 1000, 1), what, why] for at, what, why in result.value["trail"]]
--- a/packages/registry/src/dykeswitch/registry/reconfiguration.py
+++ b/packages/registry/src/dykeswitch/registry/reconfiguration.py
@@ -109,7 +109,7 @@
         known = {self._proposer.quorum.addresses.get(d, s) for d, s in self._proposer.members.disks().items()}
         # Founders that were replaced are not asked for ever.
         founders = () if self._proposer.members.groups else self._bounds.founders
-        asked = sorted(known | set(addresses) | set(founders))
+        asked = sorted(known | {ports.address_of(told) for told in (*addresses, *founders)})
         wait = self._bounds.state_wait_s
         results = await asyncio.gather(*(self._caller.ask(address, "state", {}, wait) for address in asked))
         self.states = {}
@@ -124,7 +124,7 @@
             else:
                 self._silent.setdefault(disk, now)
 
-    def _take_state(self, address: str, body: frames.Body) -> None:
+    def _take_state(self, address: ports.Address, body: frames.Body) -> None:
         try:
             state = replicas.decode(body, address)
         except ValueError as flaw:
@@ -171,7 +171,13 @@
     async def _tell(
         self, state: replicas.ReplicaState, told: messages.Install | messages.Retire
     ) -> frames.Result:
-        return await self._caller.ask(state.address, told.KIND, messages.encode(told), self._bounds.call_s)
+        return await self._caller.ask(
+            self._address_of(state.disk), told.KIND, messages.encode(told), self._bounds.call_s
+        )
+
+    def _address_of(self, disk: str) -> ports.Address:
+        """Where a store that told its state was reached."""
+        return self._proposer.quorum.addresses[disk]
 
     def _holding(self, epoch: int) -> set[str]:
         return {disk for disk, state in self.states.items() if state.members.epoch >= epoch}
@@ -242,7 +248,7 @@
             return
         self._note("votes move", f"{', '.join(change.add)} for {', '.join(change.remove) or 'nobody'}")
         group = {disk: address for disk, address in voters.items() if disk not in change.remove}
-        group |= {disk: self.states[disk].address for disk in change.add}
+        group |= {disk: self._address_of(disk) for disk in change.add}
         joint = register.MemberSet(members.epoch + 1, (members.groups[0], tuple(sorted(group.items()))))
         if not await self._move(members, joint):
             return
--- a/packages/registry/src/dykeswitch/registry/relay.py
+++ b/packages/registry/src/dykeswitch/registry/relay.py
@@ -34,8 +34,8 @@
             return
         parts = self._parts
         named = parts.line.get(timeline.DOCUMENT, name)
-        address = "" if named is None else parts.spread.known_cores().get(named.stamp[1], "")
-        if not address:
+        address = None if named is None else parts.spread.known_cores().get(named.stamp[1])
+        if address is None:
             return
         told: frames.Body = {"name": name, "version": version, "proxy": proxy}
         call = asyncio.create_task(parts.caller.ask(address, "handed", told, parts.bounds.call_s))
--- a/packages/scale/src/dykeswitch/scale/worker.py
+++ b/packages/scale/src/dykeswitch/scale/worker.py
@@ -85,7 +85,7 @@
         self._net = net
         self.events: dict[str, int] = {}
 
-    async def dial(self, address: str, wait: float) -> ports.Connection:
+    async def dial(self, address: ports.Address, wait: float) -> ports.Connection:
         """Connect, and count what is sent as heartbeats."""
         return CountingConnection(await self._net.dial(address, wait), self.events, "beat")
 
@@ -236,7 +236,7 @@
 
     def _bring(self, driver: str) -> ports.Serve:
         async def serve(connection: ports.Connection) -> None:
-            there = await self._net.dial(driver, 1.0)
+            there = await self._net.dial(ports.address_of(driver), 1.0)
             async with asyncio.TaskGroup() as group:
                 group.create_task(self._pump(connection, there))
                 group.create_task(self._pump(there, connection))
--- a/packages/simulator/src/dykeswitch/simulator/net.py
+++ b/packages/simulator/src/dykeswitch/simulator/net.py
@@ -199,8 +199,10 @@
         self._wires = wires
         self._host = host
 
-    async def dial(self, address: str, wait: float) -> ports.Connection:
+    async def dial(self, address: ports.Address, wait: float) -> ports.Connection:
         """Connect within `wait` seconds, by the delay of the way and its cuts."""
+        # As a real network does, rather than wait for what is nowhere.
+        ports.address_of(address)
         wires, me = self._wires, self._host
         async with asyncio.timeout(wait):
             home = wires.homes.get(address)
--- a/packages/simulator/src/dykeswitch/simulator/world.py
+++ b/packages/simulator/src/dykeswitch/simulator/world.py
@@ -196,10 +196,10 @@
         path.mkdir()
         return path
 
-    def address(self) -> str:
+    def address(self) -> ports.Address:
         """A fresh address."""
         self._ports += 1
-        return f"10.1.{self._ports // 250}.{self._ports % 250 + 1}:7000"
+        return ports.address_of(f"10.1.{self._ports // 250}.{self._ports % 250 + 1}:7000")
 
     def add(self, program: str, name: str, build: Build) -> Node:
         node = Node(self, program, name, build)
--- a/packages/soundness/src/dykeswitch/soundness/connection.py
+++ b/packages/soundness/src/dykeswitch/soundness/connection.py
@@ -242,10 +242,11 @@
 ) -> EndpointConnection:
     """A fresh pipe that has shown nothing yet but that somebody is there."""
     try:
-        raw = await net.dial(address, dial_s)
+        raw = await net.dial(ports.address_of(address), dial_s)
     except ConnectionRefusedError as flaw:
         raise Flaw(soundness.REFUSED, False) from flaw
-    except (OSError, TimeoutError) as flaw:
+    except (OSError, TimeoutError, ports.AddressError) as flaw:
+        # One that says no address is out of reach: that ends this attempt and nothing else.
         raise Flaw(soundness.NO_ROAD, False) from flaw
     return EndpointConnection(endpoint, address, raw, clock.now(), exchange)
 
--- a/packages/standin/src/dykeswitch/standin/light_web.py
+++ b/packages/standin/src/dykeswitch/standin/light_web.py
@@ -43,7 +43,8 @@
             else:
                 held.close()
         if connection is None:
-            connection = connections.EndpointConnection("", address, await self._net.dial(address, wait), 0.0)
+            raw_connection = await self._net.dial(ports.address_of(address), wait)
+            connection = connections.EndpointConnection("", address, raw_connection, 0.0)
         try:
             raw = [(k.encode(), v.encode()) for k, v in ports.made(heads)]
         except TimeoutError:
--- a/tests/test_cut_off.py
+++ b/tests/test_cut_off.py
@@ -12,6 +12,7 @@
 
 import dykeswitch.frames as frames
 import dykeswitch.outcome as outcome
+import dykeswitch.ports as ports
 import dykeswitch.registry.endpoints as endpoints
 import dykeswitch.registry.heartbeats as heartbeats
 import dykeswitch.registry.upkeep as upkeeps
@@ -65,7 +66,7 @@
 async def _confirm(fleet: fleets.SimFleet, core: fleets.Core) -> str:
     """What a proxy is told that asks what a majority holds."""
     ask: frames.Body = {"name": "proxy-9", "cursor": ["", 0]}
-    told = await frames.Caller(fleet.outside.net).ask(core.member, "confirm", ask, 3.0)
+    told = await frames.Caller(fleet.outside.net).ask(ports.address_of(core.member), "confirm", ask, 3.0)
     return told.code.tag if isinstance(told, outcome.Bad) else "good"
 
 
--- a/tests/test_frames.py
+++ b/tests/test_frames.py
@@ -21,7 +21,7 @@
 import dykeswitch.simulator.world as worlds
 
 WAIT_S: typing.Final = 0.5
-ADDRESS: typing.Final = "10.1.0.1:7000"
+ADDRESS: typing.Final = ports.Address("10.1.0.1:7000")
 
 # What a peer does with one call: it has the connection and the body, and writes what it likes.
 Act = collections.abc.Callable[["Peer", ports.Connection, frames.Body], collections.abc.Awaitable[None]]
@@ -315,7 +315,7 @@
         class Network:
             """Dials connections that double."""
 
-            async def dial(self, address: str, wait: float) -> ports.Connection:
+            async def dial(self, address: ports.Address, wait: float) -> ports.Connection:
                 return typing.cast(ports.Connection, Doubling(await net.dial(address, wait)))
 
         caller = frames.Caller(typing.cast(ports.Network, Network()))
--- a/tests/test_garbage.py
+++ b/tests/test_garbage.py
@@ -323,7 +323,7 @@
                         call["disk"] = next((v.disk_id for v in voters), "")
                     if not _can(call):
                         continue
-                    result = await caller.ask(address, str(call["kind"]), call, 3.0)
+                    result = await caller.ask(ports.address_of(address), str(call["kind"]), call, 3.0)
                     if isinstance(result, outcome.Bad):
                         tags.add(result.code.tag)
             await asyncio.sleep(1.0)
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -13,6 +13,7 @@
 import dykeswitch.layout.documents as documents
 import dykeswitch.membership as membership
 import dykeswitch.outcome as outcome
+import dykeswitch.ports as ports
 import dykeswitch.proxy.budget as budgets
 import dykeswitch.proxy.carrier as carriers
 import dykeswitch.proxy.exchange as exchanges
@@ -157,7 +158,7 @@
     async def read(self: publishers.Publisher) -> None:
         return None
 
-    async def caught_up(self: documents.Documents, addresses: typing.Sequence[str]) -> bool:
+    async def caught_up(self: documents.Documents, addresses: typing.Sequence[ports.Address]) -> bool:
         await catch_up(self, addresses)
         return True
 
--- a/tests/test_lending.py
+++ b/tests/test_lending.py
@@ -17,6 +17,7 @@
 
 import dykeswitch.frames as frames
 import dykeswitch.outcome as outcome
+import dykeswitch.ports as ports
 import dykeswitch.proxy.borrower as borrowers
 import dykeswitch.proxy.budget as budgets
 import dykeswitch.register as register
@@ -26,6 +27,7 @@
 import dykeswitch.simulator.loop as loops
 import dykeswitch.simulator.world as worlds
 import dykeswitch.timeline as timeline
+import dykeswitch.timeline.slots as slots
 
 FLOOR: typing.Final = 20
 # What is lent of it; nothing here is on the wire as a window begins.
@@ -144,8 +146,8 @@
         self._over.set()
 
 
-def _cores(line: timeline.Timeline) -> dict[str, str]:
-    return {e.key: str(e.fields["spot"]) for e in line.all(timeline.CORE)}
+def _cores(line: timeline.Timeline) -> dict[str, ports.Address]:
+    return {e.key: ports.address_of(e.fields["spot"]) for e in line.all(timeline.CORE)}
 
 
 class Town:
@@ -573,3 +575,49 @@
 def test_an_ask_that_is_none_is_refused(raw: object) -> None:
     with pytest.raises(ValueError):
         lenders.read_ask(raw)
+
+
+def test_a_lender_that_is_forgotten_before_it_is_asked_ends_nothing(tmp_path: pathlib.Path) -> None:
+    """A freeze between choosing a lender and calling it: nobody is known to live when it is over."""
+
+    async def main() -> None:
+        world = worlds.World(3, tmp_path)
+        machine = world.machine_for("proxy0")
+        address = world.address()
+        asked: list[frames.Body] = []
+
+        async def borrow(body: frames.Body) -> frames.Result:
+            asked.append(body)
+            return outcome.bad("no_majority")
+
+        ear = frames.Ear({"borrow": borrow}, lambda event, what: None)
+        await world.machine_for("core0").net.listen(address, ear.serve)
+        line = timeline.Timeline("proxy0", machine.clock, BOUNDS.forget_s)
+        for part in range(slots.PARTS):
+            key = str(slots.lend_slot(SERVICE, part))
+            line.write(timeline.FENCE, key, {"owner": "core0/1", "fence": 1}, 60.0)
+        known = [{"core0": address}]
+        budget: dict[str, budgets.Budget] = {}
+        borrower = borrowers.Borrower(
+            "proxy0",
+            "1",
+            BOUNDS,
+            line,
+            frames.Caller(machine.net),
+            lambda: known.pop() if known else {},
+            lambda: budget,
+        )
+        budget[SERVICE] = budgets.Budget(BOUNDS, borrower.since)
+        budget[SERVICE].request()
+        running = asyncio.create_task(borrower.run())
+        await asyncio.sleep(2.0)
+        assert not running.done()
+        assert asked
+        running.cancel()
+
+    loops.run(main())
+
+
+@pytest.mark.parametrize("span", [10**400, -1, True, "3", None, float("nan")])
+def test_an_odd_span_of_a_loan_is_none(span: object) -> None:
+    assert borrowers._span({"span": span}, 7.5) == (7.5 if span == 10**400 else 0.0)
--- a/tests/test_register.py
+++ b/tests/test_register.py
@@ -9,6 +9,7 @@
 
 import dykeswitch.frames as frames
 import dykeswitch.outcome as outcome
+import dykeswitch.ports as ports
 import dykeswitch.register as register
 import dykeswitch.register.messages as messages
 import dykeswitch.register.proposer as proposers
@@ -350,7 +351,7 @@
         self._ask = proposer.quorum._caller.ask
         proposer.quorum._caller.ask = self.ask  # type: ignore[method-assign]
 
-    async def ask(self, address: str, kind: str, body: frames.Body, wait: float) -> frames.Result:
+    async def ask(self, address: ports.Address, kind: str, body: frames.Body, wait: float) -> frames.Result:
         if kind == "accept":
             self.asked.append((register.ballot_of(body["ballot"]), register.value_of(body["value"]).body))
         result = await self._ask(address, kind, body, wait)
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -142,9 +142,9 @@
         net = _Net(frames.Ear({"echo": echo}, lambda event, what: None, there))
         caller = frames.Caller(net, here)
         for text in ("a", "b" * 1000):
-            await caller.ask("x", "echo", {"text": text}, 5.0)
+            await caller.ask(ports.Address("x"), "echo", {"text": text}, 5.0)
         # A kind that nobody serves is told under one name: it is the sender's word.
-        await caller.ask("x", "nonsense", {}, 5.0)
+        await caller.ask(ports.Address("x"), "nonsense", {}, 5.0)
         await asyncio.sleep(0)
         asked = {k.removeprefix("frames_asked_"): v for k, v in here.counts.items()}
         heard = {k.removeprefix("frames_heard_"): v for k, v in there.counts.items()}
--- a/tests/test_standin.py
+++ b/tests/test_standin.py
@@ -22,7 +22,7 @@
 import dykeswitch.standin.nature as natures
 import dykeswitch.standin.shape as shapes
 
-ADDRESS: typing.Final = "10.0.0.9:80"
+ADDRESS: typing.Final = ports.Address("10.0.0.9:80")
 WORK_S: typing.Final = 0.1
 # Every piece of work takes just as long.
 EVEN: typing.Final = natures.Nature(spread=1e-9)
@@ -631,7 +631,7 @@
         ear = await net.listen("127.0.0.1:0", serve)
         assert isinstance(ear, real.RealListener) and ear.server is not None
         port = ear.server.sockets[0].getsockname()[1]
-        connection = await net.dial(f"127.0.0.1:{port}", 5.0)
+        connection = await net.dial(ports.address_of(f"127.0.0.1:{port}"), 5.0)
         await connection.write(b"x")
         with pytest.raises(ConnectionResetError):
             await connection.read(10)
