Configurations that are not whole are refused; a split without weights is no missing route

Cause: the platform's adapter left out what is null, and the product's defaults took its place: a route without a prefix took every request of its host. Missing limits and odd spellings of the number passed too. A rule of which no part has a weight was answered 404 though the route is there.

After: refused, 503 with a time to come back.

--- a/packages/proxy/src/dykeswitch/proxy/matching.py
+++ b/packages/proxy/src/dykeswitch/proxy/matching.py
@@ -25,7 +25,9 @@
     if x.service not in rule.services():
         x.service = rule.draw(rng)
     if not x.service:
-        return "no_rule"
+        # The route is there, but all parts of its split weigh nothing.
+        x.retry_after = bounds.back_s
+        return "no_endpoint"
     limits = layouts.limits(layout, rule, x.service)
     x.layout = layout
     x.rule = rule
--- a/packages/registry/src/dykeswitch/registry/orders.py
+++ b/packages/registry/src/dykeswitch/registry/orders.py
@@ -18,6 +18,8 @@
         self._parts = parts
         self._standing = stand
         self._ops = 0
+        # The layout that the register held last, and its number: each try asks for it again.
+        self._numbered: tuple[bytes, int | None] = (b"", None)
 
     async def newest(self) -> outcome.Good[register.Value] | outcome.Bad:
         """The newest layout, as it was sent, from a majority."""
@@ -66,6 +68,11 @@
 
     def _number(self, body: bytes) -> int | None:
         """The operator's number of a layout that the register holds."""
+        if self._numbered[0] != body:
+            self._numbered = (body, self._read_number(body))
+        return self._numbered[1]
+
+    def _read_number(self, body: bytes) -> int | None:
         raw = self._parts.adapter.layout(body) if body else outcome.bad("no_such")
         if isinstance(raw, outcome.Bad) or not isinstance(raw.value, dict):
             return None
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -107,12 +107,30 @@
         rows[0][1] = ""
     elif kind == "host left out":
         rows[0][1] = None
+    elif kind == "prefix left out":
+        rows[0][2] = None
+    elif kind == "empty prefix":
+        rows[0][2] = ""
+    elif kind == "number with a sign":
+        doc["revision"] = "-000001f"
+    elif kind == "number with a base":
+        doc["revision"] = "0x00001f"
+    elif kind == "number with a gap":
+        doc["revision"] = "0000_01f"
+    elif kind == "short number":
+        doc["revision"] = "1f"
+    elif kind == "number that is none":
+        doc["revision"] = 31
     elif kind == "odd kind":
         rows[0][3] = "sometimes"
     elif kind == "short record":
         rows[0].pop()
     elif kind == "no services":
         doc.pop("services")
+    elif kind == "no limits":
+        doc.pop("limits")
+    elif kind == "limits that are none":
+        doc["limits"] = []
     elif kind == "no number":
         doc.pop("revision")
     elif kind == "service without a name":
@@ -129,6 +147,15 @@
         "bare prefix",
         "no host",
         "host left out",
+        "no limits",
+        "limits that are none",
+        "prefix left out",
+        "empty prefix",
+        "number with a sign",
+        "number with a base",
+        "number with a gap",
+        "short number",
+        "number that is none",
         "odd kind",
         "short record",
         "no services",
