--- /dev/null
+++ b/packages/simulator/src/dykeswitch/simulator/history/__init__.py
@@ -0,0 +1,68 @@
+"""The checker: judges a recorded history by each point of the brief.
+
+What was recorded is in `record`; the checks are parted by what they judge, requests,
+configurations and service as a whole.
+"""
+
+import hashlib
+import typing
+
+from dykeswitch.simulator.history import configuration, requests, service
+from dykeswitch.simulator.history.record import GRACE_S, RECOVER_S, Check, History, Span
+from dykeswitch.simulator.history.service import back_after, back_by_fault, excuses, floor_used
+
+__all__ = [
+    "CHECKS",
+    "GRACE_S",
+    "RECOVER_S",
+    "Check",
+    "History",
+    "Span",
+    "back_after",
+    "back_by_fault",
+    "digest",
+    "excuses",
+    "floor_used",
+    "judge",
+]
+
+CHECKS: typing.Final[dict[str, Check]] = {
+    "run_twice": requests.run_twice,
+    "told_not_done": requests.told_not_done,
+    "refused_ran": requests.refused_ran,
+    "whole_replies": requests.whole_replies,
+    "own_replies": requests.own_replies,
+    "asked_for": requests.asked_for,
+    "right_owner": requests.right_owner,
+    "not_after_leaving": requests.not_after_leaving,
+    "not_while_paused": requests.not_while_paused,
+    "layout_in_time": configuration.layout_in_time,
+    "layout_never_back": configuration.layout_never_back,
+    "layout_by_traffic": configuration.layout_by_traffic,
+    "layout_order_by_traffic": configuration.layout_order_by_traffic,
+    "register_holds": configuration.register_holds,
+    "one_body_per_version": configuration.one_body_per_version,
+    "never_refused_again": configuration.never_refused_again,
+    "read_back": configuration.read_back,
+    "broken_refused": configuration.broken_refused,
+    "refused_rightly": configuration.refused_rightly,
+    "extra_bound": service.extra_bound,
+    "not_dropped": service.not_dropped,
+    "not_turned_away": service.not_turned_away,
+    "broken_explained": service.broken_explained,
+    "excuses_bounded": service.excuses_bounded,
+    "recovered": service.recovered,
+    "in_time": service.in_time,
+    "no_crash": service.no_crash,
+    "nothing_leaked": service.nothing_leaked,
+}
+
+
+def digest(story: History) -> str:
+    """A digest of all that was recorded, to the last bit of every moment."""
+    return hashlib.sha256(repr(story).encode()).hexdigest()
+
+
+def judge(story: History) -> dict[str, list[str]]:
+    """Every breach, by the point it breaks."""
+    return {name: found for name, check in CHECKS.items() if (found := check(story))}
--- /dev/null
+++ b/packages/simulator/src/dykeswitch/simulator/history/requests.py
@@ -0,0 +1,110 @@
+"""Checks of requests: who ran them, how often, and whose reply came back."""
+
+import typing
+
+import dykeswitch.simulator.history.record as record
+import dykeswitch.standin.caller as callers
+
+# For how many seconds after its end was acknowledged an endpoint may still get requests.
+LEAVE_S: typing.Final = 2.0
+
+
+def begun(story: record.History, name: str) -> int:
+    """How many times work on a request began."""
+    return max(len(story.runs.get(name, ())), len(story.starts.get(name, ())))
+
+
+def run_twice(story: record.History) -> list[str]:
+    """A writing request runs at most once, also where its endpoint ended amid it."""
+    return [
+        f"{a.name} ran {begun(story, a.name)} times"
+        for a in story.asks
+        if a.writing and begun(story, a.name) > 1
+    ]
+
+
+def told_not_done(story: record.History) -> list[str]:
+    """Who is told to try again, by us or by an endpoint's own words, has not run and never will.
+
+    A reading request that an endpoint failed on may have run before it was told; not after.
+    """
+    return [
+        f"{a.name} was told to try again at {a.ended:.3f} and ran at {run.at:.3f}"
+        for a in story.asks
+        if a.status >= 400 and a.retry_after
+        for run in story.runs.get(a.name, ())
+        if a.writing or a.result or run.at > a.ended
+    ]
+
+
+def refused_ran(story: record.History) -> list[str]:
+    """A write that was refused has not run: by our code, an endpoint's promise, or its status.
+
+    A status is a promise only to callers that take it for one, and ask anew by it.
+    """
+    found = []
+    for ask in story.asks:
+        if not ask.writing or not begun(story, ask.name):
+            continue
+        by_status = ask.trusts and ask.status in callers.PROMISES
+        if ask.result in record.AWAY or ask.promised or by_status:
+            found.append(f"{ask.name} was refused with {ask.status} {ask.result} and ran")
+    return found
+
+
+def whole_replies(story: record.History) -> list[str]:
+    """No one else's answer, and none that is cut yet looks complete."""
+    return [f"{a.name}: {a.wrong}" for a in [*story.asks, *story.roves.values()] if a.wrong]
+
+
+def own_replies(story: record.History) -> list[str]:
+    """No answer belongs to another exchange, whatever its status."""
+    return [f"{a.name}: {a.others}" for a in [*story.asks, *story.roves.values()] if a.others]
+
+
+def asked_for(story: record.History) -> list[str]:
+    """Endpoints run what callers asked for, under the ids they gave, and nothing else."""
+    asks = {a.name: a for a in story.asks} | story.roves
+    found = [
+        f"'{name}' reached {endpoint} at {at:.3f}, and nobody asked it"
+        for at, name, endpoint in story.hits
+        if name not in asks
+    ]
+    for book in (story.starts, story.runs):
+        for name, runs in book.items():
+            ask = asks.get(name)
+            for run in runs:
+                if ask is None:
+                    found.append(f"{run.endpoint} ran '{name}' at {run.at:.3f}, and nobody asked it")
+                elif run.said and ask.said and run.said != ask.said:
+                    found.append(f"{run.endpoint} ran '{run.said}' where '{ask.said}' was asked")
+    return found
+
+
+def right_owner(story: record.History) -> list[str]:
+    """No request reaches a service that no layout sent it to."""
+    service = {a.name: a.service for a in story.asks}
+    return [
+        f"{ask} reached {name} of {story.owners.get(name)} at {at:.3f}"
+        for at, ask, name in story.hits
+        if ask in service and story.owners.get(name) != service[ask]
+    ]
+
+
+def not_after_leaving(story: record.History) -> list[str]:
+    """No request reaches an endpoint over 2 s after we learned that it leaves."""
+    return [
+        f"{ask} reached {name} {at - story.left[name]:.2f} s after it left"
+        for at, ask, name in story.hits
+        if name in story.left and at - story.left[name] > LEAVE_S
+    ]
+
+
+def not_while_paused(story: record.History) -> list[str]:
+    """No request reaches an endpoint over 2 s into its planned pause."""
+    return [
+        f"{ask} reached {name} at {at:.2f}, planned away from {p.begun:.2f} to {p.ended:.2f}"
+        for p in story.paused
+        for at, ask, name in story.hits
+        if name == p.name and p.begun + LEAVE_S < at < p.ended
+    ]
--- a/tests/test_style.py
+++ b/tests/test_style.py
@@ -20,7 +20,6 @@
         "proxy/program.py",
         "simulator/faults/cores.py",
         "simulator/fleet.py",
-        "simulator/history.py",
     }
 )
 LONG_FUNCTIONS: typing.Final = frozenset(
