--- a/packages/cli/src/dykeswitch/cli/fuzz/cases.py
+++ b/packages/cli/src/dykeswitch/cli/fuzz/cases.py
@@ -3,6 +3,7 @@
 import math
 import typing
 
+import cbor2
 import hypothesis.strategies as strategies
 
 Fields = dict[str, typing.Any]
@@ -45,6 +46,15 @@
 )
 
 
+def can_be_framed(body: object) -> bool:
+    """Whether a body can be sent at all: some of what is drawn has no encoding."""
+    try:
+        cbor2.dumps(body)
+    except (ValueError, cbor2.CBOREncodeError, UnicodeEncodeError):
+        return False
+    return True
+
+
 def spoilt(good: Fields) -> FieldsStrategy:
     """A body that is good but for a field or two, or lacks one."""
     names = strategies.sampled_from([*good, "other"])
--- a/packages/cli/src/dykeswitch/cli/fuzz/registry.py
+++ b/packages/cli/src/dykeswitch/cli/fuzz/registry.py
@@ -4,7 +4,6 @@
 import tempfile
 import typing
 
-import cbor2
 import hypothesis.strategies as strategies
 
 import dykeswitch.cli.fuzz.cases as cases
@@ -47,21 +46,13 @@
 )
 
 
-def _can(body: object) -> bool:
-    try:
-        cbor2.dumps(body)
-    except (ValueError, cbor2.CBOREncodeError, UnicodeEncodeError):
-        return False
-    return True
-
-
 def _check(bodies: list[cases.Fields]) -> None:
     async def main(scratch: pathlib.Path) -> None:
         fleet = await fleets.started(scratch)
         version = fleet.puts[-1].version
         caller = frames.Caller(fleet.outside.net)
         for body in bodies:
-            if not isinstance(body.get("kind"), str) or not _can(body):
+            if not isinstance(body.get("kind"), str) or not cases.can_be_framed(body):
                 continue
             for address in fleet.member_addresses[:1]:
                 await caller.ask(address, body["kind"], body, CALL_S)
--- a/packages/cli/src/dykeswitch/cli/fuzz/replies.py
+++ b/packages/cli/src/dykeswitch/cli/fuzz/replies.py
@@ -5,7 +5,6 @@
 import tempfile
 import typing
 
-import cbor2
 import hypothesis.strategies as strategies
 
 import dykeswitch.cli.fuzz.cases as cases
@@ -36,14 +35,6 @@
 FROZEN_S: typing.Final = 2.5
 
 
-def _can(body: object) -> bool:
-    try:
-        cbor2.dumps(body)
-    except (ValueError, cbor2.CBOREncodeError, UnicodeEncodeError):
-        return False
-    return True
-
-
 class _OddRegistry:
     """Takes the place of a registry's listener and gives odd replies to some kinds of calls."""
 
@@ -79,7 +70,7 @@
         version = fleet.puts[-1].version
         odd = _OddRegistry(fleet)
         for number, (kind, body) in enumerate(replies):
-            if not _can(body):
+            if not cases.can_be_framed(body):
                 continue
             odd.answer(kind, body)
             await asyncio.sleep(ODD_S)
--- a/packages/simulator/src/dykeswitch/simulator/registerbench.py
+++ b/packages/simulator/src/dykeswitch/simulator/registerbench.py
@@ -7,6 +7,7 @@
 
 import dykeswitch.frames as frames
 import dykeswitch.outcome as outcome
+import dykeswitch.ports as ports
 import dykeswitch.register as register
 import dykeswitch.register.proposer as proposers
 import dykeswitch.register.voter as voters
@@ -67,12 +68,11 @@
         self.members = members
         return members
 
-    def proposer(self, name: str) -> proposers.Proposer:
-        """A proposer that knows the member set."""
-        caller = frames.Caller(self.outside.net)
-        made = proposers.Proposer(
-            name, caller, self.outside.clock, self.outside.points, 0.5, random.Random(name)
-        )
+    def proposer(self, name: str, machine: ports.Machine | None = None) -> proposers.Proposer:
+        """A proposer that knows the member set, on a machine of its own if one is given."""
+        here = machine or self.outside
+        caller = frames.Caller(here.net)
+        made = proposers.Proposer(name, caller, here.clock, here.points, 0.5, random.Random(name))
         made.quorum.adopt(self.members)
         return made
 
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -2,19 +2,16 @@
 
 import asyncio
 import pathlib
-import random
 import typing
 
-import dykeswitch.frames as frames
 import dykeswitch.outcome as outcome
 import dykeswitch.register as register
 import dykeswitch.register.proposer as proposers
-import dykeswitch.register.voter as voters
 import dykeswitch.registry.order_memory as order_memory
 import dykeswitch.registry.order_rules as order_rules
-import dykeswitch.simulator.disk as disks
 import dykeswitch.simulator.fleet as fleets
 import dykeswitch.simulator.loop as loops
+import dykeswitch.simulator.registerbench as benches
 import dykeswitch.simulator.world as worlds
 import dykeswitch.standin.shape as shapes
 
@@ -22,59 +19,9 @@
 SMALL: typing.Final = shapes.Shape("small", 2, 3, ("z1", "z2"), (PAGES,))
 
 
-class _Store:
-    """A store with nothing round it: just the voter and its listener."""
-
-    def __init__(self, address: str, disk: disks.SimDisk, machine: typing.Any, rng: random.Random) -> None:
-        self.voter = voters.Voter(disk, machine.points, rng)
-        self._address = address
-        self._machine = machine
-
-    async def run(self) -> None:
-        await self.voter.open()
-        ear = frames.Ear(self.voter.kinds(), lambda event, what: None)
-        await self._machine.net.listen(self._address, ear.serve)
-        await asyncio.Event().wait()
-
-    def stop(self) -> None:
-        return None
-
-
-class _Stores:
-    """Three stores that vote, and proposers on machines of their own."""
-
-    def __init__(self, scratch: pathlib.Path) -> None:
-        self.world = worlds.World(3, scratch)
-        self.addresses = [self.world.address() for _ in range(3)]
-        self.nodes = [self._node(f"store{n}", address) for n, address in enumerate(self.addresses)]
-        self._members = register.NOBODY
-
-    def _node(self, name: str, address: str) -> worlds.Node:
-        def build(machine: typing.Any, log: typing.Any, rng: random.Random) -> _Store:
-            assert node.disk is not None
-            return _Store(address, node.disk, machine, rng)
-
-        node = self.world.add("store", name, build)
-        node.disk = disks.SimDisk(self.world.folder(), self.world.rng)
-        return node
-
-    async def start(self) -> None:
-        for node in self.nodes:
-            node.start()
-        await asyncio.sleep(0.1)
-        pairs = [(n.daemon.voter.disk_id, s) for n, s in zip(self.nodes, self.addresses)]
-        self._members = register.MemberSet(1, (tuple(sorted(pairs)),))
-        caller = frames.Caller(self.world.machine_for("founder").net)
-        for disk, address in pairs:
-            await caller.ask(address, "install", {"disk": disk, "set": self._members.wire()}, 1.0)
-
-    def proposer(self, name: str) -> proposers.Proposer:
-        machine = self.world.machine_for(name)
-        made = proposers.Proposer(
-            name, frames.Caller(machine.net), machine.clock, machine.points, 0.5, random.Random(name)
-        )
-        made.quorum.adopt(self._members)
-        return made
+def _proposer(stores: benches.RegisterBench, name: str) -> proposers.Proposer:
+    """A proposer on a machine of its own, so that it can be cut off by itself."""
+    return stores.proposer(name, stores.world.machine_for(name))
 
 
 def _order(operation: str, body: bytes, **more: int | None) -> order_rules.Order:
@@ -89,13 +36,13 @@
     """What one store alone had accepted made a refusal; then the same order was taken elsewhere."""
 
     async def main() -> None:
-        stores = _Stores(tmp_path)
+        stores = benches.RegisterBench(3, tmp_path)
         await stores.start()
         wires = stores.world.wires
-        first = await stores.proposer("a").change("k", _step(_order("a/1", b"one")))
+        first = await _proposer(stores, "a").change("k", _step(_order("a/1", b"one")))
         assert isinstance(first, outcome.Good)
         # A second order reaches one store with its accept, and is never heard of again.
-        lone = stores.proposer("b")
+        lone = _proposer(stores, "b")
         points = typing.cast(worlds.SimPoints, lone._points)
         points.armed[proposers.POINT_BEFORE_ACCEPT] = lambda: wires.cut(["b"], ["store1", "store2"])
         task = asyncio.create_task(lone.change("k", _step(_order("b/1", b"two", match=1))))
@@ -103,11 +50,11 @@
         task.cancel()
         # The third meets that copy: the store that holds it is one of the two that answer.
         wires.cut(["c"], ["store2"])
-        told = await stores.proposer("c").change("k", _step(_order("c/1", b"three", match=1)))
+        told = await _proposer(stores, "c").change("k", _step(_order("c/1", b"three", match=1)))
         assert isinstance(told, outcome.Bad) and told.code.tag == "lost_race"
         # It was sent to another registry as well, which does not reach that store.
         stores.nodes[0].lose_power()
-        again = await stores.proposer("d").change("k", _step(_order("d/1", b"three", match=1)))
+        again = await _proposer(stores, "d").change("k", _step(_order("d/1", b"three", match=1)))
         assert isinstance(again, outcome.Bad), "refused by one registry and in force by another"
 
     loops.run(main())
