Sight: departures of callers are told by the web server, counted and logged

Cause of the change: a proxy had neither a log line nor a count of a caller that left, so that the hypotheses could not be told apart. No decision of the proxy is changed: a departure is only counted, by how far its request had come, and an attempt that begins for a caller that left is counted. The web server is a module of its own (ports/web_server.py). Ruled out: a task for each request that waits on receive(), which costs a task a request.

--- a/packages/ports/src/dykeswitch/ports/real.py
+++ b/packages/ports/src/dykeswitch/ports/real.py
@@ -1,7 +1,6 @@
 """The adapters for real machines."""
 
 import asyncio
-import collections.abc
 import contextlib
 import os
 import pathlib
@@ -16,7 +15,6 @@
 
 if typing.TYPE_CHECKING:
     import httpx
-    import uvicorn
 
 T = typing.TypeVar("T")
 
@@ -171,22 +169,6 @@
         return await self._threads.run(work)
 
 
-class RealWebServer:
-    """One application served by uvicorn in this process."""
-
-    def __init__(self, server: "uvicorn.Server", task: "asyncio.Task[None]") -> None:
-        self._server = server
-        self._task = task
-
-    async def stop(self, grace: float) -> None:
-        """Stop serving, with `grace` seconds for the calls that are running."""
-        self._server.config.timeout_graceful_shutdown = max(1, int(grace))
-        self._server.should_exit = True
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(grace + 1):
-                await asyncio.wait([self._task])
-
-
 class RealWeb:
     """Uvicorn inward, httpx outward."""
 
@@ -197,49 +179,10 @@
     async def serve(self, address: str, app: ports.App) -> ports.WebServer:
         """Serve an application with uvicorn."""
         # Brought in where it is needed: a store serves no web, and starting is part of recovery.
-        import uvicorn
-
-        class Server(uvicorn.Server):
-            """Uvicorn without its own signal handlers: the program has its own."""
-
-            @contextlib.contextmanager
-            def capture_signals(self) -> collections.abc.Generator[None, None, None]:
-                yield
+        import dykeswitch.ports.web_server as web_server
 
         host, port = split_address(address)
-        # Bind first, so that a taken port is told as one plain line.
-        # The protocol is named: asyncio turns Nagle's delay off only where it is, and a
-        # reply's head and body are two writes.
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        try:
-            sock.bind((host, port))
-        except OSError:
-            sock.close()
-            raise
-        config = uvicorn.Config(
-            typing.cast(typing.Any, app),
-            http="h11",
-            interface="asgi3",
-            ws="none",
-            lifespan="off",
-            log_config=None,
-            access_log=False,
-            server_header=False,
-            date_header=False,
-            proxy_headers=False,
-            h11_max_incomplete_event_size=self._head_most,
-            timeout_keep_alive=60,
-            backlog=1024,
-        )
-        server = Server(config)
-        task = asyncio.create_task(server.serve(sockets=[sock]))
-        while not server.started:
-            if task.done():
-                await task
-                raise OSError(f"cannot serve on {address}")
-            await asyncio.sleep(0.005)
-        return RealWebServer(server, task)
+        return await web_server.serve(host, port, app, self._head_most)
 
     async def ask(
         self,
--- a/packages/proxy/src/dykeswitch/proxy/carrier.py
+++ b/packages/proxy/src/dykeswitch/proxy/carrier.py
@@ -106,8 +106,16 @@
                 status=x.status,
                 result=x.bad.code.number if x.bad else 0,
                 span_ms=round((self._clock.now() - x.born) * 1000, 1),
+                left_ms=round((x.left_at - x.born) * 1000, 1) if x.left_at is not None else None,
             )
 
+    def caller_left(self, x: exchanges.Exchange) -> None:
+        """Note that an exchange's caller has left, and how far the exchange had come."""
+        x.left_at = self._clock.now()
+        where = "amid_answer" if x.replied else "at_work" if x.under_way() else "before_sending"
+        self.count(f"callers_left_{where}")
+        self._step(x, "its caller left", where.replace("_", " "))
+
     def trail(self, name: str) -> list[exchanges.Step] | None:
         """What was done for an exchange that is over or at work."""
         return self._trails.get(name)
@@ -191,7 +199,7 @@
         x.ahead = self.selector.ahead(entry)
         self.selector.begun(entry.key)
         try:
-            x.connection = await self._connect(x, entry)
+            x.take(await self._connect(x, entry))
         except connections.Flaw as flaw:
             # Nothing was sent: this is no go, and another endpoint may be selected.
             self.selector.ended(entry.key)
@@ -252,8 +260,9 @@
         assert x.connection is not None and x.endpoint is not None
         entry, connection = x.endpoint, x.connection
         x.head, x.buffer, x.rest, x.flaw, x.sent = None, b"", None, "", False
+        if x.left_at is not None:
+            self.count("attempts_for_nobody")
         begun = self._clock.now()
-        mark = connection.wrote()
 
         def gate() -> bool:
             # The last look before the first byte: frozen, expired, or gone since?
@@ -287,7 +296,7 @@
         finally:
             # Also when we are cut short: whether it may have run must be known.
             x.took = self._clock.now() - begun
-            x.sent = connection.wrote_since(mark)
+            x.sent = x.under_way()
             if x.sent:
                 x.goes += 1
         return Stage.JUDGE
--- a/packages/proxy/src/dykeswitch/proxy/exchange.py
+++ b/packages/proxy/src/dykeswitch/proxy/exchange.py
@@ -78,6 +78,19 @@
     trail: list[Step] = dataclasses.field(default_factory=list)
     # Whether the reply's head is on its way to the caller.
     replied: bool = False
+    # When its caller left, by our clock, if that came before the answer's end.
+    left_at: float | None = None
+    # How many bytes its connection had carried before this attempt.
+    written_before: int = 0
+
+    def take(self, connection: connections.EndpointConnection) -> None:
+        """Take a connection for one attempt."""
+        self.connection = connection
+        self.written_before = connection.wrote()
+
+    def under_way(self) -> bool:
+        """Whether an attempt has been sent, in part at least, and has its connection still."""
+        return self.connection is not None and self.connection.wrote_since(self.written_before)
 
     def note(self, now: float, what: str, why: str = "") -> None:
         """One step on the trail, while there is room."""
--- a/packages/proxy/src/dykeswitch/proxy/program.py
+++ b/packages/proxy/src/dykeswitch/proxy/program.py
@@ -14,6 +14,7 @@
 import dykeswitch.membership as membership
 import dykeswitch.outcome as outcome
 import dykeswitch.ports as ports
+import dykeswitch.ports.departure as departures
 import dykeswitch.proxy.borrower as borrowers
 import dykeswitch.proxy.carrier as carrier
 import dykeswitch.proxy.exchange as exchanges
@@ -288,6 +289,7 @@
             await self.carrier.refuse(x, outcome.bad("too_busy"))
             return
         self.carrier.table[x.name] = x
+        departure = departures.departure_of(scope)
         try:
             async with x.timer:
                 self._hurry(x)
@@ -295,12 +297,14 @@
                 if bad is not None:
                     await self.carrier.refuse(x, bad)
                     return
+                departure.watch(lambda: self.carrier.caller_left(x))
                 await self.carrier.carry(x)
         except TimeoutError:
             if not x.timer.expired():
                 raise
             await self.carrier.cut_short(x)
         finally:
+            departure.unwatch()
             del self.carrier.table[x.name]
 
     def _hurry(self, x: exchanges.Exchange) -> None:
--- a/packages/simulator/src/dykeswitch/simulator/net.py
+++ b/packages/simulator/src/dykeswitch/simulator/net.py
@@ -27,6 +27,8 @@
         # The machine that an address belongs to, whether or not anyone listens.
         self.homes: dict[str, loops.Host] = {}
         self.connections: dict[SimConnection, None] = {}
+        # Callers' departures that are still on their way.
+        self.departing: dict[asyncio.Task[None], None] = {}
         self.off: set[str] = set()
         # Where machines stand, how much longer it takes between two zones, and the bytes
         # that went from one machine to another in another zone.
--- a/packages/simulator/src/dykeswitch/simulator/web.py
+++ b/packages/simulator/src/dykeswitch/simulator/web.py
@@ -5,6 +5,7 @@
 import typing
 
 import dykeswitch.ports as ports
+import dykeswitch.ports.departure as departures
 import dykeswitch.simulator.loop as loops
 import dykeswitch.simulator.net as nets
 
@@ -80,13 +81,32 @@
         task = wires.loop.create_task(call.run(app), context=context)
         flights[task] = None
         task.add_done_callback(lambda t: flights.pop(t, None), context=loops.EMPTY)
-        await asyncio.wait([task])
+        try:
+            await asyncio.wait([task])
+        except asyncio.CancelledError:
+            self._tell_departure(call, task, host)
+            raise
         wires.sent(host.name, me, len(call.body))
         await self._way(host.name, me)
         if task.cancelled() or task.exception() is not None or not call.whole:
             raise ConnectionResetError("broken off")
         return ports.Reply(call.status, call.heads, bytes(call.body))
 
+    def _tell_departure(self, call: "_AppCall", task: "asyncio.Task[None]", host: loops.Host) -> None:
+        """The caller closed its connection: the application hears so once the way lets it through."""
+        wires, me = self._wires, self._host.name
+
+        async def tell() -> None:
+            await self._way(me, host.name)
+            if not task.done() and not host.dead:
+                call.leave()
+
+        context = contextvars.Context()
+        context.run(loops.HOST.set, host)
+        telling = wires.loop.create_task(tell(), context=context)
+        wires.departing[telling] = None
+        telling.add_done_callback(lambda t: wires.departing.pop(t, None), context=loops.EMPTY)
+
 
 class _AppCall:
     """One call into an application."""
@@ -96,6 +116,8 @@
         self.heads: list[tuple[str, str]] = []
         self.body = bytearray()
         self.whole = False
+        self.departure = departures.Departure()
+        self._left = asyncio.Event()
         self._ask = body
         self._asked = False
         target, _, query = path.partition("?")
@@ -118,7 +140,7 @@
             "headers": raw,
             "client": ("10.0.0.1", 1),
             "server": ("10.0.0.2", 80),
-            "state": {},
+            "state": {departures.STATE_KEY: self.departure},
         }
 
     async def run(self, app: ports.App) -> None:
@@ -129,9 +151,14 @@
         if not self._asked:
             self._asked = True
             return {"type": "http.request", "body": self._ask, "more_body": False}
-        await asyncio.Event().wait()
+        await self._left.wait()
         return {"type": "http.disconnect"}
 
+    def leave(self) -> None:
+        """The caller has closed its connection, and the application may know."""
+        self._left.set()
+        self.departure.announce()
+
     async def _send(self, message: ports.Message) -> None:
         if message["type"] == "http.response.start":
             self.status = int(message["status"])
--- a/packages/standin/src/dykeswitch/standin/caller.py
+++ b/packages/standin/src/dykeswitch/standin/caller.py
@@ -4,6 +4,7 @@
 import collections
 import dataclasses
 import json
+import math
 import random
 import typing
 
@@ -51,6 +52,9 @@
     waits: bool = True
     # How unevenly proxies are come to: the spread of their shares, none if 0.
     uneven: float = 0.0
+    # The part of requests whose callers leave before they are answered, and within how many seconds.
+    leave_share: float = 0.0
+    leave_within_s: float = 0.0
 
 
 class Callers:
@@ -237,9 +241,13 @@
         ask.address = address
         ask.said = words(method, path, body)
         wait = (ask.expiry_s or self._expiry_s) + 1
+        stays_s = self._stays_s()
         try:
-            reply = await self._web.ask(method, address, path, heads, body, wait)
+            reply = await self._web.ask(method, address, path, heads, body, min(wait, stays_s))
         except (OSError, TimeoutError) as flaw:
+            if isinstance(flaw, TimeoutError) and stays_s < wait:
+                ask.left_at = self._clock.now()
+                return None
             ask.flaw = f"{type(flaw).__name__}: {flaw}"[:120]
             return None
         finally:
@@ -254,6 +262,14 @@
         ask.wrong = replies.seal_flaw(reply)
         return reply
 
+    def _stays_s(self) -> float:
+        """For how many seconds a caller waits before it leaves, whatever it is owed."""
+        manners = self.manners
+        # Callers who all stay draw no lots: days without any that leave are as they were.
+        if not manners.leave_share or self._rng.random() >= manners.leave_share:
+            return math.inf
+        return self._rng.uniform(0.0, manners.leave_within_s)
+
     async def rove(self, address: str = "") -> Ask:
         """One request that each layout sends elsewhere."""
         self._count += 1
--- a/packages/standin/src/dykeswitch/standin/record.py
+++ b/packages/standin/src/dykeswitch/standin/record.py
@@ -41,6 +41,8 @@
     promised: bool = False
     # Whom the answer says it is for, if not this one.
     others: str = ""
+    # When its caller left without waiting for the answer, if it did.
+    left_at: float | None = None
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/standin/src/dykeswitch/standin/replies.py
+++ b/packages/standin/src/dykeswitch/standin/replies.py
@@ -14,6 +14,8 @@
 
 def worth_another_try(ask: Ask) -> bool:
     """Whether a caller asks anew: a write only where it has a promise that the first did not run."""
+    if ask.left_at is not None:
+        return False
     if ask.status in FINAL or (200 <= ask.status < 300 and not ask.wrong):
         return False
     if not ask.writing:
--- /dev/null
+++ b/tests/test_departures.py
@@ -0,0 +1,205 @@
+"""Callers that leave before they are answered: nothing goes on for them that need not.
+
+Proxies here are real ones on loopback sockets, before endpoints that follow a script; no
+registry is needed, and a fleet of whole programs is played in `test_days.py`.
+"""
+
+import asyncio
+import contextlib
+import random
+import socket
+import struct
+import typing
+
+import dykeswitch.layout as layouts
+import dykeswitch.logs as logs
+import dykeswitch.outcome as outcome
+import dykeswitch.ports.departure as departures
+import dykeswitch.ports.real as real
+import dykeswitch.proxy.program as proxies
+import dykeswitch.settings as settings
+import dykeswitch.standin.fleet as fleets
+import dykeswitch.timeline as timeline
+
+LAYOUT: typing.Final = {
+    "services": {"s": {"probe": "/healthz", "expiry_s": 5, "max_tries": 3}},
+    "rules": [{"path": "/", "service": "s"}],
+}
+GET: typing.Final = b"GET /thing HTTP/1.1\r\nHost: a.test\r\n\r\n"
+# How long an endpoint works on a request that nobody breaks off, and how soon a departure is to
+# have its effect, in seconds.
+WORK_S: typing.Final = 1.5
+SOON_S: typing.Final = 0.2
+
+
+class Endpoint:
+    """One endpoint on a loopback port: answers after its work, and tells which runs were broken off."""
+
+    def __init__(self) -> None:
+        self.work_s = WORK_S
+        self.arrived: list[float] = []
+        self.finished: list[float] = []
+        self.broken_off: list[float] = []
+        # Parts of an answer that streams, one each `work_s`; none for an answer at once.
+        self.parts = 0
+        self.status = "200 OK"
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            while True:
+                await self._one(reader, writer)
+        writer.close()
+
+    async def _one(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        head = await reader.readuntil(b"\r\n\r\n")
+        for line in head.lower().split(b"\r\n"):
+            if line.startswith(b"content-length:"):
+                await reader.readexactly(int(line.partition(b":")[2]))
+        now = asyncio.get_running_loop().time
+        self.arrived.append(now())
+        watch = asyncio.ensure_future(reader.read(1))
+        try:
+            if self.parts:
+                writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+            for _ in range(max(1, self.parts)):
+                await asyncio.wait([watch], timeout=self.work_s)
+                if watch.done():
+                    self.broken_off.append(now())
+                    raise ConnectionResetError
+                if self.parts:
+                    writer.write(b"10000\r\n" + b"x" * 0x10000 + b"\r\n")
+                    await writer.drain()
+        finally:
+            watch.cancel()
+        self.finished.append(now())
+        end = (
+            b"0\r\n\r\n" if self.parts else f"HTTP/1.1 {self.status}\r\nContent-Length: 2\r\n\r\nok".encode()
+        )
+        writer.write(end)
+
+
+class Stage:
+    """A proxy that serves on a loopback port, before endpoints of one service."""
+
+    def __init__(self, endpoints: int = 1) -> None:
+        self.endpoints = [Endpoint() for _ in range(endpoints)]
+        self.web, *self.addresses = [f"127.0.0.1:{port}" for port in fleets.free_ports(endpoints + 1)]
+        bounds = settings.Settings(
+            name="p", zone="z", proof="header", member="127.0.0.1:1", web=self.web, log_level="error"
+        )
+        machine = real.machine()
+        log = logs.Log("proxy", "p", "error", machine.clock)
+        self.proxy = proxies.Proxy(bounds, machine, log, random.Random(1))
+        # Nobody lends it extra attempts here: it has its own.
+        self.proxy.sharing = lambda: 0.0  # type: ignore[method-assign]
+        for n, address in enumerate(self.addresses):
+            fields: timeline.Fields = {"service": "s", "address": address, "zone": "z"}
+            fields.update(state=timeline.UP, born=[n, "r"], slots=2, load=0.0)
+            self.proxy.line.write(timeline.ENDPOINT, f"e{n}", fields, 900.0, urgent=False)
+        checked = layouts.check(LAYOUT)
+        assert isinstance(checked, outcome.Good)
+        self.proxy.carrier.layout = checked.value
+        self.proxy._confirmed, self.proxy._doubt = True, False
+        self.proxy.carrier._budget("s").lend(0, 50, machine.clock.now() + 60)
+
+    async def __aenter__(self) -> "Stage":
+        self._stack = contextlib.AsyncExitStack()
+        for endpoint, address in zip(self.endpoints, self.addresses):
+            host, port = real.split_address(address)
+            server = await asyncio.start_server(endpoint.serve, host, port)
+            self._stack.callback(server.close)
+        server_of_proxy = await real.RealWeb().serve(self.web, self.proxy.gateway)
+        self._stack.push_async_callback(server_of_proxy.stop, 0.0)
+        ticking = asyncio.create_task(self._tick())
+        self._stack.callback(ticking.cancel)
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        self.proxy.carrier.close()
+        await self._stack.aclose()
+
+    async def _tick(self) -> None:
+        """Other nodes are heard all the time, and the clock shows no gap."""
+        while True:
+            self.proxy._tick = self.proxy.spread.heard = self.proxy.clock.now()
+            await asyncio.sleep(0.02)
+
+    @property
+    def endpoint(self) -> Endpoint:
+        return self.endpoints[0]
+
+    @property
+    def counts(self) -> dict[str, int]:
+        return self.proxy.carrier.counts
+
+    async def caller(self, data: bytes) -> "Caller":
+        host, port = real.split_address(self.web)
+        reader, writer = await asyncio.open_connection(host, port)
+        writer.write(data)
+        return Caller(reader, writer)
+
+    async def until(self, test: typing.Callable[[], bool], wait_s: float = 5.0) -> None:
+        async with asyncio.timeout(wait_s):
+            while not test():  # noqa: ASYNC110
+                await asyncio.sleep(0.01)
+
+
+class Caller:
+    """One connection of a caller, which may leave at any moment."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.reader = reader
+        self.writer = writer
+
+    def leave(self, reset: bool = False) -> None:
+        """Close the connection, in order or by a reset."""
+        if reset:
+            sock = self.writer.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            self.writer.transport.abort()
+        else:
+            self.writer.close()
+
+    async def answer(self) -> bytes:
+        head = await self.reader.readuntil(b"\r\n\r\n")
+        length = next(
+            line for line in head.lower().split(b"\r\n") if line.startswith(b"content-length:")
+        ).partition(b":")[2]
+        return head + await self.reader.readexactly(int(length))
+
+
+def test_a_departure_is_told_once_and_to_who_asks_late() -> None:
+    told: list[str] = []
+    departure = departures.Departure()
+    departure.watch(lambda: told.append("first"))
+    departure.unwatch()
+    departure.watch(lambda: told.append("second"))
+    departure.announce()
+    departure.announce()
+    assert told == ["second"]
+    departure.watch(lambda: told.append("late"))
+    assert told == ["second", "late"]
+
+
+def test_a_server_that_tells_no_departure_has_one_that_never_comes() -> None:
+    assert not departures.departure_of({"type": "http"}).has_left
+
+
+def test_a_departure_is_counted_by_how_far_the_request_had_come() -> None:
+    async def main() -> None:
+        async with Stage() as stage:
+            caller = await stage.caller(GET)
+            await stage.until(lambda: len(stage.endpoint.arrived) == 1)
+            caller.leave()
+            await stage.until(lambda: "callers_left_at_work" in stage.counts)
+            # An answer that is whole, and a connection that is closed after it, is no departure.
+            stage.endpoint.work_s = 0.01
+            calm = await stage.caller(GET)
+            assert (await calm.answer()).startswith(b"HTTP/1.1 200")
+            calm.leave()
+            await asyncio.sleep(0.05)
+            assert {n: c for n, c in stage.counts.items() if n.startswith("callers_left")} == {
+                "callers_left_at_work": 1
+            }
+
+    asyncio.run(main())
--- a/tests/test_real.py
+++ b/tests/test_real.py
@@ -12,6 +12,7 @@
 
 import dykeswitch.cli.main as cli
 import dykeswitch.ports.real as real
+import dykeswitch.ports.web_server as web_server
 import dykeswitch.standin.fleet as fleets
 import dykeswitch.standin.shape as shapes
 
@@ -232,7 +233,7 @@
     async def main() -> None:
         [port] = fleets.free_ports(1)
         server = await real.RealWeb().serve(f"127.0.0.1:{port}", app)
-        assert isinstance(server, real.RealWebServer)
+        assert isinstance(server, web_server.RealWebServer)
         [sock] = [s for made in server._server.servers for s in made.sockets]
         assert sock.proto == socket.IPPROTO_TCP
         await server.stop(1.0)
