--- a/packages/simulator/src/dykeswitch/simulator/faults/callers.py
+++ b/packages/simulator/src/dykeswitch/simulator/faults/callers.py
@@ -83,6 +83,48 @@
         await asyncio.sleep(5.0)
 
 
+# Work that outlasts its caller's patience by far, how soon those who leave are gone, and how often
+# one comes with such work, in seconds.
+LONG_WORK_S: typing.Final = 2.5
+LEAVE_WITHIN_S: typing.Final = 0.4
+LONG_WORK_EACH_S: typing.Final = 0.05
+
+
+async def _come_and_leave(stage: stages.Stage, span: float) -> None:
+    """Callers with long work, of every service, most of whom leave amid it."""
+    end = stage.now + span
+    asks = []
+    services = stage.fleet.shape.services
+    while stage.now < end:
+        await asyncio.sleep(LONG_WORK_EACH_S)
+        service = stage.rng.choice(services)
+        asks.append(stage.fleet.spawn(stage.fleet.callers.ask(service, more=f"&work={LONG_WORK_S}")))
+    await asyncio.gather(*asks)
+
+
+async def callers_leave(stage: stages.Stage) -> None:
+    """Callers leave at any moment before they are answered, and endpoints drop work that is broken off."""
+    with (
+        stage.natured(stage.live_endpoints(), drops=True),
+        stage.mannered(leave_share=0.7, leave_within_s=LEAVE_WITHIN_S),
+    ):
+        await _come_and_leave(stage, 4.0)
+
+
+async def callers_leave_between_tries(stage: stages.Stage) -> None:
+    """Callers leave while some endpoints refuse, hang or fail, so that requests are tried again."""
+    service = next(s for s in stage.fleet.shape.services if not s.writing)
+    names = stage.some_of(service.name, 0.5)
+    with (
+        stage.natured(stage.live_endpoints(), drops=True),
+        stage.mannered(leave_share=0.7, leave_within_s=LEAVE_WITHIN_S),
+        stage.planned(names, stage.rng.choice(("hang", "slow", "promise")), 0.8),
+    ):
+        await _come_and_leave(stage, 4.0)
+        # Those that hang hold a request for a third of its time before another attempt is made.
+        await asyncio.sleep(4.0)
+
+
 FAULTS: typing.Final[dict[str, stages.Fault]] = {
     "try_again": try_again,
     "try_again_all_refuse": try_again_all_refuse,
@@ -93,3 +135,8 @@
     "kept_callers": kept_callers,
     "believe_bare_503": believe_bare_503,
 }
+# Not held yet: nobody waits for a caller's departure.
+KNOWN_FAILING: typing.Final[dict[str, stages.Fault]] = {
+    "callers_leave": callers_leave,
+    "callers_leave_between_tries": callers_leave_between_tries,
+}
--- a/packages/simulator/src/dykeswitch/simulator/history/__init__.py
+++ b/packages/simulator/src/dykeswitch/simulator/history/__init__.py
@@ -7,7 +7,7 @@
 import hashlib
 import typing
 
-from dykeswitch.simulator.history import configuration, requests, service
+from dykeswitch.simulator.history import configuration, departures, requests, service
 from dykeswitch.simulator.history.record import GRACE_S, RECOVER_S, Check, History, Span
 from dykeswitch.simulator.history.service import back_after, back_by_fault, excuses, floor_used
 
@@ -36,6 +36,8 @@
     "right_owner": requests.right_owner,
     "not_after_leaving": requests.not_after_leaving,
     "not_while_paused": requests.not_while_paused,
+    "nothing_sent_for_nobody": departures.nothing_sent_for_nobody,
+    "nothing_run_for_nobody": departures.nothing_run_for_nobody,
     "layout_in_time": configuration.layout_in_time,
     "layout_never_back": configuration.layout_never_back,
     "layout_by_traffic": configuration.layout_by_traffic,
--- a/packages/simulator/src/dykeswitch/simulator/history/service.py
+++ b/packages/simulator/src/dykeswitch/simulator/history/service.py
@@ -120,7 +120,9 @@
     found = [
         f"{a.name} at {a.begun:.2f} got {a.status} {a.result} {a.flaw}"
         for a in [*story.asks, *story.roves.values()]
-        if a.begun > story.calm + record.RECOVER_S and (a.status not in (200, 404) or a.wrong)
+        if a.begun > story.calm + record.RECOVER_S
+        and a.left_at is None
+        and (a.status not in (200, 404) or a.wrong)
     ]
     return found + [f"{a.name} at {a.begun:.2f} found no rule" for a in story.asks if a.status == 404]
 
@@ -130,7 +132,10 @@
     bad = [
         a.begun
         for a in [*story.asks, *story.roves.values()]
-        if since < a.begun < until and (a.status not in (200, 404) or a.wrong) and a.name not in story.rude
+        if since < a.begun < until
+        and (a.status not in (200, 404) or a.wrong)
+        and a.left_at is None
+        and a.name not in story.rude
     ]
     return max(bad, default=since) - since
 
--- a/packages/standin/src/dykeswitch/standin/record.py
+++ b/packages/standin/src/dykeswitch/standin/record.py
@@ -131,6 +131,7 @@
         "unknown": sum(1 for a in asks if a.result in (108, 109, 110, 113)),
         "other_status": sum(1 for a in asks if a.status not in (0, 200) and not a.result),
         "no_reply": sum(1 for a in asks if a.flaw),
+        "left": sum(1 for a in asks if a.left_at is not None),
         "run_twice": sum(1 for a in asks if a.writing and len(runs.get(a.name, ())) > 1),
         "told_not_but_ran": sum(1 for name in told_not if runs.get(name)),
         "late": sum(1 for a in asks if a.ended - a.begun > (a.expiry_s or expiry_s) + 0.5),
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -11,13 +11,17 @@
 import struct
 import typing
 
+import pytest
+
 import dykeswitch.layout as layouts
 import dykeswitch.logs as logs
 import dykeswitch.outcome as outcome
+import dykeswitch.ports as ports
 import dykeswitch.ports.departure as departures
 import dykeswitch.ports.real as real
 import dykeswitch.proxy.program as proxies
 import dykeswitch.settings as settings
+import dykeswitch.simulator.trial as trials
 import dykeswitch.standin.fleet as fleets
 import dykeswitch.timeline as timeline
 
@@ -42,7 +46,7 @@
         self.broken_off: list[float] = []
         # Parts of an answer that streams, one each `work_s`; none for an answer at once.
         self.parts = 0
-        self.status = "200 OK"
+        self.head = "HTTP/1.1 200 OK"
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         with contextlib.suppress(OSError, asyncio.IncompleteReadError):
@@ -71,11 +75,10 @@
                     await writer.drain()
         finally:
             watch.cancel()
+            await asyncio.wait([watch])
         self.finished.append(now())
-        end = (
-            b"0\r\n\r\n" if self.parts else f"HTTP/1.1 {self.status}\r\nContent-Length: 2\r\n\r\nok".encode()
-        )
-        writer.write(end)
+        whole = f"{self.head}\r\nContent-Length: 2\r\n\r\nok"
+        writer.write(b"0\r\n\r\n" if self.parts else whole.encode())
 
 
 class Stage:
@@ -203,3 +206,172 @@
             }
 
     asyncio.run(main())
+
+
+async def _plain(stage: Stage) -> Caller:
+    return await stage.caller(GET)
+
+
+async def _behind_another(stage: Stage) -> Caller:
+    """On a kept connection, behind a request that is answered."""
+    stage.endpoint.work_s = 0.01
+    caller = await stage.caller(GET)
+    assert (await caller.answer()).startswith(b"HTTP/1.1 200")
+    stage.endpoint.work_s = WORK_S
+    stage.endpoint.arrived.clear()
+    caller.writer.write(GET)
+    return caller
+
+
+async def _before_another(stage: Stage) -> Caller:
+    """With a second request already sent behind it, which the web server leaves unread for now."""
+    return await stage.caller(GET + GET)
+
+
+async def _then_another(stage: Stage) -> Caller:
+    """With a second request that comes while the first is at work."""
+    caller = await stage.caller(GET)
+    await stage.until(lambda: bool(stage.endpoint.arrived))
+    caller.writer.write(GET)
+    await asyncio.sleep(0.1)
+    return caller
+
+
+async def _with_a_long_body(stage: Stage) -> Caller:
+    """A body that the web server takes in parts."""
+    body = b"x" * 400_000
+    return await stage.caller(b"GET /thing HTTP/1.1\r\nHost: a.test\r\nContent-Length: 400000\r\n\r\n" + body)
+
+
+async def _amid_the_answer(stage: Stage) -> Caller:
+    """An answer that streams, of which the caller has had a part."""
+    stage.endpoint.parts, stage.endpoint.work_s = 40, 0.1
+    caller = await stage.caller(GET)
+    # More than the proxy holds back: the rest of it streams.
+    await caller.reader.readexactly(300_000)
+    return caller
+
+
+async def _while_stopping(stage: Stage) -> Caller:
+    caller = await stage.caller(GET)
+    await stage.until(lambda: bool(stage.endpoint.arrived))
+    stage.proxy.stopping = stage.proxy.carrier.closing = True
+    return caller
+
+
+COMINGS: typing.Final = {
+    "a plain request": _plain,
+    "behind another on its connection": _behind_another,
+    "before another on its connection": _before_another,
+    "then another on its connection": _then_another,
+    "a long body": _with_a_long_body,
+    "amid an answer that streams": _amid_the_answer,
+    "while the proxy stops": _while_stopping,
+}
+
+
+@pytest.mark.parametrize("reset", [False, True], ids=["close", "reset"])
+@pytest.mark.parametrize("come", COMINGS.values(), ids=COMINGS)
+def test_a_repeatable_attempt_is_broken_off_when_its_caller_leaves(
+    come: typing.Callable[[Stage], typing.Awaitable[Caller]], reset: bool
+) -> None:
+    async def main() -> None:
+        async with Stage() as stage:
+            caller = await come(stage)
+            await stage.until(lambda: bool(stage.endpoint.arrived))
+            await asyncio.sleep(0.1)
+            left_at = asyncio.get_running_loop().time()
+            caller.leave(reset)
+            await stage.until(lambda: bool(stage.endpoint.broken_off or stage.endpoint.finished))
+            assert len(stage.endpoint.broken_off) == 1
+            assert stage.endpoint.broken_off[0] - left_at < SOON_S
+            # No second try, no mark, and nothing that is still counted.
+            await asyncio.sleep(0.05)
+            assert len(stage.endpoint.arrived) == 1
+            assert stage.proxy.carrier._marks.down("e0") is None
+            assert stage.proxy.carrier.selector.failures("e0") == 0
+            assert (stage.proxy.carrier.table, stage.proxy.carrier.selector.flights) == ({}, {})
+
+    asyncio.run(main())
+
+
+async def _between_two_tries(stage: Stage) -> None:
+    """Each endpoint takes a while to say that it does not run the request."""
+    for endpoint in stage.endpoints:
+        endpoint.head = "HTTP/1.1 503 Busy\r\nDykeswitch-Promise: not-run"
+
+
+async def _unsure(stage: Stage) -> None:
+    """The proxy has first to become sure of its configuration."""
+    was = stage.proxy.sure
+
+    async def sure(by: float) -> bool:
+        await asyncio.sleep(0.4)
+        return await was(by)
+
+    stage.proxy.sure = sure  # type: ignore[method-assign]
+
+
+async def _connecting(stage: Stage) -> None:
+    """The connection to the endpoint takes its time."""
+    net = stage.proxy.machine.net
+    dial = net.dial
+
+    async def slowly(address: ports.Address, wait: float) -> ports.Connection:
+        await asyncio.sleep(0.4)
+        return await dial(address, wait)
+
+    net.dial = slowly  # type: ignore[method-assign]
+
+
+WAITS: typing.Final = {
+    "between two tries": _between_two_tries,
+    "while the proxy is not sure": _unsure,
+    "while a connection is opened": _connecting,
+}
+
+
+@pytest.mark.parametrize("method", [b"GET", b"POST"])
+@pytest.mark.parametrize("wait", WAITS.values(), ids=WAITS)
+def test_nothing_more_is_sent_for_a_caller_that_left(
+    wait: typing.Callable[[Stage], typing.Awaitable[None]], method: bytes
+) -> None:
+    async def main() -> None:
+        async with Stage(endpoints=3) as stage:
+            for endpoint in stage.endpoints:
+                endpoint.work_s = 0.3
+            await wait(stage)
+            caller = await stage.caller(GET.replace(b"GET", method))
+            await asyncio.sleep(0.15)
+            arrived = sum(len(endpoint.arrived) for endpoint in stage.endpoints)
+            caller.leave()
+            await asyncio.sleep(1.0)
+            assert sum(len(endpoint.arrived) for endpoint in stage.endpoints) == arrived
+            assert (stage.proxy.carrier.table, stage.proxy.carrier.selector.flights) == ({}, {})
+
+    asyncio.run(main())
+
+
+def test_an_order_that_was_sent_runs_to_its_end_and_its_connection_is_used_again() -> None:
+    async def main() -> None:
+        async with Stage() as stage:
+            stage.endpoint.work_s = 0.3
+            caller = await stage.caller(
+                b"POST /thing HTTP/1.1\r\nHost: a.test\r\nContent-Length: 2\r\n\r\nhi"
+            )
+            await stage.until(lambda: bool(stage.endpoint.arrived))
+            caller.leave()
+            await stage.until(lambda: bool(stage.endpoint.finished or stage.endpoint.broken_off))
+            await stage.until(lambda: not stage.proxy.carrier.table)
+            assert (len(stage.endpoint.arrived), stage.endpoint.broken_off) == (1, [])
+            assert stage.proxy.carrier.idle() == 1
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize("seed", [11, 12])
+@pytest.mark.parametrize("fault", ["callers_leave", "callers_leave_between_tries"])
+def test_no_work_goes_on_in_a_fleet_whose_callers_leave(fault: str, seed: int) -> None:
+    verdict = trials.one_day("brook", seed, (fault,), 0.1)
+    assert verdict.breaches == {}
+    assert verdict.figures["left"] > 50
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -269,6 +269,18 @@
     story.read_back = [fleets.Got(119.0, 119.1, 503)]
 
 
+def _goes_on(writing: bool) -> typing.Callable[[histories.History], None]:
+    """A request that reaches an endpoint, and is worked on, after its caller left."""
+
+    def change(story: histories.History) -> None:
+        ask = callers.Ask("left", "exports", writing, 100.0, "p", 100.1, left_at=100.1)
+        story.asks.append(ask)
+        story.hits += [(100.05, "left", "exports-0"), (100.7, "left", "exports-0")]
+        story.runs["left"] = [callers.Run("left", "exports-0", "exports", 100.7)]
+
+    return change
+
+
 BREAKS: typing.Final[dict[str, list[typing.Callable[[histories.History], None]]]] = {
     "run_twice": [_twice, _twice_begun],
     "told_not_done": [_told, _told_by_endpoint],
@@ -287,6 +299,8 @@
     "broken_explained": [_connection_broke],
     "excuses_bounded": [_all_excused],
     "nothing_leaked": [_leak],
+    "nothing_sent_for_nobody": [_goes_on(True), _goes_on(False)],
+    "nothing_run_for_nobody": [_goes_on(False)],
     "register_holds": [_stale_read, _none_read, _refused_stands],
     "one_body_per_version": [_lost_layout, _two_confirmed, _another_body_read],
     "never_refused_again": [_refused_when_sent_again, _lost_then_refused, _refused_unheard],
