The carrier is parted by job: attempts, their judgement, endings, marks, answers

Delivery makes attempts and holds their connections, Judgement says what an attempt's end means, Endings gives up, Marker marks endpoints, Answering answers callers, Presence ends work whose caller left; the carrier keeps the table and the passes. No decision is changed. Exceptions end in Error; carrier.py is off the lists of long modules and of files that the linter excuses. Tests reach the same parts at their new places; no check of theirs is changed.

--- /dev/null
+++ b/packages/proxy/src/dykeswitch/proxy/endings.py
@@ -0,0 +1,47 @@
+"""How an exchange ends without an endpoint's answer: what became of it, and when to come again."""
+
+import dykeswitch.outcome as outcome
+import dykeswitch.ports as ports
+import dykeswitch.proxy.exchange as exchanges
+import dykeswitch.proxy.selection as selection
+import dykeswitch.settings as settings
+import dykeswitch.soundness as soundness
+
+# The result of an attempt that was sent and whose end is unknown, by what went wrong with it.
+UNKNOWN_TAGS = {
+    soundness.TIMED_OUT: "timed_out",
+    "expired": "timed_out",
+    soundness.GARBAGE: "bad_reply",
+    soundness.UNFRAMED: "bad_reply",
+    soundness.WRONG_ID_REPLY: "wrong_owner",
+}
+
+
+class Endings:
+    """Ends exchanges with answers of our own."""
+
+    def __init__(self, bounds: settings.Settings, clock: ports.Clock, selector: selection.Selector) -> None:
+        self._bounds = bounds
+        self._clock = clock
+        self._selector = selector
+
+    def end(self, x: exchanges.Exchange, tag: str, why: str = "") -> exchanges.Stage:
+        """End an exchange with a result of the table."""
+        x.bad = outcome.bad(tag, why)
+        return exchanges.Stage.REPLY
+
+    def give_up(self, x: exchanges.Exchange, tag: str) -> exchanges.Stage:
+        """The final answer, at once: what became of it, and when to come back if it may."""
+        if x.head is not None and not x.flaw:
+            # A reading request whose last reply was whole: that reply is the answer.
+            return exchanges.Stage.REPLY
+        x.head = None
+        if x.unknown:
+            return self.end(x, UNKNOWN_TAGS.get(x.unknown, "outcome_unknown"), x.unknown)
+        x.retry_after = self.come_back_s(x)
+        return self.end(x, tag, x.flaw)
+
+    def come_back_s(self, x: exchanges.Exchange) -> float:
+        """In how many seconds the first of the service's marks runs out."""
+        wait = self._selector.open_in(x.service, self._clock.now())
+        return max(self._bounds.back_s, min(wait, self._bounds.mark_s))
--- a/packages/proxy/src/dykeswitch/proxy/exchange.py
+++ b/packages/proxy/src/dykeswitch/proxy/exchange.py
@@ -96,3 +96,7 @@
         """One step on the trail, while there is room."""
         if len(self.trail) < TRAIL_MOST:
             self.trail.append((now - self.born, what, why))
+
+
+# Takes down one step of an exchange: what was done, and why.
+Note = typing.Callable[[Exchange, str, str], None]
--- a/packages/proxy/src/dykeswitch/proxy/intake.py
+++ b/packages/proxy/src/dykeswitch/proxy/intake.py
@@ -60,7 +60,7 @@
     async def read(self, x: exchanges.Exchange, receive: ports.Receive) -> outcome.Bad | None:
         """Check the head and read the body; what is wrong with the request, if anything is.
 
-        Raises `CallerLeft` where its caller does not stay until the body's end.
+        Raises `CallerLeftError` where its caller does not stay until the body's end.
         """
         if sum(len(k) + len(v) for k, v in x.heads) > (self._limits().head_most or self._bounds.head_most):
             return outcome.bad("head_too_big")
@@ -94,7 +94,7 @@
         while True:
             message = await receive()
             if message["type"] == "http.disconnect":
-                raise presence.CallerLeft
+                raise presence.CallerLeftError
             body += message.get("body", b"")
             if len(body) > most:
                 return outcome.bad("body_too_big", f"over {most} bytes")
--- /dev/null
+++ b/packages/proxy/src/dykeswitch/proxy/judgement.py
@@ -0,0 +1,113 @@
+"""What an attempt's end says of its endpoint, and what the exchange does next."""
+
+import dykeswitch.adapter as adapters
+import dykeswitch.proxy.delivery as deliveries
+import dykeswitch.proxy.endings as endings
+import dykeswitch.proxy.exchange as exchanges
+import dykeswitch.proxy.marking as marking
+import dykeswitch.proxy.selection as selection
+import dykeswitch.soundness as soundness
+import dykeswitch.soundness.connection as connections
+
+Stage = exchanges.Stage
+
+
+class Judgement:
+    """Judges attempts that are over."""
+
+    def __init__(
+        self,
+        adapter: adapters.Adapter,
+        selector: selection.Selector,
+        delivery: deliveries.Delivery,
+        marker: marking.Marker,
+        ends: endings.Endings,
+        note: exchanges.Note,
+    ) -> None:
+        self._adapter = adapter
+        self._heads = adapter.heads
+        self._selector = selector
+        self._delivery = delivery
+        self._marker = marker
+        self._ends = ends
+        self._note = note
+
+    def judge(self, x: exchanges.Exchange) -> Stage:
+        """Judge the attempt that is over; the exchange's next pass."""
+        assert x.endpoint is not None and x.connection is not None
+        if x.flaw:
+            return self._judge_failure(x, x.endpoint.key, x.connection)
+        assert x.head is not None
+        served = x.head.get(self._heads.served_by)
+        promised = self._adapter.promised(x.head.status, x.head.heads)
+        other = served is not None and served.decode("latin-1") != x.endpoint.key
+        bare = x.head.status < 300 and self._heads.seal and x.head.get(self._heads.seal) is None
+        if (other and not promised) or bare:
+            return self._judge_foreign(x, soundness.WRONG_ID_REPLY if other else soundness.GARBAGE)
+        self._learn(x, promised)
+        fault = soundness.status_fault(x.head.status, promised)
+        if promised and x.head.status == soundness.MISDIRECTED:
+            fault = soundness.Fault(soundness.WRONG_ID_REPLY)
+        if fault is None and not promised:
+            self._marker.sound(x.endpoint.key)
+            return Stage.REPLY
+        return self._judge_refusal(x, fault, promised)
+
+    def _learn(self, x: exchanges.Exchange, promised: bool) -> None:
+        """Teach selection what an answer tells of its endpoint's load."""
+        assert x.endpoint is not None and x.head is not None
+        if not promised:
+            load = adapters.load(x.head.get(self._heads.load))
+            self._selector.learn(x.endpoint, x.took, x.ahead, load)
+        elif x.head.status != soundness.MISDIRECTED:
+            self._selector.full(x.endpoint.key)
+
+    def _judge_foreign(self, x: exchanges.Exchange, flaw: str) -> Stage:
+        """Someone else's reply, or an address that changed hands under our connection."""
+        assert x.endpoint is not None
+        x.flaw = x.unknown = flaw
+        x.head, x.buffer, x.rest = None, b"", None
+        self._delivery.put_away(x, sound=False)
+        self._marker.failed(x.endpoint.key, soundness.Fault(flaw))
+        return Stage.RETRY
+
+    def _judge_refusal(self, x: exchanges.Exchange, fault: soundness.Fault | None, promised: bool) -> Stage:
+        """An answer that is no success: tried again where it may be, else the endpoint's last word."""
+        assert x.endpoint is not None and x.head is not None
+        name = x.endpoint.key
+        self._note(x, f"{name} answered {x.head.status}", "promised not to have run" if promised else "")
+        if fault is not None:
+            self._marker.failed(name, fault, promised)
+        if promised or not x.writing:
+            self._delivery.put_away(x, sound=x.rest is None)
+            x.rest = None
+            if promised:
+                x.flaw = "promised not to have run"
+            return Stage.RETRY
+        if x.head.status == soundness.UNAVAILABLE:
+            # Callers take it for a promise that nothing ran, which this endpoint did not make.
+            return self._withhold(x)
+        # A writing request's reply without a promise is the endpoint's last word.
+        return Stage.REPLY
+
+    def _judge_failure(
+        self, x: exchanges.Exchange, name: str, connection: connections.EndpointConnection
+    ) -> Stage:
+        """An attempt that ended without a reply."""
+        if x.flaw == soundness.BROKE_OFF and x.head is None and connection.rested_s:
+            self._delivery.reset_at_rest(x, connection.rested_s)
+        self._delivery.put_away(x, sound=False)
+        self._note(x, f"go to {name} failed, {'sent' if x.sent else 'nothing sent'}", x.flaw)
+        if x.flaw not in ("expired", "no longer to be used"):
+            self._marker.failed(name, soundness.flaw_fault(x.flaw))
+        if x.sent:
+            x.unknown = x.flaw
+        return Stage.RETRY
+
+    def _withhold(self, x: exchanges.Exchange) -> Stage:
+        """Say that the outcome is unknown in place of an endpoint's own words."""
+        assert x.head is not None
+        x.unknown = f"answered {x.head.status} without a promise"
+        self._delivery.put_away(x, sound=x.rest is None)
+        x.head, x.buffer, x.rest = None, b"", None
+        return self._ends.give_up(x, "outcome_unknown")
--- /dev/null
+++ b/packages/proxy/src/dykeswitch/proxy/marking.py
@@ -0,0 +1,44 @@
+"""Passive marks: what failed attempts say of their endpoints."""
+
+import dykeswitch.logs as logs
+import dykeswitch.ports as ports
+import dykeswitch.proxy.counters as counters
+import dykeswitch.proxy.selection as selection
+import dykeswitch.settings as settings
+import dykeswitch.soundness as soundness
+import dykeswitch.timeline as timeline
+
+
+class Marker:
+    """Marks endpoints that fail too often."""
+
+    def __init__(
+        self,
+        bounds: settings.Settings,
+        clock: ports.Clock,
+        marks: timeline.Marks,
+        selector: selection.Selector,
+        counts: counters.Counters,
+        log: logs.Log,
+    ) -> None:
+        self._name = bounds.name
+        self._clock = clock
+        self._marks = marks
+        self._selector = selector
+        self._counts = counts
+        self._log = log
+        self._strikes = soundness.Strikes(bounds.mark_s)
+
+    def sound(self, endpoint: str) -> None:
+        """Note that an endpoint answered as it should."""
+        self._strikes.sound(endpoint, self._clock.now())
+
+    def failed(self, endpoint: str, fault: soundness.Fault, promised: bool = False) -> None:
+        """Note a failure: the endpoint is avoided, and marked once it fails too often."""
+        # One that refused by its word is full, which selection knows already.
+        if not promised:
+            self._selector.failed(endpoint)
+        if self._strikes.strike(endpoint, fault, self._clock.now()):
+            self._counts.add("marks")
+            self._marks.set(endpoint, fault.reason, self._name)
+            self._log.warning("mark", endpoint=endpoint, reason=fault.reason)
--- a/packages/proxy/src/dykeswitch/proxy/presence.py
+++ b/packages/proxy/src/dykeswitch/proxy/presence.py
@@ -7,12 +7,12 @@
 import dykeswitch.ports.departure as departures
 
 
-class CallerLeft(Exception):  # noqa: N818
+class CallerLeftError(Exception):
     """Nobody waits for this request's answer: there is nothing left to do for it."""
 
 
 class Presence:
-    """Runs a block for as long as its caller is there; ends it by `CallerLeft`.
+    """Runs a block for as long as its caller is there; ends it by `CallerLeftError`.
 
     The block is not broken off where `may_end` says so at the moment of the departure, as for
     an order that has been sent: such a block is to look at the departure by itself.
@@ -35,7 +35,7 @@
     async def __aenter__(self) -> "Presence":
         if self._departure.has_left:
             self._noted()
-            raise CallerLeft
+            raise CallerLeftError
         self._task = asyncio.current_task()
         assert self._task is not None
         self._cancelling = self._task.cancelling()
@@ -55,7 +55,7 @@
         # Who else asked the task to end gets what it asked for.
         ours = self._task.uncancel() <= self._cancelling
         if ours and kind is asyncio.CancelledError:
-            raise CallerLeft from flaw
+            raise CallerLeftError from flaw
 
     def _on_departure(self) -> None:
         self._noted()
--- a/packages/proxy/src/dykeswitch/proxy/program.py
+++ b/packages/proxy/src/dykeswitch/proxy/program.py
@@ -58,7 +58,7 @@
             self.line,
             self.caller,
             self.spread.cores,
-            lambda: self.carrier._budgets,
+            lambda: self.carrier.budgets,
         )
         self._pauses: list[pauses.Pause] = []
         self.carrier.selector.paused = self.paused
@@ -303,7 +303,7 @@
                     lambda: self.carrier.caller_left(x),
                 ):
                     await self.carrier.carry(x)
-        except presence.CallerLeft:
+        except presence.CallerLeftError:
             # Nobody is there to be answered.
             if x.left_at is None:
                 self.carrier.count("callers_left_amid_body")
--- a/packages/simulator/src/dykeswitch/simulator/faults/proxies.py
+++ b/packages/simulator/src/dykeswitch/simulator/faults/proxies.py
@@ -182,7 +182,7 @@
 def _borrowed(edge: typing.Any, service: str) -> int:
     """Coins that a proxy has of a service's floor."""
     daemon = edge.node.daemon
-    budget = daemon.carrier._budgets.get(service)
+    budget = daemon.carrier.budgets.get(service)
     return budget.lent(daemon.clock.now()) if budget is not None else 0
 
 
--- a/tests/test_data_path.py
+++ b/tests/test_data_path.py
@@ -17,6 +17,7 @@
 import dykeswitch.outcome as outcome
 import dykeswitch.ports as ports
 import dykeswitch.ports.real as real
+import dykeswitch.proxy.answering as answering
 import dykeswitch.proxy.carrier as carriers
 import dykeswitch.proxy.exchange as exchanges
 import dykeswitch.settings as settings
@@ -191,7 +192,7 @@
             send=send,
         )
         # Coins of the shared budget, as registries would have lent them.
-        self.carrier._budget("s").lend(0, coins, self._clock.now() + 60)
+        self.carrier._delivery.budget("s").lend(0, coins, self._clock.now() + 60)
         await self.carrier.carry(exchange)
         return answer
 
@@ -492,7 +493,7 @@
             return
         await send({"type": "http.response.start", "status": 200, "headers": [(b"content-length", b"9")]})
         await send({"type": "http.response.body", "body": b"/on", "more_body": True})
-        raise carriers.BrokenReply("cut by the endpoint")
+        raise answering.BrokenReplyError("cut by the endpoint")
 
     data = asyncio.run(_pipelined(app, ["/one", "/two"]))
     assert _bodies(data) == [b"/on"]
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -103,7 +103,7 @@
         assert isinstance(checked, outcome.Good)
         self.proxy.carrier.layout = checked.value
         self.proxy._confirmed, self.proxy._doubt = True, False
-        self.proxy.carrier._budget("s").lend(0, 50, machine.clock.now() + 60)
+        self.proxy.carrier._delivery.budget("s").lend(0, 50, machine.clock.now() + 60)
 
     async def __aenter__(self) -> "Stage":
         self._stack = contextlib.AsyncExitStack()
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -15,6 +15,7 @@
 import dykeswitch.outcome as outcome
 import dykeswitch.ports as ports
 import dykeswitch.ports.departure as departures
+import dykeswitch.proxy.answering as answering
 import dykeswitch.proxy.budget as budgets
 import dykeswitch.proxy.carrier as carriers
 import dykeswitch.proxy.exchange as exchanges
@@ -51,7 +52,7 @@
 def _always_retry(patch: pytest.MonkeyPatch) -> None:
     async def retry(self: carriers.Carrier, x: exchanges.Exchange) -> exchanges.Stage:
         if x.goes >= x.max_tries:
-            return self._give_up(x, "not_run")
+            return self._ends.give_up(x, "not_run")
         return exchanges.Stage.SELECT
 
     patch.setattr(carriers.Carrier, "_retry", retry)
@@ -81,13 +82,13 @@
 
 
 def _always_hint(patch: pytest.MonkeyPatch) -> None:
-    answer = carriers.Carrier.refuse
+    answer = answering.Answering.refuse
 
-    async def hinted(self: carriers.Carrier, x: exchanges.Exchange, bad: outcome.Bad) -> None:
+    async def hinted(self: answering.Answering, x: exchanges.Exchange, bad: outcome.Bad) -> None:
         x.retry_after = 1
         await answer(self, x, bad)
 
-    patch.setattr(carriers.Carrier, "refuse", hinted)
+    patch.setattr(answering.Answering, "refuse", hinted)
 
 
 def _forgetful_storage(patch: pytest.MonkeyPatch) -> None:
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -215,8 +215,8 @@
         if not guarded:
             # A request also names the endpoint that it is for, and any other refuses it: without
             # the one guard the other still holds, so both are taken away.
-            carrier = fleet.edges[0].node.daemon.carrier
-            carrier._heads = dataclasses.replace(carrier._heads, expected=b"x-nobody")
+            delivery = fleet.edges[0].node.daemon.carrier._delivery
+            delivery._heads = dataclasses.replace(delivery._heads, expected=b"x-nobody")
         for name in ("exports-1", "exports-2"):
             await fleet.drain_endpoint(name, 0.1)
         assert (await _many(fleet, EXPORTS, 1))[0].status == 200
--- a/tests/test_style.py
+++ b/tests/test_style.py
@@ -16,7 +16,6 @@
 LONG_MODULES: typing.Final = frozenset(
     {
         "membership/__init__.py",
-        "proxy/carrier.py",
         "proxy/program.py",
         "simulator/faults/cores.py",
         "simulator/fleet.py",
