--- a/packages/simulator/src/dykeswitch/simulator/faults/callers.py
+++ b/packages/simulator/src/dykeswitch/simulator/faults/callers.py
@@ -3,6 +3,7 @@
 import asyncio
 import typing
 
+import dykeswitch.simulator.history as histories
 import dykeswitch.simulator.stage as stages
 
 
@@ -125,6 +126,39 @@
         await asyncio.sleep(4.0)
 
 
+async def callers_leave_while_proxies_stop(stage: stages.Stage) -> None:
+    """Callers leave proxies that are told to stop, one after another, while their requests are at work."""
+    with (
+        stage.natured(stage.live_endpoints(), drops=True),
+        stage.mannered(leave_share=0.7, leave_within_s=LEAVE_WITHIN_S),
+    ):
+        coming = stage.fleet.spawn(_come_and_leave(stage, 4.0))
+        for edge in stage.up_edges()[:3]:
+            begun = stage.now
+            await stage.stop(edge.node)
+            stage.story.stops.append(histories.Span(edge.web, begun, stage.now))
+            edge.node.restart()
+            await asyncio.sleep(0.5)
+        await coming
+
+
+async def callers_leave_a_frozen_proxy(stage: stages.Stage) -> None:
+    """Callers leave a proxy that stands still, which hears of it when it wakes."""
+    edge = stage.edge()
+    with (
+        stage.natured(stage.live_endpoints(), drops=True),
+        stage.mannered(leave_share=0.7, leave_within_s=LEAVE_WITHIN_S),
+    ):
+        coming = stage.fleet.spawn(_come_and_leave(stage, 4.0))
+        await asyncio.sleep(1.0)
+        begun = stage.now
+        edge.node.freeze()
+        await asyncio.sleep(1.5)
+        edge.node.thaw()
+        stage.gone([edge], begun)
+        await coming
+
+
 FAULTS: typing.Final[dict[str, stages.Fault]] = {
     "try_again": try_again,
     "try_again_all_refuse": try_again_all_refuse,
@@ -136,4 +170,6 @@
     "believe_bare_503": believe_bare_503,
     "callers_leave": callers_leave,
     "callers_leave_between_tries": callers_leave_between_tries,
+    "callers_leave_while_proxies_stop": callers_leave_while_proxies_stop,
+    "callers_leave_a_frozen_proxy": callers_leave_a_frozen_proxy,
 }
--- a/packages/simulator/src/dykeswitch/simulator/history/departures.py
+++ b/packages/simulator/src/dykeswitch/simulator/history/departures.py
@@ -10,14 +10,18 @@
 def _left(story: record.History) -> list[tuple[callers.Ask, float]]:
     """Requests whose callers left, each with the moment from which on nothing may be done for it."""
     return [
-        (ask, ask.left_at + NOTICE_S + story.wire_s)
+        (ask, _heard_at(story, ask, ask.left_at) + NOTICE_S + story.wire_s)
         for ask in story.asks
         if ask.left_at is not None
-        # A proxy that stands still, or is gone, hears of no departure.
-        and not any(span.name == ask.address and span.holds(ask.left_at) for span in story.gone)
     ]
 
 
+def _heard_at(story: record.History, ask: callers.Ask, left_at: float) -> float:
+    """When the proxy could hear of a departure: one that stands still hears of it when it wakes."""
+    woken = [span.ended for span in story.gone if span.name == ask.address and span.holds(left_at)]
+    return max([left_at, *woken])
+
+
 def nothing_sent_for_nobody(story: record.History) -> list[str]:
     """No request reaches an endpoint over half a second after its caller left."""
     arrivals: dict[str, list[tuple[float, str]]] = {}
