--- a/packages/cli/src/dykeswitch/cli/main.py
+++ b/packages/cli/src/dykeswitch/cli/main.py
@@ -12,6 +12,7 @@
 import dykeswitch.cli.daemons as daemons
 import dykeswitch.cli.explore as explore
 import dykeswitch.cli.operate as operate
+import dykeswitch.cli.soak as soak
 import dykeswitch.outcome as outcome
 import dykeswitch.scale.commands as scale
 import dykeswitch.settings as settings
@@ -122,6 +123,7 @@
     _add_trial(words)
     scale.add_words(words)
     explore.add_words(words)
+    soak.add_words(words)
     _add_worth(words)
     _add_fuzz(words)
     return top
@@ -237,6 +239,8 @@
         return operate.run(spoken)
     if spoken.word == explore.WORD:
         return explore.run(spoken)
+    if spoken.word == soak.WORD:
+        return soak.run(spoken)
     if spoken.word in scale.NAMES:
         return scale.run(spoken)
     if spoken.word == "fleet":
--- a/packages/simulator/src/dykeswitch/simulator/history/record.py
+++ b/packages/simulator/src/dykeswitch/simulator/history/record.py
@@ -55,6 +55,9 @@
     rude: set[str] = dataclasses.field(default_factory=set)
     # Orderly stops, by the proxy's address.
     stops: list[Span] = dataclasses.field(default_factory=list)
+    # Proxies from their stop until they were back, by address: who came meanwhile was refused, and a
+    # request may have crossed the close of its connection.
+    closed: list[Span] = dataclasses.field(default_factory=list)
     # Planned pauses: an endpoint's name, when confirmed, when it ends.
     paused: list[Span] = dataclasses.field(default_factory=list)
     broken_bodies: set[str] = dataclasses.field(default_factory=set)
--- a/packages/simulator/src/dykeswitch/simulator/history/service.py
+++ b/packages/simulator/src/dykeswitch/simulator/history/service.py
@@ -13,6 +13,8 @@
 # The life of a mark, and how late an answer may be, in seconds.
 MARK_S: typing.Final = 5.0
 LATE_S: typing.Final = 0.5
+# Within how many seconds a request that crosses the close of its connection is back.
+CROSSING_S: typing.Final = 0.2
 # The part of all requests that excuses may cover before the day proves nothing.
 EXCUSED_SHARE: typing.Final = 1 / 3
 
@@ -56,14 +58,30 @@
 
 def not_dropped(story: record.History) -> list[str]:
     """A request at work is not dropped by an orderly stop."""
+    crossed = crossed_a_close(story)
     return [
         f"{a.name}: {a.flaw}"
         for a in story.asks
         for s in story.stops
         if a.flaw and a.address == s.name and a.begun <= s.ended and a.ended >= s.begun
+        if a.name not in crossed
     ]
 
 
+def crossed_a_close(story: record.History) -> set[str]:
+    """Requests whose connection a stop closed, or never opened, soon and before any endpoint had them."""
+    if not story.closed:
+        return set()
+    arrived = {name for _, name, _ in [*story.hits, *story.turned]}
+    return {
+        a.name
+        for a in story.asks
+        if a.flaw and a.name not in arrived and a.ended - a.begun <= CROSSING_S + story.wire_s
+        for s in story.closed
+        if s.name == a.address and s.holds(a.ended)
+    }
+
+
 def _lost_with_machine(story: record.History, ask: callers.Ask) -> bool:
     """Whether a proxy was killed or frozen while it had a request in hand, or still was asked."""
     return any(s.name == ask.address and s.begun <= ask.ended and s.ended >= ask.begun for s in story.gone)
@@ -72,6 +90,7 @@
 def excuses(story: record.History) -> dict[str, int]:
     """How many requests each excuse covers."""
     return {
+        "crossed a close": len(crossed_a_close(story)),
         "machine gone": sum(1 for a in story.asks if a.flaw and _lost_with_machine(story, a)),
         "service failing": sum(1 for a in story.asks if _away(a) and _of_failing(story, a)),
         "came to a cut-off machine all the same": sum(
@@ -91,10 +110,11 @@
 
 def broken_explained(story: record.History) -> list[str]:
     """A caller's pipe breaks only with the machine at its other end."""
+    crossed = crossed_a_close(story)
     return [
         f"{a.name} by {a.address} at {a.begun:.2f}: {a.flaw}"
         for a in story.asks
-        if a.flaw and not _lost_with_machine(story, a)
+        if a.flaw and not _lost_with_machine(story, a) and a.name not in crossed
     ]
 
 
--- a/packages/simulator/src/dykeswitch/simulator/realstage.py
+++ b/packages/simulator/src/dykeswitch/simulator/realstage.py
@@ -2,7 +2,10 @@
 
 import asyncio
 import copy
+import itertools
 import json
+import math
+import random
 import signal
 import typing
 
@@ -21,8 +24,9 @@
         self.clock = fleet.machine.clock
         self.rng = fleet.rng
         self.story = histories.History()
-        self.marker = 0
-        self.fresh = 0
+        # Shared by all that act at the same time, so that no two layouts or endpoints are alike.
+        self._markers = itertools.count(1)
+        self._fresh = itertools.count(1)
         self.notes: dict[str, typing.Any] = {}
         self._boots: dict[str, int] = {}
 
@@ -31,11 +35,17 @@
         """Seconds of the machine's steady clock."""
         return self.clock.now()
 
+    def acting(self, seed: int) -> "RealStage":
+        """The same stage for one of several that act at the same time, with draws of its own."""
+        actor = copy.copy(self)
+        actor.rng = random.Random(seed)
+        return actor
+
     def layout(self) -> dict[str, typing.Any]:
         """A new layout, which no earlier one is like."""
-        self.marker += 1
-        doc = shapes.roving(copy.deepcopy(self.fleet.shape.layout()), self.marker)
-        doc["rules"].append({"path": f"/marker-{self.marker}", "service": self.fleet.shape.services[0].name})
+        marker = next(self._markers)
+        doc = shapes.roving(copy.deepcopy(self.fleet.shape.layout()), marker)
+        doc["rules"].append({"path": f"/marker-{marker}", "service": self.fleet.shape.services[0].name})
         return doc
 
     def core(self) -> tuple[real.Process, real.Process]:
@@ -108,12 +118,15 @@
         """Start a process anew."""
         self._boots[process.name] = self._boots.get(process.name, 0) + 1
         process.start()
+        for span in self.story.closed:
+            if span.name == process.web and span.ended == math.inf:
+                span.ended = self.now + stages.PLATFORM_S
 
-    def new_host(self, service: str, address: str) -> real.Host:
-        """Start one more endpoint of a service."""
-        self.fresh += 1
+    def new_host(self, service: str, address: str, **more: typing.Any) -> real.Host:
+        """Start one more endpoint of a service; `more` goes into what it is told."""
+        fresh = next(self._fresh)
         shape = next(s for s in self.fleet.shape.services if s.name == service)
-        host = self.fleet.host(f"{service}-new{self.fresh}", shape, self.fresh, address)
+        host = self.fleet.host(f"{service}-new{fresh}", shape, fresh, address, **more)
         host.start()
         return host
 
--- a/packages/standin/src/dykeswitch/standin/light_web.py
+++ b/packages/standin/src/dykeswitch/standin/light_web.py
@@ -1,6 +1,7 @@
 """Web calls over kept connections, cheap enough for callers that are not to be measured."""
 
 import asyncio
+import math
 
 import dykeswitch.ports as ports
 import dykeswitch.ports.real as real
@@ -14,6 +15,10 @@
         super().__init__()
         self._net = net
         self._idle: dict[str, list[connections.EndpointConnection]] = {}
+        # For how long a connection may rest and be used again, in seconds; and whether the one that
+        # rested longest is used first.
+        self.rest_most_s = math.inf
+        self.oldest_first = False
 
     async def ask(
         self,
@@ -36,9 +41,10 @@
     ) -> ports.Reply:
         idle = self._idle.setdefault(address, [])
         connection: connections.EndpointConnection | None = None
+        now = asyncio.get_running_loop().time()
         while idle and connection is None:
-            held = idle.pop()
-            if held.usable():
+            held = idle.pop(0) if self.oldest_first else idle.pop()
+            if held.usable() and now - held.used <= self.rest_most_s:
                 connection = held
             else:
                 held.close()
@@ -57,6 +63,7 @@
         head = await connection.send(method, path.encode(), raw, body)
         data = b"".join([part async for part in connection.parts()])
         if connection.usable():
+            connection.used = asyncio.get_running_loop().time()
             idle.append(connection)
         found = [(k.decode("latin-1").lower(), v.decode("latin-1")) for k, v in head.heads]
         return ports.Reply(head.status, found, data)
--- a/packages/standin/src/dykeswitch/standin/process.py
+++ b/packages/standin/src/dykeswitch/standin/process.py
@@ -3,10 +3,16 @@
 import asyncio
 import json
 import pathlib
+import signal
 import subprocess
 import sys
 import typing
 
+# What a program's log says once it serves.
+STARTED: typing.Final = b'"event": "started"'
+# Signals that end a program, sooner or later.
+ENDING: typing.Final = (signal.SIGTERM, signal.SIGINT, signal.SIGKILL)
+
 
 class Process:
     """One program running as a process of its own."""
@@ -17,6 +23,10 @@
         self.flags = flags
         self._folder = folder
         self._run: subprocess.Popen[bytes] | None = None
+        # Whether it was sent a signal that ends it since it was started last.
+        self.told_to_end = False
+        # Where in its log its present life begins.
+        self._log_begins = 0
 
     @property
     def web(self) -> str:
@@ -43,14 +53,30 @@
     def start(self) -> None:
         """Start it; its output is added to its log."""
         args = self._args()
+        self.told_to_end = False
+        self._log_begins = self.log.stat().st_size if self.log.exists() else 0
         with self.log.open("ab") as out:
             self._run = subprocess.Popen(args, stdout=out, stderr=out, stdin=subprocess.DEVNULL)
 
     def tell(self, sign: int) -> None:
         """Send it a signal, if it runs."""
         if self._run is not None and self._run.poll() is None:
+            self.told_to_end = self.told_to_end or sign in ENDING
             self._run.send_signal(sign)
 
+    def is_up(self) -> bool:
+        """Whether it has said, since it was started last, that it serves."""
+        if not self.log.exists():
+            return False
+        with self.log.open("rb") as log:
+            log.seek(self._log_begins)
+            return any(STARTED in line for line in log)
+
+    @property
+    def code(self) -> int | None:
+        """With what it ended, if it was started and has."""
+        return None if self._run is None else self._run.poll()
+
     @property
     def started(self) -> bool:
         """Whether it was ever started."""
--- a/packages/standin/src/dykeswitch/standin/shape.py
+++ b/packages/standin/src/dykeswitch/standin/shape.py
@@ -47,6 +47,8 @@
     services: tuple[ServiceShape, ...]
     # How much longer it takes between two zones, one way.
     far_s: float = 0.0
+    # For how long callers' connections may rest, where its layout says so.
+    idle_s: float | None = None
 
     def smaller(self, part: float) -> "Shape":
         """A part of the fleet at the same load: fewer proxies, endpoints and requests."""
@@ -80,6 +82,7 @@
     def layout(self) -> dict[str, typing.Any]:
         """The layout an operator would send for it."""
         return {
+            **({"bounds": {"idle_s": self.idle_s}} if self.idle_s is not None else {}),
             "services": {s.name: {"probe": "/healthz", "expiry_s": 10} for s in self.services},
             "rules": [
                 {
@@ -122,7 +125,7 @@
     if turn % 4 < 2:
         services[SLOTS[4].name] = {"probe": "/healthz", "expiry_s": 10}
         rules.append({"path": "/rove/extra", "service": SLOTS[4].name})
-    return {"services": {**doc["services"], **services}, "rules": [*doc["rules"], *rules]}
+    return {**doc, "services": {**doc["services"], **services}, "rules": [*doc["rules"], *rules]}
 
 
 ZONES: typing.Final = ("z1", "z2", "z3", "z4")
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,221 @@
+"""The soak: its plan, its size, what it checks beyond a history, and one short run on real processes."""
+
+import argparse
+import asyncio
+import dataclasses
+import json
+import pathlib
+import signal
+import socket
+import sys
+import typing
+
+import pytest
+
+import dykeswitch.cli.soak as cli_soak
+import dykeswitch.simulator.history as histories
+import dykeswitch.simulator.realengine as realengine
+import dykeswitch.simulator.realfaults as realfaults
+import dykeswitch.simulator.resources as resources
+import dykeswitch.simulator.soak.acts as acts
+import dykeswitch.simulator.soak.engine as engine
+import dykeswitch.simulator.soak.plan as plans
+import dykeswitch.simulator.soak.report as reports
+import dykeswitch.simulator.soak.sizes as sizes
+import dykeswitch.standin.caller as callers
+import dykeswitch.standin.fleet as fleets
+import dykeswitch.standin.port_block as port_block
+import dykeswitch.standin.process as processes
+import dykeswitch.standin.shape as shapes
+from dykeswitch.simulator.realstage import RealStage
+
+GIGABYTE: typing.Final = 1024**3
+# The seed and length of the run in CI.
+CI_SEED: typing.Final = 2
+CI_SECONDS: typing.Final = 25.0
+
+
+def test_a_plan_is_drawn_from_its_seed_alone_and_read_back_as_it_was_written(tmp_path: pathlib.Path) -> None:
+    one = plans.draw("puddle", 7, 60.0, 0.3, 0)
+    assert one == plans.draw("puddle", 7, 60.0, 0.3, 0)
+    assert one.tracks != plans.draw("puddle", 8, 60.0, 0.3, 0).tracks
+    one.write(tmp_path)
+    assert plans.read(tmp_path) == one
+    (tmp_path / plans.PLAN_FILE).write_text("{}")
+    with pytest.raises(plans.PlanError):
+        plans.read(tmp_path)
+
+
+def test_every_act_of_a_track_is_there_and_every_one_of_the_soaks_own_is_played() -> None:
+    named = {act for track in plans.TRACKS.values() for act in track}
+    assert named <= acts.ACTS.keys()
+    assert acts.ACTS.keys() - realfaults.ACTS.keys() <= named
+
+
+@pytest.mark.parametrize("name", list(sizes.SHAPES))
+@pytest.mark.parametrize("nodes", [25, 40, 100, 290])
+def test_a_shape_is_made_as_large_as_was_asked_for(name: str, nodes: int) -> None:
+    made = sizes.sized(sizes.SHAPES[name], nodes)
+    least = sizes.processes(sizes.sized(sizes.SHAPES[name], 1))
+    assert sizes.processes(made) <= max(nodes, least)
+    assert sizes.processes(made) >= 0.8 * nodes or nodes < 2 * least
+
+
+def test_a_machine_bears_less_than_half_of_its_memory_and_a_few_hundred_processes() -> None:
+    assert sizes.processes_most(sizes.Memory(1000 * GIGABYTE, 0)) < 300
+    most = sizes.processes_most(sizes.Memory(24 * GIGABYTE, 4 * GIGABYTE))
+    assert 4 * GIGABYTE + most * sizes.PROCESS_BYTES < 12 * GIGABYTE
+    assert sizes.processes_most(sizes.Memory(24 * GIGABYTE, 13 * GIGABYTE)) == 0
+
+
+def test_a_machine_that_is_full_is_told_so(
+    monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str], tmp_path: pathlib.Path
+) -> None:
+    monkeypatch.setattr(sizes, "memory", lambda: sizes.Memory(24 * GIGABYTE, 12 * GIGABYTE))
+    spoken = argparse.Namespace(
+        shape="puddle", seed=1, seeds=1, minutes=1.0, scale=0.3, nodes=0, folder=tmp_path, replay=None
+    )
+    assert cli_soak.run(spoken) == cli_soak.EXIT_USAGE
+    assert "this machine bears 0 now" in capsys.readouterr().err
+
+
+def _held(memory: int, descriptors: int) -> resources.Held:
+    return resources.Held(0.0, 1, memory, descriptors, {"proxy": (memory, descriptors)})
+
+
+def test_what_does_not_come_back_to_its_level_is_told() -> None:
+    base = _held(40 * 1024**2, 60)
+    assert resources.grown(base, _held(60 * 1024**2, 100)) == []
+    assert len(resources.grown(base, _held(200 * 1024**2, 100))) == 1
+    assert len(resources.grown(base, _held(60 * 1024**2, 900))) == 1
+
+
+def _stopped(ask: callers.Ask, *hits: tuple[float, str, str]) -> dict[str, list[str]]:
+    """What is broken where a caller's connection ended amid the stop of its proxy."""
+    story = histories.History(
+        asks=[ask],
+        hits=list(hits),
+        owners={"orders-0": "orders"},
+        stops=[histories.Span("p", 99.0, 101.0)],
+        closed=[histories.Span("p", 99.0, 103.0)],
+        calm=90.0,
+        end=200.0,
+    )
+    # One request of a handful: how many excuses cover is not what is judged here.
+    return {name: found for name, found in histories.judge(story).items() if name != "excuses_bounded"}
+
+
+def test_only_what_crossed_the_close_of_its_connection_is_excused() -> None:
+    ask = callers.Ask("a", "orders", True, 100.0, "p", 100.05, flaw="OSError: broke off")
+    assert _stopped(ask) == {}
+    # It was passed on, it was held for long before its connection ended, its proxy was not stopping.
+    assert set(_stopped(ask, (100.02, "a", "orders-0"))) == {"not_dropped", "broken_explained"}
+    assert set(_stopped(dataclasses.replace(ask, ended=100.9))) == {"not_dropped", "broken_explained"}
+    assert set(_stopped(dataclasses.replace(ask, address="q"))) == {"broken_explained"}
+
+
+ORDERS: typing.Final = shapes.ServiceShape("orders", 2, 10, "/orders", "POST", 0.05)
+TINY: typing.Final = shapes.Shape("tiny", 1, 1, ("z1",), (ORDERS,))
+
+
+def test_a_process_that_ends_by_itself_or_with_a_fault_is_told(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def main() -> None:
+        async with fleets.running(TINY, 1) as fleet:
+            stage = RealStage(fleet)
+            for process in fleet.processes():
+                process.start()
+            watch = asyncio.create_task(realengine._watch_ends(stage))
+            await fleet.until(lambda: all(p.is_up() for p in (*fleet.proxies, *fleet.cores[0])), 60, "all up")
+            assert stage.story.crashes == []
+            # As the system does when memory runs out: nobody of ours told it to end.
+            victim = fleet.proxies[0]
+            assert victim._run is not None
+            victim._run.send_signal(signal.SIGKILL)
+            await fleet.until(lambda: len(stage.story.crashes) == 1, 10, "an end that is told of")
+            # One that needs the hard signal, and is frozen here so that it does.
+            monkeypatch.setattr(acts, "STOP_S", 0.5)
+            registry = fleet.cores[0][0]
+            registry.tell(signal.SIGSTOP)
+            await acts.end_in_order(stage, registry)
+            await asyncio.sleep(3 * realengine.WATCH_S)
+            watch.cancel()
+            assert [text.split()[0] for text in stage.story.crashes] == ["proxy0", "core0"]
+            assert "had to be killed" in stage.story.crashes[1]
+
+    asyncio.run(main())
+
+
+def _soak(folder: pathlib.Path, plan: plans.Plan) -> reports.Report:
+    folder.mkdir(exist_ok=True)
+    plan.write(folder)
+    day = asyncio.run(engine.play(plan, folder))
+    report = reports.of(plan, day, folder)
+    reports.write(report, day, folder)
+    return report
+
+
+def test_a_short_soak_holds(tmp_path: pathlib.Path) -> None:
+    report = _soak(tmp_path, plans.draw("puddle", CI_SEED, CI_SECONDS, 0.3, 0))
+    assert report.figures["breaches"] == {}
+    assert report.figures["asked"] > 300
+    assert report.figures["replied"] > 0.6 * report.figures["asked"]
+    assert sum(report.acts.values()) > 10
+    page = json.loads((tmp_path / reports.REPORT_FILE).read_text())
+    assert page["seed"] == CI_SEED
+    assert (tmp_path / reports.PLOT_FILE).read_text().startswith("<?xml")
+
+
+# Runs before a program's own code: no departure of a caller is told to it.
+DEAF: typing.Final = """
+import sys
+import dykeswitch.ports.departure as departures
+departures.Departure.announce = lambda self: None
+import dykeswitch.cli.main as main
+sys.exit(main.main())
+"""
+
+
+def test_without_its_guard_a_soak_sees_work_for_callers_that_left(
+    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    own = processes.Process._args
+
+    def deaf(self: processes.Process) -> list[str]:
+        args = own(self)
+        return [sys.executable, "-c", DEAF, *args[3:]] if self.word == "proxy" else args
+
+    monkeypatch.setattr(processes.Process, "_args", deaf)
+    monkeypatch.setitem(acts.ACTS, "leave", acts.mannered(leave_share=0.9, leave_within_s=0.05))
+    steps = (plans.Step("leave", 0.0, 1),)
+    plan = dataclasses.replace(plans.draw("puddle", 1, 4.0, 1.0, 0), tracks={"callers": steps})
+    # Work that outlasts its caller by more than the half second that is allowed.
+    slow = tuple(dataclasses.replace(service, work_s=1.0) for service in sizes.PUDDLE.services)
+    monkeypatch.setitem(sizes.SHAPES, "puddle", dataclasses.replace(sizes.PUDDLE, services=slow))
+    report = _soak(tmp_path, plan)
+    assert "nothing_run_for_nobody" in report.figures["breaches"]
+
+
+def test_fleets_that_run_at_the_same_time_have_ports_of_their_own() -> None:
+    one, two = port_block.PortBlock(), port_block.PortBlock()
+    mine = {one.address() for _ in range(50)}
+    assert mine.isdisjoint({two.address() for _ in range(50)})
+    one.close()
+    # A port at which somebody listens is passed over.
+    with socket.socket() as taken:
+        port = next(port for port in range(two._next, two._next + 500) if _binds(taken, port))
+        while two._next <= port:
+            assert two.address() != f"127.0.0.1:{port}"
+    # A block that is let go may be had again, and its fellow's is not.
+    one.close()
+    again = port_block.PortBlock()
+    assert again._first != two._first
+    again.close()
+    two.close()
+
+
+def _binds(sock: socket.socket, port: int) -> bool:
+    try:
+        sock.bind(("127.0.0.1", port))
+    except OSError:
+        return False
+    return True
