--- a/packages/simulator/src/dykeswitch/simulator/faults/callers.py
+++ b/packages/simulator/src/dykeswitch/simulator/faults/callers.py
@@ -84,6 +84,15 @@
         await asyncio.sleep(5.0)
 
 
+async def every_run_fails(stage: stages.Stage) -> None:
+    """Every endpoint of a reading service does the work and says that it failed."""
+    service = next(s for s in stage.fleet.shape.services if not s.writing)
+    with stage.failing(service.name):
+        with stage.planned(stage.live_endpoints(service.name), "run_then_500", 1.0):
+            await asyncio.sleep(3.0)
+        await asyncio.sleep(0.5)
+
+
 # Work that outlasts its caller's patience by far, how soon those who leave are gone, and how often
 # one comes with such work, in seconds.
 LONG_WORK_S: typing.Final = 2.5
@@ -168,6 +177,7 @@
     "fresh_callers": fresh_callers,
     "kept_callers": kept_callers,
     "believe_bare_503": believe_bare_503,
+    "every_run_fails": every_run_fails,
     "callers_leave": callers_leave,
     "callers_leave_between_tries": callers_leave_between_tries,
     "callers_leave_while_proxies_stop": callers_leave_while_proxies_stop,
--- a/packages/simulator/src/dykeswitch/simulator/fleet.py
+++ b/packages/simulator/src/dykeswitch/simulator/fleet.py
@@ -4,6 +4,7 @@
 import contextvars
 import dataclasses
 import json
+import math
 import pathlib
 import random
 import typing
@@ -133,6 +134,8 @@
         self.hits: list[tuple[float, str, str]] = []
         # Requests that came to an endpoint and were meant for another.
         self.turned: list[tuple[float, str, str]] = []
+        # Until when endpoints were told that they may work on a request.
+        self.handed: list[tuple[str, float]] = []
         self.puts: list[Put] = []
         self.gots: list[Got] = []
         self.samples: list[Sample] = []
@@ -228,7 +231,10 @@
         return made
 
     def _hit(self, endpoint: endpoints.Endpoint, method: str, target: str) -> None:
-        self.hits.append((self.clock.now(), callers.name_in(target), endpoint.name))
+        name = callers.name_in(target)
+        self.hits.append((self.clock.now(), name, endpoint.name))
+        # One that is told of no end may work for ever.
+        self.handed.append((name, math.inf if endpoint.handed_until is None else endpoint.handed_until))
 
     def _turn(self, endpoint: endpoints.Endpoint, method: str, target: str) -> None:
         self.turned.append((self.clock.now(), callers.name_in(target), endpoint.name))
--- a/packages/simulator/src/dykeswitch/simulator/history/__init__.py
+++ b/packages/simulator/src/dykeswitch/simulator/history/__init__.py
@@ -34,6 +34,8 @@
     "own_replies": requests.own_replies,
     "asked_for": requests.asked_for,
     "right_owner": requests.right_owner,
+    "tries_bounded": requests.tries_bounded,
+    "no_time_added": requests.no_time_added,
     "not_after_leaving": requests.not_after_leaving,
     "not_while_paused": requests.not_while_paused,
     "nothing_sent_for_nobody": departures.nothing_sent_for_nobody,
--- a/packages/simulator/src/dykeswitch/simulator/history/requests.py
+++ b/packages/simulator/src/dykeswitch/simulator/history/requests.py
@@ -5,6 +5,10 @@
 import dykeswitch.simulator.history.record as record
 import dykeswitch.standin.caller as callers
 
+# The most endpoints that one request may run on, by the layouts of simulated fleets; and how much later
+# than its caller's expiry an endpoint may be told that it may work, in seconds.
+TRIES_MOST: typing.Final = 3
+HANDED_SLACK_S: typing.Final = 0.5
 # For how many seconds after its end was acknowledged an endpoint may still get requests.
 LEAVE_S: typing.Final = 2.0
 
@@ -108,3 +112,22 @@
         for at, ask, name in story.hits
         if name == p.name and p.begun + LEAVE_S < at < p.ended
     ]
+
+
+def tries_bounded(story: record.History) -> list[str]:
+    """No request runs on more endpoints than its rule allows."""
+    return [
+        f"{ask.name} ran on {len(endpoints)} endpoints"
+        for ask in story.asks
+        if len(endpoints := {run.endpoint for run in story.starts.get(ask.name, ())}) > TRIES_MOST
+    ]
+
+
+def no_time_added(story: record.History) -> list[str]:
+    """No endpoint is handed more time than the caller has left."""
+    ends = {ask.name: ask.begun + (ask.expiry_s or story.expiry_s) for ask in story.asks}
+    return [
+        f"{name} was handed on with {end - ends[name]:.2f} s more than its caller's"
+        for name, end in story.handed
+        if name in ends and end > ends[name] + HANDED_SLACK_S
+    ]
--- a/packages/simulator/src/dykeswitch/simulator/scenario.py
+++ b/packages/simulator/src/dykeswitch/simulator/scenario.py
@@ -78,6 +78,7 @@
     story.runs = dict(fleet.record.runs)
     story.starts = dict(fleet.record.starts)
     story.hits, story.turned = fleet.hits, fleet.turned
+    story.handed = fleet.handed
     story.owners = {n: e.service for n, e in fleet.endpoints.items()}
     story.left = fleet.left
     story.puts, story.gots, story.samples = fleet.puts, fleet.gots, fleet.samples
--- a/packages/standin/src/dykeswitch/standin/endpoint.py
+++ b/packages/standin/src/dykeswitch/standin/endpoint.py
@@ -64,6 +64,8 @@
         self.counts: collections.Counter[str] = collections.Counter()
         self.runs = 0
         self.hits = 0
+        # Until when it may work on the request that came last, if it was told.
+        self.handed_until: float | None = None
         self._connections: dict[ports.Connection, None] = {}
         self._listener: ports.Listener | None = None
 
@@ -158,7 +160,7 @@
         target = ask.target.decode("latin-1")
         method = ask.method.decode()
         probe = target.split("?")[0] == PROBE
-        heads = _heads(ask)
+        heads = headers.fields(ask.headers)
         if heads.get(headers.EXPECTED, self.name) != self.name:
             # Meant for whoever was here before: not ours to run.
             self.counts["turned"] += 1
@@ -171,6 +173,7 @@
         else:
             self.hits += 1
             self.counts["unnamed"] += headers.EXPECTED not in heads
+            self.handed_until = headers.end_of(heads, self._clock.now())
             if self._hit is not None:
                 self._hit(self, method, target)
         return await self._act(talk, ask, target, body, fault, probe)
@@ -193,8 +196,7 @@
         held = self.slots
         if held.full:
             return await self._turn_away(talk, ask)
-        left = _heads(ask).get(headers.EXPIRY, "")
-        end = self._clock.now() + int(left) / 1000 if left.isdigit() else None
+        end = headers.end_of(headers.fields(ask.headers), self._clock.now())
         ticket = held.ticket()
         try:
             came = await self._queue(talk, ticket, end)
@@ -297,7 +299,7 @@
             "by": self.name,
             "service": self.service,
             "target": target,
-            "echo": _heads(ask).get(headers.ASK, ""),
+            "echo": headers.fields(ask.headers).get(headers.ASK, ""),
         }
         data = json.dumps(page).encode()
         if "size=" in target:
@@ -320,7 +322,7 @@
     def _whole(
         self, talk: talks.Talk, status: int, data: bytes, extra: Heads | None, ask: h11.Request
     ) -> bytes:
-        nature, asked = self._nature, _heads(ask)
+        nature, asked = self._nature, headers.fields(ask.headers)
         heads = [("content-length", str(len(data))), ("content-type", "application/json")]
         heads += self._id() if extra is None else extra
         heads.append((headers.SEAL, headers.seal(status, data)))
@@ -344,7 +346,3 @@
     ) -> bool:
         await talk.write(self._whole(talk, status, data, extra, ask))
         return True
-
-
-def _heads(ask: h11.Request) -> dict[str, str]:
-    return {k.decode(): v.decode("latin-1") for k, v in ask.headers}
--- a/packages/standin/src/dykeswitch/standin/headers.py
+++ b/packages/standin/src/dykeswitch/standin/headers.py
@@ -17,3 +17,14 @@
 def seal(status: int, data: bytes) -> str:
     """By which a reply is known to be whole, and to be what the endpoint said."""
     return f"{status}.{len(data)}.{zlib.crc32(data):08x}"
+
+
+def fields(raw: typing.Iterable[tuple[bytes, bytes]]) -> dict[str, str]:
+    """Header fields by their names; of two with one name the last."""
+    return {key.decode(): value.decode("latin-1") for key, value in raw}
+
+
+def end_of(heads: typing.Mapping[str, str], now: float) -> float | None:
+    """Until when a request may be worked on, by the clock that says `now`, if it says so."""
+    left = heads.get(EXPIRY, "")
+    return now + int(left) / 1000 if left.isdigit() else None
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -19,6 +19,7 @@
 import dykeswitch.proxy.budget as budgets
 import dykeswitch.proxy.carrier as carriers
 import dykeswitch.proxy.exchange as exchanges
+import dykeswitch.proxy.headers as headers
 import dykeswitch.proxy.program as proxies
 import dykeswitch.proxy.selection as selection
 import dykeswitch.register as register
@@ -64,6 +65,26 @@
     patch.setattr(budgets.Budget, "take", lambda self, now: True)
 
 
+def _tries_for_ever(patch: pytest.MonkeyPatch) -> None:
+    async def retry(self: carriers.Carrier, x: exchanges.Exchange) -> exchanges.Stage:
+        # Orders are still kept to what holds for them: this is of reading alone.
+        return exchanges.Stage.SELECT if not x.writing else self._ends.give_up(x, "not_run")
+
+    patch.setattr(carriers.Carrier, "_retry", retry)
+    _no_budget(patch)
+
+
+def _hands_on_all_time(patch: pytest.MonkeyPatch) -> None:
+    own = headers.request_heads
+
+    def from_the_begin(
+        x: exchanges.Exchange, adapter: adapters.Adapter, names: adapters.Heads, now: float
+    ) -> connections.Heads:
+        return own(x, adapter, names, x.born)
+
+    patch.setattr(headers, "request_heads", from_the_begin)
+
+
 def _deaf_to_departures(patch: pytest.MonkeyPatch) -> None:
     patch.setattr(departures.Departure, "announce", lambda self: None)
 
@@ -264,6 +285,8 @@
     (_no_proof, "hand_over_address", "right_owner"),
     (_always_retry, "lose_replies", "run_twice"),
     (_no_budget, "fail_service", "extra_bound"),
+    (_tries_for_ever, "every_run_fails", "tries_bounded"),
+    (_hands_on_all_time, "hang", "no_time_added"),
     (_deaf_to_departures, "callers_leave", "nothing_run_for_nobody"),
     (_deaf_to_departures, "callers_leave_between_tries", "nothing_sent_for_nobody"),
     (_cut_passes, "cut_bodies", "whole_replies"),
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -281,6 +281,15 @@
     return change
 
 
+def _many_endpoints(story: histories.History) -> None:
+    story.asks.append(callers.Ask("many", "pages", False, 100.0, "p", 100.1, status=200))
+    story.starts["many"] = [_run("many", f"pages-{n}", "pages") for n in range(4)]
+
+
+def _time_added(story: histories.History) -> None:
+    story.handed = [("a", 100.0 + story.expiry_s), ("a", 100.0 + story.expiry_s + 0.6)]
+
+
 BREAKS: typing.Final[dict[str, list[typing.Callable[[histories.History], None]]]] = {
     "run_twice": [_twice, _twice_begun],
     "told_not_done": [_told, _told_by_endpoint],
@@ -299,6 +308,8 @@
     "broken_explained": [_connection_broke],
     "excuses_bounded": [_all_excused],
     "nothing_leaked": [_leak],
+    "tries_bounded": [_many_endpoints],
+    "no_time_added": [_time_added],
     "nothing_sent_for_nobody": [_goes_on(True), _goes_on(False)],
     "nothing_run_for_nobody": [_goes_on(False)],
     "register_holds": [_stale_read, _none_read, _refused_stands],
