--- a/packages/simulator/src/dykeswitch/simulator/fleet.py
+++ b/packages/simulator/src/dykeswitch/simulator/fleet.py
@@ -86,6 +86,17 @@
     body: str = ""
 
 
+@dataclasses.dataclass(slots=True)
+class Handed:
+    """For how long an endpoint was told that it may work on a request, in seconds."""
+
+    at: float
+    ask: str
+    span_s: float
+    # Whether no link was in trouble, so that it came when it was sent.
+    calm: bool
+
+
 @dataclasses.dataclass(slots=True)
 class Sample:
     """What one proxy carried at one moment."""
@@ -134,8 +145,7 @@
         self.hits: list[tuple[float, str, str]] = []
         # Requests that came to an endpoint and were meant for another.
         self.turned: list[tuple[float, str, str]] = []
-        # Until when endpoints were told that they may work on a request.
-        self.handed: list[tuple[str, float]] = []
+        self.handed: list[Handed] = []
         self.puts: list[Put] = []
         self.gots: list[Got] = []
         self.samples: list[Sample] = []
@@ -234,7 +244,8 @@
         name = callers.name_in(target)
         self.hits.append((self.clock.now(), name, endpoint.name))
         # One that is told of no end may work for ever.
-        self.handed.append((name, math.inf if endpoint.handed_until is None else endpoint.handed_until))
+        span = math.inf if endpoint.handed_s is None else endpoint.handed_s
+        self.handed.append(Handed(self.clock.now(), name, span, self.world.wires.calm()))
 
     def _turn(self, endpoint: endpoints.Endpoint, method: str, target: str) -> None:
         self.turned.append((self.clock.now(), callers.name_in(target), endpoint.name))
--- a/packages/simulator/src/dykeswitch/simulator/history/record.py
+++ b/packages/simulator/src/dykeswitch/simulator/history/record.py
@@ -37,8 +37,7 @@
     hits: list[tuple[float, str, str]] = dataclasses.field(default_factory=list)
     # Requests that were meant for another endpoint, and turned away by the one they reached.
     turned: list[tuple[float, str, str]] = dataclasses.field(default_factory=list)
-    # Until when endpoints were told that they may work on a request, with its name.
-    handed: list[tuple[str, float]] = dataclasses.field(default_factory=list)
+    handed: list[fleets.Handed] = dataclasses.field(default_factory=list)
     owners: dict[str, str] = dataclasses.field(default_factory=dict)
     left: dict[str, float] = dataclasses.field(default_factory=dict)
     puts: list[fleets.Put] = dataclasses.field(default_factory=list)
--- a/packages/simulator/src/dykeswitch/simulator/net.py
+++ b/packages/simulator/src/dykeswitch/simulator/net.py
@@ -3,12 +3,15 @@
 import asyncio
 import collections
 import contextvars
+import math
 import random
 import typing
 
 import dykeswitch.ports as ports
 import dykeswitch.simulator.loop as loops
 
+# How long after a cut what it held up may still arrive, in seconds.
+CALM_AFTER_S: typing.Final = 4.0
 # Calls that an application has in hand.
 Flights = dict["asyncio.Task[None]", None]
 
@@ -22,6 +25,7 @@
         self.cuts: set[tuple[str, str]] = set()
         self.slow: dict[str, float] = {}
         self.loss = 0.0
+        self._healed_at = -math.inf
         self.ears: dict[str, tuple[loops.Host, ports.Serve]] = {}
         self.apps: dict[str, tuple[loops.Host, ports.App, Flights]] = {}
         # The machine that an address belongs to, whether or not anyone listens.
@@ -73,8 +77,14 @@
                     if both:
                         self.cuts.add((two, one))
 
+    def calm(self) -> bool:
+        """Whether nothing is cut, slowed or lost, nor was cut a little while ago."""
+        disturbed = self.cuts or self.slow or self.off or self.loss
+        return not disturbed and self.loop.time() - self._healed_at > CALM_AFTER_S
+
     def heal(self) -> None:
         """End every cut; what was held up goes on."""
+        self._healed_at = self.loop.time()
         self.cuts.clear()
         for connection in list(self.connections):
             connection.pump()
--- a/packages/standin/src/dykeswitch/standin/endpoint.py
+++ b/packages/standin/src/dykeswitch/standin/endpoint.py
@@ -64,8 +64,8 @@
         self.counts: collections.Counter[str] = collections.Counter()
         self.runs = 0
         self.hits = 0
-        # Until when it may work on the request that came last, if it was told.
-        self.handed_until: float | None = None
+        # For how many seconds it may work on the request that came last, if it was told.
+        self.handed_s: float | None = None
         self._connections: dict[ports.Connection, None] = {}
         self._listener: ports.Listener | None = None
 
@@ -173,7 +173,7 @@
         else:
             self.hits += 1
             self.counts["unnamed"] += headers.EXPECTED not in heads
-            self.handed_until = headers.end_of(heads, self._clock.now())
+            self.handed_s = headers.left_s(heads)
             if self._hit is not None:
                 self._hit(self, method, target)
         return await self._act(talk, ask, target, body, fault, probe)
@@ -196,7 +196,8 @@
         held = self.slots
         if held.full:
             return await self._turn_away(talk, ask)
-        end = headers.end_of(headers.fields(ask.headers), self._clock.now())
+        left_s = headers.left_s(headers.fields(ask.headers))
+        end = None if left_s is None else self._clock.now() + left_s
         ticket = held.ticket()
         try:
             came = await self._queue(talk, ticket, end)
--- a/packages/standin/src/dykeswitch/standin/headers.py
+++ b/packages/standin/src/dykeswitch/standin/headers.py
@@ -24,7 +24,7 @@
     return {key.decode(): value.decode("latin-1") for key, value in raw}
 
 
-def end_of(heads: typing.Mapping[str, str], now: float) -> float | None:
-    """Until when a request may be worked on, by the clock that says `now`, if it says so."""
+def left_s(heads: typing.Mapping[str, str]) -> float | None:
+    """For how many seconds a request may be worked on, if it says so."""
     left = heads.get(EXPIRY, "")
-    return now + int(left) / 1000 if left.isdigit() else None
+    return int(left) / 1000 if left.isdigit() else None
