--- a/review/lib/stand.py
+++ b/review/lib/stand.py
@@ -21,6 +21,7 @@
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 HEARTBEAT_S = 1.5
+CAPACITY = 2
 HOST = "review.example"
 HELD, BROKEN, UNABLE = 0, 1, 2
 
@@ -410,7 +411,7 @@
         self._count += 1
         body = {
             "address": f"{self.ip}:{self.port}",
-            "details": {"target": self.service, "revision": "v1", "zone": "hall-a", "capacity": 4},
+            "details": {"target": self.service, "revision": "v1", "zone": "hall-a", "capacity": CAPACITY},
             "observed": {"state": self.state, "call_count": self._count, "warmup_left_s": 0},
         }
         try:
