--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,7 +1,7 @@
 """DRAIN: a deregistration that was acknowledged is forgotten when the core's processes are killed.
 
-Three of 21 servers, one of each service, deregister one after the other, serve on and beat no more. Right
-after the last acknowledgement every process of the core is killed; they are started again within a
+Three of 21 servers, one of each service, deregister, one and then two, serve on and beat no more.
+Right after the last acknowledgement every process of the core is killed; they are started again within a
 second, with their disks. The check counts runs at a server that began later than `drain_s` after
 its acknowledgement, and only while every machine was in touch again: `contact_s` after the last
 process of the core was started.
@@ -20,13 +20,13 @@
 
 SERVICES: typing.Final = ("one", "two", "three")
 SERVERS_EACH: typing.Final = 7
-CLIENTS_EACH: typing.Final = 8
+CLIENTS_EACH: typing.Final = 6
 DRAIN_S: typing.Final = 2.0
 CONTACT_S: typing.Final = 3.0
 # A little over `contact_s`: the start of a process is over when the call returns.
 IN_TOUCH_S: typing.Final = CONTACT_S + 0.2
 DOWN_S: typing.Final = 0.5
-RUN_S: typing.Final = 0.12
+RUN_S: typing.Final = 0.18
 SERVE_ON_S: typing.Final = 11.0
 
 
@@ -106,8 +106,9 @@
     ]
     await asyncio.sleep(2)
     leaving = servers[::SERVERS_EACH]
-    for server in leaving:
-        await server.leave(system)
+    # One leaves, and as soon as it has its acknowledgement the two others do.
+    await leaving[0].leave(system)
+    await asyncio.gather(*(server.leave(system) for server in leaving[1:]))
     if any(server.acknowledged is None for server in leaving):
         return stand.UNABLE
     calm = await kill_core(system, record) + IN_TOUCH_S if trouble else 0.0
