--- a/review/1/case.py
+++ b/review/1/case.py
@@ -57,13 +57,18 @@
                 return
 
 
-async def client(system: stand.System, ip: str, service: str, end: float) -> None:
-    """One client of one proxy: reads, one after the other."""
+async def client(
+    system: stand.System, ip: str, service: str, end: float, sent: dict[str, tuple[float, str, int]]
+) -> None:
+    """One client of one proxy: reads, one after the other; when each was sent, where, and its status."""
     while time.monotonic() < end:
-        fields = stand.request_fields(stand.attempt_id(), 1500)
+        attempt = stand.attempt_id()
+        fields = stand.request_fields(attempt, 1500)
+        sent[attempt] = (time.monotonic(), ip, 0)
         try:
             async with asyncio.timeout(2):
-                await stand.ask(ip, system.public, "GET", f"/{service}/x", fields, b"")
+                answer = await stand.ask(ip, system.public, "GET", f"/{service}/x", fields, b"")
+                sent[attempt] = (*sent[attempt][:2], answer.status)
         except (OSError, TimeoutError, asyncio.IncompleteReadError, ValueError):
             await asyncio.sleep(0.1)
         await asyncio.sleep(0.02)
@@ -98,8 +103,9 @@
         return stand.UNABLE
     await asyncio.sleep(4)
     end = time.monotonic() + 2 + SERVE_ON_S + 1
+    sent: dict[str, tuple[float, str, int]] = {}
     clients = [
-        asyncio.create_task(client(system, ip, service, end))
+        asyncio.create_task(client(system, ip, service, end, sent))
         for ip in system.edges
         for service in SERVICES
         for _ in range(CLIENTS_EACH)
@@ -113,15 +119,29 @@
         return stand.UNABLE
     calm = await kill_core(system, record) + IN_TOUCH_S if trouble else 0.0
     await asyncio.gather(*clients)
-    return judge(leaving, calm, record)
+    record(f"{len(sent)} requests were sent")
+    return judge(leaving, calm, sent, record)
 
 
-def judge(leaving: typing.Sequence[Server], calm: float, record: stand.Record) -> int:
+def judge(
+    leaving: typing.Sequence[Server],
+    calm: float,
+    sent: dict[str, tuple[float, str, int]],
+    record: stand.Record,
+) -> int:
     """Whether a request that came in calm time reached a server too late."""
     broken = False
     for server in leaving:
         assert server.acknowledged is not None
-        late = [at for at, _ in server.runs if at > max(server.acknowledged + DRAIN_S, calm)]
+        after = max(server.acknowledged + DRAIN_S, calm)
+        # Sent in calm time as well, so that all of its way lies there.
+        late = [(at, attempt) for at, attempt in server.runs if sent[attempt][0] > after]
+        for at, attempt in late:
+            begun, ip, status = sent[attempt]
+            record(
+                f"{attempt} was sent to {ip} {begun - server.acknowledged:.3f} s after the acknowledgement of"
+                f" {server.id}, ran there at {at - server.acknowledged:.3f} s, and was answered {status}"
+            )
         last = max((at for at, _ in server.runs), default=server.acknowledged) - server.acknowledged
         record(
             f"server {server.id} of {server.service}: {len(server.runs)} runs, the last {last:.2f} s after the"
