Add a case to the review: a page whose route goes while it is fetched is a success without a body

A read-only attempt that is broken off keeps its answer's head; where no rule is left for a further try, that head is sent as the answer.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,97 +1,98 @@
-"""An order that ran, and whose server answered 429 or 408 of its own, is told to its client as not run.
+"""A page whose route is taken away while it is fetched reaches its client as a success without a body.
 
-A server turns a request away with `Dykeswitch-Not-Executed` (or with 421). These servers take an
-order up, begin work on it, and then answer 429 or 408 without that field. Clients take both
-statuses for a promise that nothing ran, and send the order again under a new id.
+A server sends the head of a page at once and takes 1.8 s over the rest. The proxy breaks the
+attempt off half-way through the time that is left, to try another server. A configuration has taken
+the route away meanwhile. The client then gets the head of the attempt that was broken off: 200,
+with the server's seal, and `Content-Length: 0`.
 """
 
 import asyncio
-import collections
 import pathlib
+import random
 import sys
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "lib"))
 
 import stand
 
-ORDERS = 12
-# A client's own further tries, as the site has them.
-FURTHER_TRIES = 1
-PROMISES = (408, 421, 429, 503)
+PAGES = 12
+LEFT_MS = 2500
+SLOW_S = 1.8
+CHANGE_AFTER_S = 0.4
+BODY = random.Random(31).randbytes(20000)
+FIRST_BYTES = 8000
 
 
-class Limited(stand.Server):
-    """A server whose work on every other order ends with a 429 or a 408 of its own."""
+class Renderer(stand.Server):
+    """A server that takes its time over a page which is asked for the first time."""
 
-    trouble = True
-    # The orders begun here, by what the client calls them, on all servers together.
-    begun: "collections.Counter[str]" = collections.Counter()
-    turned_away: "set[str]" = set()
+    rendered: "set[str]" = set()
 
     async def run(self, request: stand.Request, writer: asyncio.StreamWriter) -> None:
-        """Run an order, or turn it away in so many words where there is no disruption."""
-        order = request.body.decode()
-        number = int(order.split("-")[1])
-        status = (200, 429, 200, 408)[number % 4]
-        # What was begun once is answered as it should be when it comes again.
-        if status != 200 and order not in Limited.turned_away:
-            Limited.turned_away.add(order)
-            if not self.trouble:
-                self.ran[request.attempt] -= 1
-                self.record(f"server {self.id} turned away {order} ({request.attempt}): 429, not executed")
-                writer.write(self.answer(request, 429, b"", "Dykeswitch-Not-Executed: 1\r\n"))
-                return
-            Limited.begun[order] += 1
-            self.record(f"server {self.id} ran {order} ({request.attempt}): {status}, no such field")
-            writer.write(self.answer(request, status, b"no more today"))
-            return
-        Limited.begun[order] += 1
-        self.record(f"server {self.id} ran {order} ({request.attempt}): 200")
-        writer.write(self.answer(request, 200, b"done"))
+        """Send a page: at once if some server has rendered it before, else bit by bit."""
+        page = request.target
+        again = page in Renderer.rendered
+        Renderer.rendered.add(page)
+        self.record(f"server {self.id} ran {request.attempt} for {page}, {'at once' if again else 'slowly'}")
+        whole = self.answer(request, 200, BODY)
+        writer.write(whole[:FIRST_BYTES])
+        if not again:
+            await writer.drain()
+            await asyncio.sleep(SLOW_S)
+        writer.write(whole[FIRST_BYTES:])
+
+
+async def fetch(system: stand.System, record: stand.Record, page: str) -> tuple[int, int]:
+    """Fetch one page; whether it was served, and whether it was a false success."""
+    attempt = stand.attempt_id()
+    answer = await stand.ask(
+        system.edges[0], system.public, "GET", page, stand.request_fields(attempt, LEFT_MS), b""
+    )
+    sealed = "dykeswitch-server-seal" in answer.fields
+    record(
+        f"client got {answer.status} for {attempt}: {len(answer.body)} bytes, "
+        f"{'complete' if answer.complete else 'cut off'}, {'sealed' if sealed else 'of the proxy itself'}"
+    )
+    success = answer.status == 200 and answer.complete
+    if success and answer.body != BODY:
+        record(f"MIXED: {attempt} is a success with {len(answer.body)} of the page's {len(BODY)} bytes")
+    return int(success and answer.body == BODY), int(success and answer.body != BODY)
 
 
 async def case(system: stand.System, record: stand.Record, trouble: bool) -> int:
-    """Send orders, and look at what was promised of those that ran."""
-    routes = [stand.route("orders", "/orders/", "writing", "exporter")]
-    if not await system.configure(stand.configuration(1, routes, ["exporter"])):
+    """Fetch pages around a change of the configuration."""
+    routes = [
+        stand.route("pages", "/pages/", "read_only", "engraver"),
+        stand.route("covers", "/covers/", "read_only", "engraver"),
+    ]
+    if not await system.configure(stand.configuration(1, routes, ["engraver"])):
         return stand.UNABLE
-    Limited.trouble = trouble
-    servers = [Limited(record, "exporter", system.edges[0], system.cores, system.admin) for _ in range(2)]
+    servers = [Renderer(record, "engraver", system.edges[0], system.cores, system.admin) for _ in range(4)]
     for server in servers:
         await server.start()
     if not await system.wait_ready():
         return stand.UNABLE
     await asyncio.sleep(3)
-    broken = served = 0
-    for number in range(ORDERS):
-        order = f"order-{number}"
-        for _ in range(1 + FURTHER_TRIES):
-            attempt = stand.attempt_id()
-            answer = await stand.ask(
-                system.edges[0],
-                system.public,
-                "POST",
-                "/orders/export",
-                stand.request_fields(attempt),
-                order.encode(),
-            )
-            ran = sum(server.ran[attempt] for server in servers)
-            record(f"client got {answer.status} for {order} ({attempt}), which ran {ran} times")
-            if answer.status in PROMISES and ran:
-                broken += 1
-                record(f"REFUSED: {attempt} was answered {answer.status} and has run")
-            served += answer.status == 200
-            # A promise: the client may send the order again under a new id.
-            if answer.status not in PROMISES:
-                break
-            await asyncio.sleep(0.1)
-    twice = sum(count > 1 for count in Limited.begun.values())
-    record(f"{ORDERS} orders, {served} served, {broken} promises broken, {twice} orders begun twice")
+    # Usual traffic for a while, by which the proxy learns the servers and borrows for further tries.
+    for number in range(4):
+        Renderer.rendered.add(f"/covers/{number}")
+        await fetch(system, record, f"/covers/{number}")
+    await asyncio.sleep(2)
+    fetches = [asyncio.create_task(fetch(system, record, f"/pages/{n}")) for n in range(PAGES)]
+    await asyncio.sleep(CHANGE_AFTER_S)
+    kept = routes[1:] if trouble else routes
+    status = await system.configure(stand.configuration(2, kept, ["engraver"]), 4.0)
+    record(f"operator: revision 2 {'without' if trouble else 'with'} the route: {'taken' if status else 'no'}")
+    if not status:
+        return stand.UNABLE
+    ends = await asyncio.gather(*fetches)
+    served, false = sum(end[0] for end in ends), sum(end[1] for end in ends)
+    record(f"{PAGES} pages, {served} served, {false} successes with a wrong body")
     for server in servers:
         await server.stop()
-    if not served:
+    if not trouble and not served:
         return stand.UNABLE
-    return stand.BROKEN if broken else stand.HELD
+    return stand.BROKEN if false else stand.HELD
 
 
 if __name__ == "__main__":
