--- a/review/1/case.py
+++ b/review/1/case.py
@@ -82,7 +82,9 @@
     await asyncio.sleep(CHANGE_AFTER_S)
     kept = routes[1:] if trouble else routes
     status = await system.configure(stand.configuration(2, kept, ["engraver"]), 4.0)
-    record(f"operator: revision 2 {'without' if trouble else 'with'} the route: {'taken' if status else 'no'}")
+    record(
+        f"operator: revision 2 {'without' if trouble else 'with'} the route: {'taken' if status else 'no'}"
+    )
     if not status:
         return stand.UNABLE
     ends = await asyncio.gather(*fetches)
--- a/review/lib/stand.py
+++ b/review/lib/stand.py
@@ -370,7 +370,9 @@
 class Server:
     """A sound server: announces itself, runs requests, and echoes their ids under its seal."""
 
-    def __init__(self, record: Record, service: str, ip: str, cores: typing.Sequence[str], admin: int) -> None:
+    def __init__(
+        self, record: Record, service: str, ip: str, cores: typing.Sequence[str], admin: int
+    ) -> None:
         self.record = record
         self.service = service
         self.ip = ip
