--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,6 +1,6 @@
 """A page whose route is taken away while it is fetched reaches its client as a success without a body.
 
-A server sends the head of a page at once and takes 1.8 s over the rest. The proxy breaks the
+A server sends the head of a page at once and takes 0.9 s over the rest. The proxy breaks the
 attempt off half-way through the time that is left, to try another server. A configuration has taken
 the route away meanwhile. The client then gets the head of the attempt that was broken off: 200,
 with the server's seal, and `Content-Length: 0`.
@@ -16,11 +16,11 @@
 import stand
 
 PAGES = 12
-LEFT_MS = 2500
-SLOW_S = 1.8
-CHANGE_AFTER_S = 0.4
-BODY = random.Random(31).randbytes(20000)
-FIRST_BYTES = 8000
+LEFT_MS = 1500
+SLOW_S = 0.9
+CHANGE_AFTER_S = 0.1
+BODY = random.Random(31).randbytes(9000)
+FIRST_BYTES = 4000
 
 
 class Renderer(stand.Server):
@@ -62,12 +62,12 @@
 async def case(system: stand.System, record: stand.Record, trouble: bool) -> int:
     """Fetch pages around a change of the configuration."""
     routes = [
-        stand.route("pages", "/pages/", "read_only", "engraver"),
-        stand.route("covers", "/covers/", "read_only", "engraver"),
+        stand.route("pages", "/pages/", "read_only", "thumbnailer"),
+        stand.route("covers", "/covers/", "read_only", "thumbnailer"),
     ]
-    if not await system.configure(stand.configuration(1, routes, ["engraver"])):
+    if not await system.configure(stand.configuration(1, routes, ["thumbnailer"])):
         return stand.UNABLE
-    servers = [Renderer(record, "engraver", system.edges[0], system.cores, system.admin) for _ in range(4)]
+    servers = [Renderer(record, "thumbnailer", system.edges[0], system.cores, system.admin) for _ in range(4)]
     for server in servers:
         await server.start()
     if not await system.wait_ready():
@@ -81,7 +81,7 @@
     fetches = [asyncio.create_task(fetch(system, record, f"/pages/{n}")) for n in range(PAGES)]
     await asyncio.sleep(CHANGE_AFTER_S)
     kept = routes[1:] if trouble else routes
-    status = await system.configure(stand.configuration(2, kept, ["engraver"]), 4.0)
+    status = await system.configure(stand.configuration(2, kept, ["thumbnailer"]), 4.0)
     record(
         f"operator: revision 2 {'without' if trouble else 'with'} the route: {'taken' if status else 'no'}"
     )
