--- /dev/null
+++ b/tests/scripted.py
@@ -0,0 +1,212 @@
+"""A real carrier before endpoints whose connections follow a script; no fleet is needed."""
+
+import asyncio
+import dataclasses
+import math
+import random
+import typing
+
+import dykeswitch.layout as layouts
+import dykeswitch.logs as logs
+import dykeswitch.outcome as outcome
+import dykeswitch.ports as ports
+import dykeswitch.ports.real as real
+import dykeswitch.proxy.carrier as carriers
+import dykeswitch.proxy.exchange as exchanges
+import dykeswitch.settings as settings
+import dykeswitch.simulator.loop as loops
+import dykeswitch.soundness.connection as connections
+import dykeswitch.timeline as timeline
+
+ID: typing.Final = b"dykeswitch-exchange"
+LAYOUT: typing.Final = {
+    "services": {"s": {"probe": "/healthz", "expiry_s": 5, "max_tries": 3}},
+    "rules": [{"path": "/", "service": "s"}],
+}
+# In place of `{id}` comes the id of the request that is answered.
+WHOLE: typing.Final = "HTTP/1.1 200 OK\r\nDykeswitch-Exchange: {id}\r\nContent-Length: 5\r\n\r\nwhole"
+# What a script may hold besides text: the endpoint resets the connection, or says nothing.
+RESET: typing.Final = "<reset>"
+SILENT: typing.Final = "<silent>"
+
+
+class LoopClock:
+    """The running loop's time."""
+
+    def now(self) -> float:
+        """Seconds of the loop."""
+        return asyncio.get_running_loop().time()
+
+    def wall(self) -> float:
+        """The same seconds: there is no other clock."""
+        return self.now()
+
+    async def sleep(self, span: float) -> None:
+        """Wait for so many seconds of the loop."""
+        await asyncio.sleep(span)
+
+
+class ScriptedConnection:
+    """A connection whose endpoint answers each request with the next entry of a script."""
+
+    def __init__(self, endpoint: "ScriptedEndpoint") -> None:
+        self._endpoint = endpoint
+        self._coming: list[str] = []
+        self._closed = False
+        self._used = asyncio.get_running_loop().time()
+
+    async def write(self, data: bytes) -> None:
+        """Take a request in; raises `ConnectionResetError` after a rest that the endpoint forgets."""
+        now = asyncio.get_running_loop().time()
+        rested_s, self._used = now - self._used, now
+        if rested_s > self._endpoint.forgets_s:
+            raise ConnectionResetError
+        self._endpoint.requests.append(data)
+        names = [line[len(ID) + 1 :] for line in data.split(b"\r\n") if line.lower().startswith(ID)]
+        name = names[0].strip().decode() if names else "unnamed"
+        answer = self._endpoint.script.pop(0) if self._endpoint.script else [WHOLE]
+        self._coming += [part.replace("{id}", name) for part in answer]
+
+    async def read(self, most: int) -> bytes:
+        """The next part of the answer, after the time that it takes."""
+        await asyncio.sleep(self._endpoint.work_s)
+        if not self._coming:
+            return b""
+        part = self._coming.pop(0)
+        if part == SILENT:
+            await asyncio.sleep(1e6)
+        if part == RESET:
+            raise ConnectionResetError
+        return part.encode("latin-1")
+
+    def close(self) -> None:
+        """Close it for good."""
+        self._closed = True
+
+    def ended(self) -> bool:
+        """Whether it is closed, or holds an answer that nobody asked for."""
+        return self._closed or bool(self._coming)
+
+
+class ScriptedEndpoint:
+    """What one endpoint answers to one request after another, and what it was sent."""
+
+    def __init__(self, *script: list[str]) -> None:
+        self.script = list(script)
+        self.requests: list[bytes] = []
+        self.dialed = 0
+        # How long each part of an answer takes, in seconds.
+        self.work_s = 0.05
+        # Whether nothing comes of connecting to it.
+        self.unreachable = False
+        # After which rest it resets a connection that is used again.
+        self.forgets_s = math.inf
+
+
+class ScriptedNetwork:
+    """Leads to scripted endpoints by their addresses."""
+
+    def __init__(self, endpoints: dict[str, ScriptedEndpoint]) -> None:
+        self._endpoints = endpoints
+
+    async def dial(self, address: str, wait: float) -> ports.Connection:
+        """Connect to an endpoint; raises `TimeoutError` where it is unreachable."""
+        endpoint = self._endpoints[address]
+        endpoint.dialed += 1
+        if endpoint.unreachable:
+            await asyncio.sleep(wait)
+            raise TimeoutError
+        return ScriptedConnection(endpoint)
+
+    async def listen(self, address: str, serve: ports.Serve) -> ports.Listener:
+        """Nobody listens here."""
+        raise NotImplementedError
+
+
+class Calm:
+    """A proxy that is sure of what it holds and has extra go's to spend."""
+
+    async def sure(self, by: float) -> bool:
+        """It is sure at once."""
+        return True
+
+    def gapped(self) -> bool:
+        """It was never frozen."""
+        return False
+
+    def silent(self) -> float:
+        """It hears others all the time."""
+        return 0.0
+
+    def sharing(self) -> float | None:
+        """It shares the budget with nobody."""
+        return 0.0
+
+
+@dataclasses.dataclass(slots=True)
+class Answer:
+    """What a caller got."""
+
+    status: int = 0
+    body: bytes = b""
+    heads: connections.Heads = dataclasses.field(default_factory=list)
+
+
+class Stage:
+    """A carrier before some scripted endpoints of one service."""
+
+    def __init__(self, *endpoints: ScriptedEndpoint) -> None:
+        clock = LoopClock()
+        line = timeline.Timeline("p", clock, 900.0)
+        addresses = {f"10.0.0.{n + 1}:1": endpoint for n, endpoint in enumerate(endpoints)}
+        bounds = settings.Settings(name="p", zone="z", proof="header")
+        network = typing.cast(ports.Network, ScriptedNetwork(addresses))
+        machine = ports.Machine(clock, network, real.RealWeb(), ports.NoPoints())
+        marks = timeline.Marks(line, bounds.mark_s)
+        log = logs.Log("proxy", "p", "error", clock)
+        self.carrier = carriers.Carrier(bounds, machine, line, marks, log, random.Random(1), Calm())
+        for n, address in enumerate(addresses):
+            fields: timeline.Fields = {"service": "s", "address": address, "zone": "z"}
+            fields.update(state=timeline.UP, born=[n, "r"], slots=2, load=0.0)
+            line.write(timeline.ENDPOINT, f"e{n}", fields, 900.0, urgent=False)
+        checked = layouts.check(LAYOUT)
+        assert isinstance(checked, outcome.Good)
+        self.carrier.layout = checked.value
+        self._clock = clock
+        self._turn = 0
+
+    async def ask(self, method: str = "GET", coins: int = 50) -> Answer:
+        """One request of one caller, with so much of the shared budget in hand."""
+        answer = Answer()
+
+        async def send(message: typing.Any) -> None:
+            answer.status = message.get("status", answer.status)
+            answer.heads += list(message.get("headers", ()))
+            answer.body += message.get("body", b"")
+
+        self._turn += 1
+        exchange = exchanges.Exchange(
+            name=f"x{self._turn}",
+            method=method,
+            host="a.test",
+            path="/thing",
+            target=b"/thing",
+            heads=[(b"host", b"a.test")],
+            body=b"",
+            born=self._clock.now(),
+            asked_s=None,
+            send=send,
+        )
+        # Coins of the shared budget, as registries would have lent them.
+        self.carrier._delivery.budget("s").lend(0, coins, self._clock.now() + 60)
+        await self.carrier.carry(exchange)
+        return answer
+
+
+def play(work: typing.Callable[[], typing.Awaitable[None]]) -> None:
+    """Run a test's work on virtual time."""
+
+    async def main() -> None:
+        await work()
+
+    loops.run(main())
