--- a/packages/proxy/src/dykeswitch/proxy/answering.py
+++ b/packages/proxy/src/dykeswitch/proxy/answering.py
@@ -45,31 +45,36 @@
 
     async def answer(self, x: exchanges.Exchange) -> None:
         """Send the endpoint's answer, or our own where there is none; raises `BrokenReplyError`."""
-        if x.bad is not None or x.head is None:
+        answer = x.answer
+        if x.bad is not None or answer is None:
             x.bad = x.bad or outcome.bad("outcome_unknown", x.unknown)
             await self.refuse(x, x.bad)
             return
-        x.status = x.head.status
-        heads = headers.reply_heads(x, self._adapter, self._adapter.heads, lambda: self._ends.come_back_s(x))
+        x.status = answer.head.status
+        heads = headers.reply_heads(
+            x, answer, self._adapter, self._adapter.heads, lambda: self._ends.come_back_s(x)
+        )
         if self._parting():
             heads.append((b"connection", b"close"))
-        if x.rest is None:
+        if answer.rest is None:
             self._delivery.put_away(x, sound=True)
         x.replied = True
         await x.send({"type": "http.response.start", "status": x.status, "headers": heads})
-        if x.rest is None:
-            await x.send({"type": "http.response.body", "body": x.buffer})
+        if answer.rest is None:
+            await x.send({"type": "http.response.body", "body": answer.held})
         else:
-            await self._stream(x)
+            await self._stream(x, answer, answer.rest)
         self._counts.add("replied")
 
-    async def _stream(self, x: exchanges.Exchange) -> None:
-        assert x.rest is not None and x.endpoint is not None
-        await x.send({"type": "http.response.body", "body": x.buffer, "more_body": True})
-        x.buffer = b""
+    async def _stream(
+        self, x: exchanges.Exchange, answer: exchanges.Answer, rest: typing.AsyncIterator[bytes]
+    ) -> None:
+        assert x.endpoint is not None
+        await x.send({"type": "http.response.body", "body": answer.held, "more_body": True})
+        answer.held = b""
         try:
             async with asyncio.timeout(max(0.0, x.expiry - self._clock.now())):
-                async for part in x.rest:
+                async for part in rest:
                     await x.send({"type": "http.response.body", "body": part, "more_body": True})
         except (TimeoutError, connections.Flaw) as flaw:
             self._delivery.put_away(x, sound=False)
@@ -95,11 +100,12 @@
 
     async def finish_for_nobody(self, x: exchanges.Exchange) -> None:
         """Take in what is left of an order's answer, so that its connection can be used again."""
-        if x.connection is None or x.head is None or x.flaw:
+        if x.connection is None or x.answer is None:
             return
+        rest = x.answer.rest
         try:
             async with asyncio.timeout(max(0.0, x.expiry - self._clock.now())):
-                while x.rest is not None and await anext(x.rest, None) is not None:
+                while rest is not None and await anext(rest, None) is not None:
                     pass
         except (TimeoutError, connections.Flaw):
             return
--- a/packages/proxy/src/dykeswitch/proxy/carrier.py
+++ b/packages/proxy/src/dykeswitch/proxy/carrier.py
@@ -193,7 +193,7 @@
         self._step(x, "cut short", "this proxy is stopping")
         if x.replied:
             raise answering.BrokenReplyError("stopped before the reply's end")
-        x.head = None
+        x.answer = None
         if x.sent or x.unknown:
             self._ends.end(x, "timed_out", "this proxy stopped")
         else:
@@ -234,7 +234,7 @@
         # A layout may have come since: the rule of this moment decides.
         found = matching.find_rule(x, self.layout, self._bounds, self._rng)
         if found is not None:
-            return self._ends.end(x, found) if not x.unknown else Stage.REPLY
+            return self._no_rule_left(x, found)
         if self._clock.now() >= x.expiry:
             return self._ends.give_up(x, "expired")
         # The platform has asked since we were cut off: who comes all the same is told
@@ -251,6 +251,15 @@
         self._step(x, f"selected {entry.key}", why)
         return await self._connect(x, entry)
 
+    def _no_rule_left(self, x: exchanges.Exchange, tag: str) -> Stage:
+        """The layout sends the exchange nowhere any more: what the attempts before came to is its end."""
+        if x.goes:
+            self.count("rules_gone_between_attempts")
+            self._step(x, "no further go", f"the layout has changed: {tag}")
+        if x.unknown or x.answer is not None:
+            return self._ends.give_up(x, tag)
+        return self._ends.end(x, tag)
+
     async def _connect(self, x: exchanges.Exchange, entry: timeline.Entry) -> Stage:
         """Take a connection to the selected endpoint, and pay for the attempt if it is an extra one."""
         try:
--- a/packages/proxy/src/dykeswitch/proxy/delivery.py
+++ b/packages/proxy/src/dykeswitch/proxy/delivery.py
@@ -92,18 +92,19 @@
         """Send the request and take in the answer, as far as it is held; the exchange tells how it went."""
         assert x.connection is not None and x.endpoint is not None
         entry, connection = x.endpoint, x.connection
-        x.head, x.buffer, x.rest, x.flaw, x.sent = None, b"", None, "", False
+        x.answer, x.flaw, x.head_came, x.sent = None, "", False, False
         begun = self._clock.now()
         try:
             async with self._patience(x):
-                x.head = await connection.send(
+                head = await connection.send(
                     x.method,
                     x.target,
                     headers.request_heads(x, self._adapter, self._heads, begun),
                     x.body,
                     lambda: self._may_still_go(x, entry, begun),
                 )
-                await self._hold(x)
+                x.head_came = True
+                x.answer = await self._hold(x.method, connection, head)
         except TimeoutError:
             x.flaw = soundness.TIMED_OUT
             waited = self._clock.now() - begun
@@ -153,16 +154,16 @@
             and self._selector.has_another(x.service, x.tried)
         )
 
-    async def _hold(self, x: exchanges.Exchange) -> None:
+    async def _hold(
+        self, method: str, connection: connections.EndpointConnection, head: connections.Head
+    ) -> exchanges.Answer:
         """Hold the reply's body up to the bound, so that a cut one is never passed on."""
-        assert x.head is not None and x.connection is not None
-        if not headers.is_framed(x):
+        if not headers.is_framed(method, head):
             raise connections.Flaw(soundness.UNFRAMED, True)
-        rest = x.connection.parts()
+        rest = connection.parts()
         held = bytearray()
         async for part in rest:
             held += part
             if len(held) > self._bounds.reply_buffer:
-                x.rest = rest
-                break
-        x.buffer = bytes(held)
+                return exchanges.Answer(head, bytes(held), rest)
+        return exchanges.Answer(head, bytes(held), None)
--- a/packages/proxy/src/dykeswitch/proxy/endings.py
+++ b/packages/proxy/src/dykeswitch/proxy/endings.py
@@ -32,11 +32,12 @@
 
     def give_up(self, x: exchanges.Exchange, tag: str) -> exchanges.Stage:
         """The final answer, at once: what became of it, and when to come back if it may."""
-        if x.head is not None and not x.flaw:
+        if x.answer is not None:
             # A reading request whose last reply was whole: that reply is the answer.
             return exchanges.Stage.REPLY
-        x.head = None
         if x.unknown:
+            # It may be running still: who came again would run it twice.
+            x.retry_after = None
             return self.end(x, UNKNOWN_TAGS.get(x.unknown, "outcome_unknown"), x.unknown)
         x.retry_after = self.come_back_s(x)
         return self.end(x, tag, x.flaw)
--- a/packages/proxy/src/dykeswitch/proxy/exchange.py
+++ b/packages/proxy/src/dykeswitch/proxy/exchange.py
@@ -29,6 +29,20 @@
     DONE = "done"
 
 
+@dataclasses.dataclass(slots=True)
+class Answer:
+    """An endpoint's answer that may go to the caller: whole, or begun and still coming.
+
+    An attempt that fails leaves none, however far its answer had come.
+    """
+
+    head: connections.Head
+    # The body, or as much of it as is held before it is passed on.
+    held: bytes
+    # What comes after that; nothing where the body is held whole.
+    rest: typing.AsyncIterator[bytes] | None
+
+
 @dataclasses.dataclass(slots=True)
 class Exchange:
     """All that is known of one request on its way."""
@@ -62,11 +76,10 @@
     tried: set[str] = dataclasses.field(default_factory=set)
     endpoint: timeline.Entry | None = None
     connection: connections.EndpointConnection | None = None
-    # What the last go brought.
-    head: connections.Head | None = None
-    buffer: bytes = b""
-    rest: typing.AsyncIterator[bytes] | None = None
+    # What the last go brought: an answer, or what went wrong and whether an answer's head had come.
+    answer: Answer | None = None
     flaw: str = ""
+    head_came: bool = False
     # How many requests were thought to be ahead of this go, and how long it took (seconds).
     ahead: float = 0.0
     took: float = 0.0
--- a/packages/proxy/src/dykeswitch/proxy/headers.py
+++ b/packages/proxy/src/dykeswitch/proxy/headers.py
@@ -59,13 +59,13 @@
 
 def reply_heads(
     x: exchanges.Exchange,
+    answer: exchanges.Answer,
     adapter: adapters.Adapter,
     names: adapters.Heads,
     come_back_s: typing.Callable[[], float],
 ) -> connections.Heads:
     """The fields of an endpoint's reply as it goes to the caller."""
-    assert x.head is not None
-    heads = [(k.lower(), v) for k, v in kept_heads(x.head.heads)]
+    heads = [(k.lower(), v) for k, v in kept_heads(answer.head.heads)]
     if x.status >= 400 and (x.writing or x.unknown):
         # An endpoint's own "come back" without a promise: it may have run the
         # request, and a caller who obeys would run it twice.
@@ -74,9 +74,9 @@
         # Given up on, and nothing of it runs any more: say when to come back.
         heads.append((b"retry-after", adapter.hint(come_back_s())))
     bodiless = x.method == "HEAD" or x.status in (204, 304) or x.status < 200
-    if x.rest is None and not bodiless:
+    if answer.rest is None and not bodiless:
         heads = [(k, v) for k, v in heads if k != b"content-length"]
-        heads.append((b"content-length", str(len(x.buffer)).encode()))
+        heads.append((b"content-length", str(len(answer.held)).encode()))
     if not adapter.named_by_caller:
         heads = [(k, v) for k, v in heads if k != names.exchange]
         heads.append(VIA)
@@ -99,11 +99,10 @@
     return heads
 
 
-def is_framed(x: exchanges.Exchange) -> bool:
+def is_framed(method: str, head: connections.Head) -> bool:
     """Whether the reply says where it ends; one that ends with its pipe can't be told from a cut one."""
-    assert x.head is not None
-    if x.method == "HEAD" or x.head.status in (204, 304):
+    if method == "HEAD" or head.status in (204, 304):
         return True
-    if x.head.get(b"content-length") is not None:
+    if head.get(b"content-length") is not None:
         return True
-    return b"chunked" in (x.head.get(b"transfer-encoding") or b"").lower()
+    return b"chunked" in (head.get(b"transfer-encoding") or b"").lower()
--- a/packages/proxy/src/dykeswitch/proxy/judgement.py
+++ b/packages/proxy/src/dykeswitch/proxy/judgement.py
@@ -8,6 +8,7 @@
 import dykeswitch.proxy.selection as selection
 import dykeswitch.soundness as soundness
 import dykeswitch.soundness.connection as connections
+import dykeswitch.timeline as timeline
 
 Stage = exchanges.Stage
 
@@ -37,56 +38,60 @@
         assert x.endpoint is not None and x.connection is not None
         if x.flaw:
             return self._judge_failure(x, x.endpoint.key, x.connection)
-        assert x.head is not None
-        served = x.head.get(self._heads.served_by)
-        promised = self._adapter.promised(x.head.status, x.head.heads)
+        assert x.answer is not None
+        head = x.answer.head
+        served = head.get(self._heads.served_by)
+        promised = self._adapter.promised(head.status, head.heads)
         other = served is not None and served.decode("latin-1") != x.endpoint.key
-        bare = x.head.status < 300 and self._heads.seal and x.head.get(self._heads.seal) is None
+        bare = head.status < 300 and self._heads.seal and head.get(self._heads.seal) is None
         if (other and not promised) or bare:
             return self._judge_foreign(x, soundness.WRONG_ID_REPLY if other else soundness.GARBAGE)
-        self._learn(x, promised)
-        fault = soundness.status_fault(x.head.status, promised)
-        if promised and x.head.status == soundness.MISDIRECTED:
+        self._learn(x, x.endpoint, head, promised)
+        fault = soundness.status_fault(head.status, promised)
+        if promised and head.status == soundness.MISDIRECTED:
             fault = soundness.Fault(soundness.WRONG_ID_REPLY)
         if fault is None and not promised:
             self._marker.sound(x.endpoint.key)
             return Stage.REPLY
-        return self._judge_refusal(x, fault, promised)
+        return self._judge_refusal(x, x.answer, fault, promised)
 
-    def _learn(self, x: exchanges.Exchange, promised: bool) -> None:
+    def _learn(
+        self, x: exchanges.Exchange, endpoint: timeline.Entry, head: connections.Head, promised: bool
+    ) -> None:
         """Teach selection what an answer tells of its endpoint's load."""
-        assert x.endpoint is not None and x.head is not None
         if not promised:
-            load = adapters.load(x.head.get(self._heads.load))
-            self._selector.learn(x.endpoint, x.took, x.ahead, load)
-        elif x.head.status != soundness.MISDIRECTED:
-            self._selector.full(x.endpoint.key)
+            load = adapters.load(head.get(self._heads.load))
+            self._selector.learn(endpoint, x.took, x.ahead, load)
+        elif head.status != soundness.MISDIRECTED:
+            self._selector.full(endpoint.key)
 
     def _judge_foreign(self, x: exchanges.Exchange, flaw: str) -> Stage:
         """Someone else's reply, or an address that changed hands under our connection."""
         assert x.endpoint is not None
         x.flaw = x.unknown = flaw
-        x.head, x.buffer, x.rest = None, b"", None
+        x.answer = None
         self._delivery.put_away(x, sound=False)
         self._marker.failed(x.endpoint.key, soundness.Fault(flaw))
         return Stage.RETRY
 
-    def _judge_refusal(self, x: exchanges.Exchange, fault: soundness.Fault | None, promised: bool) -> Stage:
+    def _judge_refusal(
+        self, x: exchanges.Exchange, answer: exchanges.Answer, fault: soundness.Fault | None, promised: bool
+    ) -> Stage:
         """An answer that is no success: tried again where it may be, else the endpoint's last word."""
-        assert x.endpoint is not None and x.head is not None
+        assert x.endpoint is not None
         name = x.endpoint.key
-        self._note(x, f"{name} answered {x.head.status}", "promised not to have run" if promised else "")
+        self._note(x, f"{name} answered {answer.head.status}", "promised not to have run" if promised else "")
         if fault is not None:
             self._marker.failed(name, fault, promised)
         if promised or not x.writing:
-            self._delivery.put_away(x, sound=x.rest is None)
-            x.rest = None
+            self._delivery.put_away(x, sound=answer.rest is None)
+            answer.rest = None
             if promised:
-                x.flaw = "promised not to have run"
+                x.answer, x.flaw = None, "promised not to have run"
             return Stage.RETRY
-        if x.head.status == soundness.UNAVAILABLE:
+        if answer.head.status == soundness.UNAVAILABLE:
             # Callers take it for a promise that nothing ran, which this endpoint did not make.
-            return self._withhold(x)
+            return self._withhold(x, answer)
         # A writing request's reply without a promise is the endpoint's last word.
         return Stage.REPLY
 
@@ -94,7 +99,7 @@
         self, x: exchanges.Exchange, name: str, connection: connections.EndpointConnection
     ) -> Stage:
         """An attempt that ended without a reply."""
-        if x.flaw == soundness.BROKE_OFF and x.head is None and connection.rested_s:
+        if x.flaw == soundness.BROKE_OFF and not x.head_came and connection.rested_s:
             self._delivery.reset_at_rest(x, connection.rested_s)
         self._delivery.put_away(x, sound=False)
         self._note(x, f"go to {name} failed, {'sent' if x.sent else 'nothing sent'}", x.flaw)
@@ -104,10 +109,9 @@
             x.unknown = x.flaw
         return Stage.RETRY
 
-    def _withhold(self, x: exchanges.Exchange) -> Stage:
+    def _withhold(self, x: exchanges.Exchange, answer: exchanges.Answer) -> Stage:
         """Say that the outcome is unknown in place of an endpoint's own words."""
-        assert x.head is not None
-        x.unknown = f"answered {x.head.status} without a promise"
-        self._delivery.put_away(x, sound=x.rest is None)
-        x.head, x.buffer, x.rest = None, b"", None
+        x.unknown = f"answered {answer.head.status} without a promise"
+        self._delivery.put_away(x, sound=answer.rest is None)
+        x.answer = None
         return self._ends.give_up(x, "outcome_unknown")
--- a/tests/scripted.py
+++ b/tests/scripted.py
@@ -169,12 +169,20 @@
             fields: timeline.Fields = {"service": "s", "address": address, "zone": "z"}
             fields.update(state=timeline.UP, born=[n, "r"], slots=2, load=0.0)
             line.write(timeline.ENDPOINT, f"e{n}", fields, 900.0, urgent=False)
-        checked = layouts.check(LAYOUT)
-        assert isinstance(checked, outcome.Good)
-        self.carrier.layout = checked.value
+        self.apply(LAYOUT)
         self._clock = clock
         self._turn = 0
 
+    def apply(self, doc: typing.Any) -> None:
+        """Put a layout in force."""
+        checked = layouts.check(doc)
+        assert isinstance(checked, outcome.Good)
+        self.carrier.layout = checked.value
+
+    def apply_in(self, span_s: float, doc: typing.Any) -> None:
+        """Put a layout in force after some seconds, amid what is at work then."""
+        asyncio.get_running_loop().call_later(span_s, self.apply, doc)
+
     async def ask(self, method: str = "GET", coins: int = 50) -> Answer:
         """One request of one caller, with so much of the shared budget in hand."""
         answer = Answer()
--- /dev/null
+++ b/tests/test_between_attempts.py
@@ -0,0 +1,117 @@
+"""What becomes of a request whose rule changes while an attempt is at work, and how its last attempt is told.
+
+The rule of the moment decides about the next attempt; what the earlier ones came to decides the answer.
+"""
+
+import typing
+
+import pytest
+import scripted
+
+SERVICE: typing.Final = {"probe": "/healthz", "expiry_s": 5, "max_tries": 3}
+# While the first attempt is at work: each part of a scripted answer takes 0.05 s.
+AMID_THE_FIRST_S: typing.Final = 0.02
+
+
+def _layout(*rules: dict[str, typing.Any]) -> dict[str, typing.Any]:
+    return {"services": {"s": SERVICE, "t": SERVICE}, "rules": list(rules)}
+
+
+GONE: typing.Final = {
+    "its route is removed": _layout({"path": "/other", "service": "s"}),
+    "its route takes another method": _layout({"path": "/", "service": "s", "methods": ["POST"]}),
+    "its split has no weight left": _layout(
+        {"path": "/", "split": [{"service": "s", "weight": 0}, {"service": "t", "weight": 0}]}
+    ),
+}
+WHOLE: typing.Final = scripted.WHOLE
+FAILED: typing.Final = {
+    "a reset before the answer": [scripted.RESET],
+    "an end after the head": [WHOLE[:-5]],
+    "a reset within the body": [WHOLE[:-2], scripted.RESET],
+    "silence": [scripted.SILENT],
+    "silence after the head": [WHOLE[:-5], scripted.SILENT],
+    "silence within the body": [WHOLE[:-2], scripted.SILENT],
+    "an answer to another exchange": [WHOLE.replace("{id}", "strange")],
+    "an answer without a length": [WHOLE.replace("Content-Length: 5\r\n", "")],
+}
+BUSY: typing.Final = (
+    "HTTP/1.1 503 Busy\r\nDykeswitch-Exchange: {id}\r\nDykeswitch-Promise: not-run\r\n"
+    "Content-Length: 4\r\n\r\nbusy"
+)
+FAILURE: typing.Final = "HTTP/1.1 500 Broken\r\nDykeswitch-Exchange: {id}\r\nContent-Length: 6\r\n\r\nbroken"
+
+
+def _sent(endpoints: typing.Iterable[scripted.ScriptedEndpoint]) -> int:
+    return sum(len(endpoint.requests) for endpoint in endpoints)
+
+
+def _in_turn(*script: list[str], count: int = 3) -> list[scripted.ScriptedEndpoint]:
+    """Endpoints that follow one script between them, whichever is asked first."""
+    endpoints = [scripted.ScriptedEndpoint() for _ in range(count)]
+    shared = list(script)
+    for endpoint in endpoints:
+        endpoint.script = shared
+    return endpoints
+
+
+@pytest.mark.parametrize("layout", GONE.values(), ids=GONE)
+@pytest.mark.parametrize("script", FAILED.values(), ids=FAILED)
+def test_the_head_of_a_failed_attempt_is_no_answer_once_its_rule_is_gone(
+    script: list[str], layout: dict[str, typing.Any]
+) -> None:
+    """A read whose route went while it was fetched got a 200 without a body (review, case 1)."""
+
+    async def work() -> None:
+        endpoints = [scripted.ScriptedEndpoint(list(script)) for _ in range(2)]
+        stage = scripted.Stage(*endpoints)
+        stage.apply_in(AMID_THE_FIRST_S, layout)
+        answer = await stage.ask()
+        assert answer.status == (504 if scripted.SILENT in script else 502)
+        assert any(key == b"dykeswitch-result" for key, _ in answer.heads)
+        # It may be running still: nobody is to be told when to come again.
+        assert not any(key == b"retry-after" for key, _ in answer.heads)
+        assert _sent(endpoints) == 1
+        assert stage.carrier.counts["rules_gone_between_attempts"] == 1
+
+    scripted.play(work)
+
+
+def test_a_refusal_by_promise_does_not_hide_an_earlier_attempt_whose_end_is_unknown() -> None:
+    """A read broken off and then turned away was told, by its last endpoint's words, that nothing ran."""
+
+    async def work() -> None:
+        endpoints = _in_turn([WHOLE[:-2], scripted.RESET], [BUSY])
+        stage = scripted.Stage(*endpoints)
+        # The first attempt has two parts of 0.05 s, the second one.
+        stage.apply_in(0.12, GONE["its route is removed"])
+        answer = await stage.ask()
+        assert (answer.status, _sent(endpoints)) == (502, 2)
+
+    scripted.play(work)
+
+
+def test_a_whole_failure_is_the_answer_though_its_rule_is_gone() -> None:
+    """The endpoint ran the request while its route was there, and its word is whole."""
+
+    async def work() -> None:
+        endpoints = [scripted.ScriptedEndpoint([FAILURE]) for _ in range(2)]
+        stage = scripted.Stage(*endpoints)
+        stage.apply_in(AMID_THE_FIRST_S, GONE["its route is removed"])
+        answer = await stage.ask()
+        assert (answer.status, answer.body, _sent(endpoints)) == (500, b"broken", 1)
+
+    scripted.play(work)
+
+
+def test_a_request_that_nobody_ran_is_told_that_its_rule_is_gone() -> None:
+    """All that was sent came back with the promise that it had not run: the layout's word is the answer."""
+
+    async def work() -> None:
+        endpoints = [scripted.ScriptedEndpoint([BUSY]) for _ in range(2)]
+        stage = scripted.Stage(*endpoints)
+        stage.apply_in(AMID_THE_FIRST_S, GONE["its route is removed"])
+        answer = await stage.ask()
+        assert (answer.status, _sent(endpoints)) == (404, 1)
+
+    scripted.play(work)
