A read is broken off only where the newest rule lets another attempt follow

Ruled out: budget and endpoints, both were asked for the old service at the right moment.

Change: `matching.next_services` says, by the layout of this moment, to which services another attempt may go; where the answer is none the attempt goes on to its end.

--- a/packages/proxy/src/dykeswitch/proxy/delivery.py
+++ b/packages/proxy/src/dykeswitch/proxy/delivery.py
@@ -147,11 +147,9 @@
         Where none could, to break it off would only end the exchange sooner: its endpoint may
         still be at work. A proxy that stops breaks nothing off.
         """
-        return (
-            not self.closing
-            and x.goes + 1 < x.max_tries
-            and self.budget(x.service).affords(self._clock.now())
-            and self._selector.has_another(x.service, x.tried)
+        return not self.closing and any(
+            self.budget(service).affords(self._clock.now()) and self._selector.has_another(service, x.tried)
+            for service in matching.next_services(x, self.layout, self._bounds)
         )
 
     async def _hold(
--- a/packages/proxy/src/dykeswitch/proxy/matching.py
+++ b/packages/proxy/src/dykeswitch/proxy/matching.py
@@ -40,6 +40,23 @@
     return None
 
 
+def next_services(
+    x: exchanges.Exchange, layout: layouts.Layout | None, bounds: settings.Settings
+) -> tuple[str, ...]:
+    """The services to which another attempt may go after the one under way, by the layout of this moment."""
+    rule = layout.match(x.host, x.path, x.method) if layout is not None else None
+    if layout is None or rule is None or rule.writes(x.method):
+        return ()
+    services = rule.services()
+    if x.service in services:
+        services = (x.service,)
+    return tuple(
+        service
+        for service in services
+        if x.goes + 1 < layouts.limits(layout, rule, service).get("max_tries", bounds.max_tries)
+    )
+
+
 def is_still_ruled(x: exchanges.Exchange, layout: layouts.Layout | None) -> bool:
     """Whether the layout of this very moment still sends the exchange where it was selected for."""
     if layout is x.layout or layout is None:
--- a/tests/test_between_attempts.py
+++ b/tests/test_between_attempts.py
@@ -115,3 +115,53 @@
         assert (answer.status, _sent(endpoints)) == (404, 1)
 
     scripted.play(work)
+
+
+NONE_MAY_FOLLOW: typing.Final = GONE | {
+    "its route writes now": _layout({"path": "/", "service": "s", "writing": True}),
+    "its route has one try now": _layout({"path": "/", "service": "s", "max_tries": 1}),
+    "its route leads to a service without endpoints": _layout({"path": "/", "service": "t"}),
+}
+
+
+@pytest.mark.parametrize("layout", NONE_MAY_FOLLOW.values(), ids=NONE_MAY_FOLLOW)
+def test_an_attempt_goes_on_to_its_end_where_the_newest_rule_lets_none_follow(
+    layout: dict[str, typing.Any],
+) -> None:
+    """A slow read was broken off for another try that its changed route did not allow, and answered 504."""
+
+    async def work() -> None:
+        endpoints = [scripted.ScriptedEndpoint() for _ in range(2)]
+        for endpoint in endpoints:
+            # Longer than a third of 5 s, after which it would give way to the next of three tries.
+            endpoint.work_s = 2.5
+        stage = scripted.Stage(*endpoints)
+        stage.apply_in(AMID_THE_FIRST_S, layout)
+        answer = await stage.ask()
+        assert (answer.status, answer.body, _sent(endpoints)) == (200, b"whole", 1)
+
+    scripted.play(work)
+
+
+STILL_ALLOWED: typing.Final = {
+    "its route leads there by another rule": _layout({"path": "/thing", "service": "s"}),
+    "its route is split now": _layout(
+        {"path": "/", "split": [{"service": "s", "weight": 1}, {"service": "t", "weight": 9}]}
+    ),
+}
+
+
+@pytest.mark.parametrize("layout", STILL_ALLOWED.values(), ids=STILL_ALLOWED)
+def test_an_attempt_still_gives_way_where_the_newest_rule_lets_another_follow(
+    layout: dict[str, typing.Any],
+) -> None:
+    """The other side of the bound above: a change that leaves the request its way costs it no try."""
+
+    async def work() -> None:
+        endpoints = _in_turn([scripted.SILENT], count=2)
+        stage = scripted.Stage(*endpoints)
+        stage.apply_in(AMID_THE_FIRST_S, layout)
+        answer = await stage.ask()
+        assert (answer.status, answer.body, _sent(endpoints)) == (200, b"whole", 2)
+
+    scripted.play(work)
