TWICE: what may have run is not sent again under a rule that came since

Callers would see: a read that ran, or may have, is sent once more as an order after a change made its route one of orders (or left it under a shorter prefix of one); a try goes to more endpoints than the newest rule's max_tries; a request that one endpoint ran and another turned away is told by 503 that it did not run, once its route writes.

`_retry` judged by the older rule what the earlier attempts allow; `_select` and the look right before the first byte took the newest rule without judging again. An attempt that was never sent dropped the whole answer of the one before.

Change: `Carrier._is_spent` is asked in `_retry` and again in `_select` once the rule of the moment is found; `is_still_ruled` also holds whether the rule writes and how many tries it has. The exchange remembers that an endpoint answered without a promise (`answered`). An answer goes only when a further attempt has been sent. A 503 without a promise is withheld where the rule writes now (`withhold` moves to the endings, both use it).

--- a/packages/proxy/src/dykeswitch/proxy/carrier.py
+++ b/packages/proxy/src/dykeswitch/proxy/carrier.py
@@ -235,6 +235,8 @@
         found = matching.find_rule(x, self.layout, self._bounds, self._rng)
         if found is not None:
             return self._no_rule_left(x, found)
+        if self._is_spent(x):
+            return self._ends.give_up(x, "not_run")
         if self._clock.now() >= x.expiry:
             return self._ends.give_up(x, "expired")
         # The platform has asked since we were cut off: who comes all the same is told
@@ -287,13 +289,15 @@
         return self._judgement.judge(x)
 
     async def _retry(self, x: exchanges.Exchange) -> Stage:
+        return self._ends.give_up(x, "not_run") if self._is_spent(x) else Stage.SELECT
+
+    def _is_spent(self, x: exchanges.Exchange) -> bool:
+        """Whether the rule in hand lets no attempt follow those that were made."""
         # Only what surely did not run may be repeated when it writes.
-        if x.writing and x.unknown:
+        if x.writing and x.may_have_run():
             self._step(x, "not repeated", "it writes, and may have run")
-            return self._ends.give_up(x, "not_run")
-        if x.goes >= x.max_tries:
-            return self._ends.give_up(x, "not_run")
-        return Stage.SELECT
+            return True
+        return x.goes >= x.max_tries
 
     async def _reply(self, x: exchanges.Exchange) -> Stage:
         await self._answering.answer(x)
--- a/packages/proxy/src/dykeswitch/proxy/delivery.py
+++ b/packages/proxy/src/dykeswitch/proxy/delivery.py
@@ -92,7 +92,8 @@
         """Send the request and take in the answer, as far as it is held; the exchange tells how it went."""
         assert x.connection is not None and x.endpoint is not None
         entry, connection = x.endpoint, x.connection
-        x.answer, x.flaw, x.head_came, x.sent = None, "", False, False
+        x.flaw, x.head_came, x.sent = "", False, False
+        answer: exchanges.Answer | None = None
         begun = self._clock.now()
         try:
             async with self._patience(x):
@@ -104,7 +105,7 @@
                     lambda: self._may_still_go(x, entry, begun),
                 )
                 x.head_came = True
-                x.answer = await self._hold(x.method, connection, head)
+                answer = await self._hold(x.method, connection, head)
         except TimeoutError:
             x.flaw = soundness.TIMED_OUT
             waited = self._clock.now() - begun
@@ -118,6 +119,8 @@
             x.took = self._clock.now() - begun
             x.sent = x.under_way()
             if x.sent:
+                # One that was never sent takes nothing away from what came before it.
+                x.answer = answer
                 x.goes += 1
 
     def _may_still_go(self, x: exchanges.Exchange, entry: timeline.Entry, begun: float) -> bool:
@@ -128,7 +131,7 @@
             and self._clock.now() < x.expiry
             and not self._senses.silent() > self._bounds.drain_s
             and self._selector.usable(entry)
-            and matching.is_still_ruled(x, self.layout)
+            and matching.is_still_ruled(x, self.layout, self._bounds)
         )
 
     def _patience(self, x: exchanges.Exchange) -> patience.Patience:
--- a/packages/proxy/src/dykeswitch/proxy/endings.py
+++ b/packages/proxy/src/dykeswitch/proxy/endings.py
@@ -33,15 +33,27 @@
     def give_up(self, x: exchanges.Exchange, tag: str) -> exchanges.Stage:
         """The final answer, at once: what became of it, and when to come back if it may."""
         if x.answer is not None:
+            if x.writing and x.answer.head.status == soundness.UNAVAILABLE:
+                # It read when it was sent, and writes by a rule that came since.
+                return self.withhold(x, x.answer)
             # A reading request whose last reply was whole: that reply is the answer.
             return exchanges.Stage.REPLY
-        if x.unknown:
+        if x.unknown or (x.writing and x.answered):
             # It may be running still: who came again would run it twice.
             x.retry_after = None
             return self.end(x, UNKNOWN_TAGS.get(x.unknown, "outcome_unknown"), x.unknown)
         x.retry_after = self.come_back_s(x)
         return self.end(x, tag, x.flaw)
 
+    def withhold(self, x: exchanges.Exchange, answer: exchanges.Answer) -> exchanges.Stage:
+        """Say that the outcome is unknown in place of an endpoint's own words.
+
+        Callers take 503 for a promise that nothing ran, which this endpoint did not make.
+        """
+        x.unknown = f"answered {answer.head.status} without a promise"
+        x.answer = None
+        return self.give_up(x, "outcome_unknown")
+
     def come_back_s(self, x: exchanges.Exchange) -> float:
         """In how many seconds the first of the service's marks runs out."""
         wait = self._selector.open_in(x.service, self._clock.now())
--- a/packages/proxy/src/dykeswitch/proxy/exchange.py
+++ b/packages/proxy/src/dykeswitch/proxy/exchange.py
@@ -86,6 +86,8 @@
     sent: bool = False
     # Whether any go may have run, or run still, with its end unknown to us.
     unknown: str = ""
+    # Whether an endpoint answered without the promise that it had not run.
+    answered: bool = False
     bad: outcome.Bad | None = None
     retry_after: float | None = None
     status: int = 0
@@ -103,6 +105,10 @@
         self.connection = connection
         self.written_before = connection.wrote()
 
+    def may_have_run(self) -> bool:
+        """Whether an attempt has run, or may have: then only what may be repeated is sent again."""
+        return self.answered or bool(self.unknown)
+
     def under_way(self) -> bool:
         """Whether an attempt has been sent, in part at least, and has its connection still."""
         return self.connection is not None and self.connection.wrote_since(self.written_before)
--- a/packages/proxy/src/dykeswitch/proxy/judgement.py
+++ b/packages/proxy/src/dykeswitch/proxy/judgement.py
@@ -83,6 +83,7 @@
         self._note(x, f"{name} answered {answer.head.status}", "promised not to have run" if promised else "")
         if fault is not None:
             self._marker.failed(name, fault, promised)
+        x.answered = x.answered or not promised
         if promised or not x.writing:
             self._delivery.put_away(x, sound=answer.rest is None)
             answer.rest = None
@@ -90,8 +91,8 @@
                 x.answer, x.flaw = None, "promised not to have run"
             return Stage.RETRY
         if answer.head.status == soundness.UNAVAILABLE:
-            # Callers take it for a promise that nothing ran, which this endpoint did not make.
-            return self._withhold(x, answer)
+            self._delivery.put_away(x, sound=answer.rest is None)
+            return self._ends.withhold(x, answer)
         # A writing request's reply without a promise is the endpoint's last word.
         return Stage.REPLY
 
@@ -108,10 +109,3 @@
         if x.sent:
             x.unknown = x.flaw
         return Stage.RETRY
-
-    def _withhold(self, x: exchanges.Exchange, answer: exchanges.Answer) -> Stage:
-        """Say that the outcome is unknown in place of an endpoint's own words."""
-        x.unknown = f"answered {answer.head.status} without a promise"
-        self._delivery.put_away(x, sound=answer.rest is None)
-        x.answer = None
-        return self._ends.give_up(x, "outcome_unknown")
--- a/packages/proxy/src/dykeswitch/proxy/matching.py
+++ b/packages/proxy/src/dykeswitch/proxy/matching.py
@@ -57,9 +57,14 @@
     )
 
 
-def is_still_ruled(x: exchanges.Exchange, layout: layouts.Layout | None) -> bool:
-    """Whether the layout of this very moment still sends the exchange where it was selected for."""
+def is_still_ruled(x: exchanges.Exchange, layout: layouts.Layout | None, bounds: settings.Settings) -> bool:
+    """Whether the layout of this very moment still lets the exchange go where it was selected for."""
     if layout is x.layout or layout is None:
         return layout is not None
     rule = layout.match(x.host, x.path, x.method)
-    return rule is not None and x.service in rule.services()
+    if rule is None or x.service not in rule.services():
+        return False
+    # Whether it may be repeated decides how long an attempt waits, and whether another follows.
+    if rule.writes(x.method) is not x.writing:
+        return False
+    return x.goes < layouts.limits(layout, rule, x.service).get("max_tries", bounds.max_tries)
--- a/tests/scripted.py
+++ b/tests/scripted.py
@@ -97,6 +97,8 @@
         self.dialed = 0
         # How long each part of an answer takes, in seconds.
         self.work_s = 0.05
+        # How long it takes to connect to it, in seconds.
+        self.dial_s = 0.0
         # Whether nothing comes of connecting to it.
         self.unreachable = False
         # After which rest it resets a connection that is used again.
@@ -116,6 +118,7 @@
         if endpoint.unreachable:
             await asyncio.sleep(wait)
             raise TimeoutError
+        await asyncio.sleep(endpoint.dial_s)
         return ScriptedConnection(endpoint)
 
     async def listen(self, address: str, serve: ports.Serve) -> ports.Listener:
--- a/tests/test_between_attempts.py
+++ b/tests/test_between_attempts.py
@@ -165,3 +165,78 @@
         assert (answer.status, answer.body, _sent(endpoints)) == (200, b"whole", 2)
 
     scripted.play(work)
+
+
+WRITES_NOW: typing.Final = NONE_MAY_FOLLOW["its route writes now"]
+ONE_TRY_NOW: typing.Final = NONE_MAY_FOLLOW["its route has one try now"]
+MAY_HAVE_RUN: typing.Final = {name: FAILED[name] for name in FAILED if "silence" not in name} | {
+    "a failure without a promise": [FAILURE],
+    "a 503 without a promise": [FAILURE.replace("500 Broken", "503 Broken")],
+}
+
+
+@pytest.mark.parametrize("dial_s", [0.0, 0.2], ids=["while it is at work", "while the next one connects"])
+@pytest.mark.parametrize("script", MAY_HAVE_RUN.values(), ids=MAY_HAVE_RUN)
+def test_what_may_have_run_is_not_sent_again_under_a_rule_that_writes(
+    script: list[str], dial_s: float
+) -> None:
+    """A read that had run was sent once more after a change made its route one of orders."""
+
+    async def work() -> None:
+        endpoints = _in_turn(list(script))
+        for endpoint in endpoints:
+            endpoint.dial_s = dial_s
+        stage = scripted.Stage(*endpoints)
+        # With 0.2 s to connect the first attempt is over after 0.3 s, and the next goes off after 0.4 s.
+        stage.apply_in(0.35 if dial_s else AMID_THE_FIRST_S, WRITES_NOW)
+        answer = await stage.ask()
+        assert _sent(endpoints) == 1
+        # Nothing that a caller could take for "it did not run: send it again".
+        assert answer.status in (500, 502)
+        assert not any(key == b"retry-after" for key, _ in answer.heads)
+
+    scripted.play(work)
+
+
+def test_a_later_promise_takes_nothing_back_under_a_rule_that_writes() -> None:
+    """What one endpoint ran and another turned away was told as not run, once its route was one of orders."""
+
+    async def work() -> None:
+        endpoints = _in_turn([FAILURE], [BUSY])
+        stage = scripted.Stage(*endpoints)
+        # While the second attempt is at work.
+        stage.apply_in(0.07, WRITES_NOW)
+        answer = await stage.ask()
+        assert (answer.status, _sent(endpoints)) == (502, 2)
+        assert not any(key == b"retry-after" for key, _ in answer.heads)
+
+    scripted.play(work)
+
+
+def test_what_surely_did_not_run_is_sent_again_under_a_rule_that_writes() -> None:
+    """The other side of the bound above: a promise holds under any rule."""
+
+    async def work() -> None:
+        endpoints = _in_turn([BUSY])
+        stage = scripted.Stage(*endpoints)
+        stage.apply_in(AMID_THE_FIRST_S, WRITES_NOW)
+        answer = await stage.ask()
+        assert (answer.status, answer.body, _sent(endpoints)) == (200, b"whole", 2)
+
+    scripted.play(work)
+
+
+@pytest.mark.parametrize("dial_s", [0.0, 0.2], ids=["while it is at work", "while the next one connects"])
+def test_no_more_endpoints_are_tried_than_the_newest_rule_allows(dial_s: float) -> None:
+    """A read was sent to a second endpoint after a change had cut its tries to one."""
+
+    async def work() -> None:
+        endpoints = _in_turn([scripted.RESET])
+        for endpoint in endpoints:
+            endpoint.dial_s = dial_s
+        stage = scripted.Stage(*endpoints)
+        stage.apply_in(0.3 if dial_s else AMID_THE_FIRST_S, ONE_TRY_NOW)
+        answer = await stage.ask()
+        assert (answer.status, _sent(endpoints)) == (502, 1)
+
+    scripted.play(work)
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -51,12 +51,7 @@
 
 
 def _always_retry(patch: pytest.MonkeyPatch) -> None:
-    async def retry(self: carriers.Carrier, x: exchanges.Exchange) -> exchanges.Stage:
-        if x.goes >= x.max_tries:
-            return self._ends.give_up(x, "not_run")
-        return exchanges.Stage.SELECT
-
-    patch.setattr(carriers.Carrier, "_retry", retry)
+    patch.setattr(carriers.Carrier, "_is_spent", lambda self, x: x.goes >= x.max_tries)
     # The budget would hide it: few extra go's are paid for in a day this short.
     _no_budget(patch)
 
@@ -66,11 +61,8 @@
 
 
 def _tries_for_ever(patch: pytest.MonkeyPatch) -> None:
-    async def retry(self: carriers.Carrier, x: exchanges.Exchange) -> exchanges.Stage:
-        # Orders are still kept to what holds for them: this is of reading alone.
-        return exchanges.Stage.SELECT if not x.writing else self._ends.give_up(x, "not_run")
-
-    patch.setattr(carriers.Carrier, "_retry", retry)
+    # Orders are still kept to what holds for them: this is of reading alone.
+    patch.setattr(carriers.Carrier, "_is_spent", lambda self, x: x.writing and x.goes > 0)
     _no_budget(patch)
 
 
