--- a/packages/proxy/src/dykeswitch/proxy/delivery.py
+++ b/packages/proxy/src/dykeswitch/proxy/delivery.py
@@ -142,17 +142,17 @@
             return patience.Patience(limit, limit, lambda: False)
         # An attempt that hangs must leave time for the tries that remain.
         first = min(limit, left / max(1, x.max_tries - x.goes))
-        return patience.Patience(first, limit, lambda: self._may_try_another(x))
+        return patience.Patience(first, limit, lambda: self.may_try_another(x, x.goes + 1))
 
-    def _may_try_another(self, x: exchanges.Exchange) -> bool:
-        """Whether another attempt could be made now in place of the one under way.
+    def may_try_another(self, x: exchanges.Exchange, goes: int) -> bool:
+        """Whether another attempt could be made now after so many, the one at hand among them.
 
-        Where none could, to break it off would only end the exchange sooner: its endpoint may
-        still be at work. A proxy that stops breaks nothing off.
+        Where none could, to break that one off would only end the exchange sooner: its endpoint
+        may still be at work. A proxy that stops breaks nothing off.
         """
         return not self.closing and any(
             self.budget(service).affords(self._clock.now()) and self._selector.has_another(service, x.tried)
-            for service in matching.next_services(x, self.layout, self._bounds)
+            for service in matching.next_services(x, goes, self.layout, self._bounds)
         )
 
     async def _hold(
--- a/packages/proxy/src/dykeswitch/proxy/judgement.py
+++ b/packages/proxy/src/dykeswitch/proxy/judgement.py
@@ -84,18 +84,31 @@
         if fault is not None:
             self._marker.failed(name, fault, promised)
         x.answered = x.answered or not promised
-        if promised or not x.writing:
+        if promised:
             self._delivery.put_away(x, sound=answer.rest is None)
-            answer.rest = None
-            if promised:
-                x.answer, x.flaw = None, "promised not to have run"
+            x.answer, x.flaw = None, "promised not to have run"
             return Stage.RETRY
+        if not x.writing:
+            return self._judge_failed_read(x, answer)
         if answer.head.status == soundness.UNAVAILABLE:
             self._delivery.put_away(x, sound=answer.rest is None)
             return self._ends.withhold(x, answer)
         # A writing request's reply without a promise is the endpoint's last word.
         return Stage.REPLY
 
+    def _judge_failed_read(self, x: exchanges.Exchange, answer: exchanges.Answer) -> Stage:
+        """A failure that may be tried again: kept in case none follows, or given up if it is too long."""
+        if answer.rest is None:
+            self._delivery.put_away(x, sound=True)
+            return Stage.RETRY
+        if not self._delivery.may_try_another(x, x.goes):
+            return Stage.REPLY
+        # Its connection goes, and the rest of it; a part of an answer is none.
+        self._delivery.put_away(x, sound=False)
+        x.answer = None
+        x.unknown = f"answered {answer.head.status}, too long to be held"
+        return Stage.RETRY
+
     def _judge_failure(
         self, x: exchanges.Exchange, name: str, connection: connections.EndpointConnection
     ) -> Stage:
--- a/packages/proxy/src/dykeswitch/proxy/matching.py
+++ b/packages/proxy/src/dykeswitch/proxy/matching.py
@@ -41,9 +41,9 @@
 
 
 def next_services(
-    x: exchanges.Exchange, layout: layouts.Layout | None, bounds: settings.Settings
+    x: exchanges.Exchange, goes: int, layout: layouts.Layout | None, bounds: settings.Settings
 ) -> tuple[str, ...]:
-    """The services to which another attempt may go after the one under way, by the layout of this moment."""
+    """The services to which another attempt may go after so many, by the layout of this moment."""
     rule = layout.match(x.host, x.path, x.method) if layout is not None else None
     if layout is None or rule is None or rule.writes(x.method):
         return ()
@@ -53,7 +53,7 @@
     return tuple(
         service
         for service in services
-        if x.goes + 1 < layouts.limits(layout, rule, service).get("max_tries", bounds.max_tries)
+        if goes < layouts.limits(layout, rule, service).get("max_tries", bounds.max_tries)
     )
 
 
--- a/tests/test_between_attempts.py
+++ b/tests/test_between_attempts.py
@@ -46,7 +46,7 @@
     return sum(len(endpoint.requests) for endpoint in endpoints)
 
 
-def _in_turn(*script: list[str], count: int = 3) -> list[scripted.ScriptedEndpoint]:
+def in_turn(*script: list[str], count: int = 3) -> list[scripted.ScriptedEndpoint]:
     """Endpoints that follow one script between them, whichever is asked first."""
     endpoints = [scripted.ScriptedEndpoint() for _ in range(count)]
     shared = list(script)
@@ -81,7 +81,7 @@
     """A read broken off and then turned away was told, by its last endpoint's words, that nothing ran."""
 
     async def work() -> None:
-        endpoints = _in_turn([WHOLE[:-2], scripted.RESET], [BUSY])
+        endpoints = in_turn([WHOLE[:-2], scripted.RESET], [BUSY])
         stage = scripted.Stage(*endpoints)
         # The first attempt has two parts of 0.05 s, the second one.
         stage.apply_in(0.12, GONE["its route is removed"])
@@ -158,7 +158,7 @@
     """The other side of the bound above: a change that leaves the request its way costs it no try."""
 
     async def work() -> None:
-        endpoints = _in_turn([scripted.SILENT], count=2)
+        endpoints = in_turn([scripted.SILENT], count=2)
         stage = scripted.Stage(*endpoints)
         stage.apply_in(AMID_THE_FIRST_S, layout)
         answer = await stage.ask()
@@ -183,7 +183,7 @@
     """A read that had run was sent once more after a change made its route one of orders."""
 
     async def work() -> None:
-        endpoints = _in_turn(list(script))
+        endpoints = in_turn(list(script))
         for endpoint in endpoints:
             endpoint.dial_s = dial_s
         stage = scripted.Stage(*endpoints)
@@ -202,7 +202,7 @@
     """What one endpoint ran and another turned away was told as not run, once its route was one of orders."""
 
     async def work() -> None:
-        endpoints = _in_turn([FAILURE], [BUSY])
+        endpoints = in_turn([FAILURE], [BUSY])
         stage = scripted.Stage(*endpoints)
         # While the second attempt is at work.
         stage.apply_in(0.07, WRITES_NOW)
@@ -217,7 +217,7 @@
     """The other side of the bound above: a promise holds under any rule."""
 
     async def work() -> None:
-        endpoints = _in_turn([BUSY])
+        endpoints = in_turn([BUSY])
         stage = scripted.Stage(*endpoints)
         stage.apply_in(AMID_THE_FIRST_S, WRITES_NOW)
         answer = await stage.ask()
@@ -231,7 +231,7 @@
     """A read was sent to a second endpoint after a change had cut its tries to one."""
 
     async def work() -> None:
-        endpoints = _in_turn([scripted.RESET])
+        endpoints = in_turn([scripted.RESET])
         for endpoint in endpoints:
             endpoint.dial_s = dial_s
         stage = scripted.Stage(*endpoints)
