Simulator: routes that change while reads are half way, late cuts, and failures over 1 MiB

A new check, not_run_again: no request runs once more where no layout that stood within the last 2 s lets it. Two histories break it by hand; three guards show the failures (_keeps_what_failed, _always_retry, _tries_for_ever).

--- a/packages/simulator/src/dykeswitch/simulator/faults/__init__.py
+++ b/packages/simulator/src/dykeswitch/simulator/faults/__init__.py
@@ -14,6 +14,7 @@
 import dykeswitch.simulator.faults.identity as identity
 import dykeswitch.simulator.faults.operators as operators
 import dykeswitch.simulator.faults.proxies as proxies
+import dykeswitch.simulator.faults.routes as routes
 import dykeswitch.simulator.faults.wires as wires
 import dykeswitch.simulator.stage as stages
 
@@ -26,6 +27,7 @@
     **identity.FAULTS,
     **beats.FAULTS,
     **callers.FAULTS,
+    **routes.FAULTS,
 }
 FAULTS: typing.Final[dict[str, stages.Fault]] = {
     **endpoints.FAULTS,
--- a/packages/simulator/src/dykeswitch/simulator/faults/garbage.py
+++ b/packages/simulator/src/dykeswitch/simulator/faults/garbage.py
@@ -28,6 +28,7 @@
 
 FAULTS: typing.Final[dict[str, stages.Fault]] = {
     "spoil_run_then_500": spoil("run_then_500"),
+    "spoil_run_then_500_long": spoil("run_then_500_long"),
     "spoil_lose": spoil("lose"),
     "spoil_lose_silent": spoil("lose_silent", 0.2),
     "spoil_lose_reset": spoil("lose_reset"),
@@ -37,6 +38,7 @@
     "spoil_cut_chunks": spoil("cut_chunks"),
     "spoil_cut_head": spoil("cut_head"),
     "spoil_cut_reset": spoil("cut_reset"),
+    "spoil_cut_late": spoil("cut_late"),
     "spoil_surplus_bytes": spoil("surplus_bytes"),
     "spoil_unsigned": spoil("unsigned"),
     "spoil_surplus": spoil("surplus"),
--- a/packages/simulator/src/dykeswitch/simulator/history/__init__.py
+++ b/packages/simulator/src/dykeswitch/simulator/history/__init__.py
@@ -44,6 +44,7 @@
     "layout_never_back": configuration.layout_never_back,
     "layout_by_traffic": configuration.layout_by_traffic,
     "layout_order_by_traffic": configuration.layout_order_by_traffic,
+    "not_run_again": configuration.not_run_again,
     "register_holds": configuration.register_holds,
     "one_body_per_version": configuration.one_body_per_version,
     "never_refused_again": configuration.never_refused_again,
--- a/packages/simulator/src/dykeswitch/simulator/history/configuration.py
+++ b/packages/simulator/src/dykeswitch/simulator/history/configuration.py
@@ -70,6 +70,12 @@
     return standing.slips(stood, story.roves, story.hits, story.owners, slack, order)
 
 
+def not_run_again(story: record.History) -> list[str]:
+    """No request runs once more where no layout that stood within the last 2 s let it."""
+    slack = LAYOUT_S + SLACK_S + story.wire_s
+    return standing.run_again(standing.all_of(story.puts), story.roves, story.starts, slack)
+
+
 Fact = tuple[float, float, int, str]
 
 
--- a/packages/simulator/src/dykeswitch/simulator/standing.py
+++ b/packages/simulator/src/dykeswitch/simulator/standing.py
@@ -14,6 +14,8 @@
 import dykeswitch.standin.caller as callers
 
 Doc = dict[str, typing.Any]
+# How many endpoints a request may run on where its rule says nothing.
+TRIES: typing.Final = 3
 
 
 @dataclasses.dataclass(slots=True)
@@ -24,22 +26,34 @@
     begun: float
     over: float
     doc: Doc
-    known: dict[tuple[str, str, str], str] = dataclasses.field(default_factory=dict)
+    known: dict[tuple[str, str, str], Doc | None] = dataclasses.field(default_factory=dict)
 
-    def service(self, ask: callers.Ask) -> str:
-        """The service that this layout sends a request to; empty if to none."""
+    def rule(self, ask: callers.Ask) -> Doc | None:
+        """The rule of this layout for a request, if there is one."""
         key = (ask.method, ask.host, ask.path)
         if key not in self.known:
             self.known[key] = wanted(self.doc, *key)
         return self.known[key]
 
+    def service(self, ask: callers.Ask) -> str:
+        """The service that this layout sends a request to; empty if to none."""
+        rule = self.rule(ask)
+        return str(rule["service"]) if rule is not None else ""
+
+    def allows_another(self, ask: callers.Ask, runs: int) -> bool:
+        """Whether this layout lets a request that has run so many times run once more."""
+        rule = self.rule(ask)
+        if rule is None or rule.get("writing"):
+            return False
+        return runs < int(rule.get("max_tries", TRIES))
+
     def may_show(self, begun: float, ended: float, slack: float) -> bool:
         return self.begun <= ended and begun <= self.over + slack
 
 
-def wanted(doc: Doc, method: str, host: str, path: str) -> str:
-    """The service of the most particular rule that fits."""
-    best: tuple[tuple[bool, int, bool], str] | None = None
+def wanted(doc: Doc, method: str, host: str, path: str) -> Doc | None:
+    """The most particular rule that fits, if any does."""
+    best: tuple[tuple[bool, int, bool], Doc] | None = None
     for rule in doc["rules"]:
         stem = str(rule.get("path", "/"))
         under = path == stem or path.startswith(stem if stem.endswith("/") else stem + "/")
@@ -48,8 +62,8 @@
         if under and named and meant:
             rank = (bool(rule.get("host")), len(stem), bool(rule.get("methods")))
             if best is None or rank > best[0]:
-                best = (rank, str(rule["service"]))
-    return best[1] if best else ""
+                best = (rank, rule)
+    return best[1] if best else None
 
 
 def all_of(puts: typing.Sequence[fleets.Put]) -> list[Standing]:
@@ -101,6 +115,23 @@
     ]
 
 
+def run_again(
+    stood: typing.Sequence[Standing],
+    roves: dict[str, callers.Ask],
+    starts: typing.Mapping[str, typing.Sequence[callers.Run]],
+    slack: float,
+) -> list[str]:
+    """Requests that ran once more though no layout standing at that moment let them."""
+    found = []
+    for name, ask in roves.items():
+        for runs, run in enumerate(sorted(starts.get(name, ()), key=lambda run: run.at)):
+            if runs and not any(
+                s.allows_another(ask, runs) for s in stood if s.may_show(run.at, run.at, slack)
+            ):
+                found.append(f"{name} ({ask.method} {ask.host}{ask.path}) ran again at {run.at:.2f}")
+    return found
+
+
 def slips(
     stood: typing.Sequence[Standing],
     roves: dict[str, callers.Ask],
--- a/packages/standin/src/dykeswitch/standin/endpoint.py
+++ b/packages/standin/src/dykeswitch/standin/endpoint.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import collections
-import json
 import random
 import typing
 
@@ -13,6 +12,7 @@
 import dykeswitch.standin.headers as headers
 import dykeswitch.standin.heartbeat as heartbeat
 import dykeswitch.standin.nature as natures
+import dykeswitch.standin.pages as pages
 import dykeswitch.standin.slots as slots
 import dykeswitch.standin.talk as talks
 
@@ -263,8 +263,7 @@
             self._began(self, ask.method.decode(), target, body)
         span = nature.span(self.work_s, self._rng) * (faults.SLOW if fault == "slow" else 1)
         span *= nature.drag(self.slots.running, self._clock.now() - self._since)
-        if "work=" in target:
-            span = float(target.split("work=")[1].split("&")[0])
+        span = pages.asked_work_s(target, span)
         late = nature.stops and end is not None and end - self._clock.now() < span
         if late and end is not None:
             span = max(0.0, end - self._clock.now())
@@ -295,22 +294,17 @@
             return await self._end(talk, faults.lost(fault))
         if fault.startswith("run_then_") and not probe:
             # It did the work, and all the same bids the caller come again.
-            return await self._say(talk, int(fault[9:]), b"busy", [("retry-after", "1"), *self._id()], ask)
-        page = {
-            "by": self.name,
-            "service": self.service,
-            "target": target,
-            "echo": headers.fields(ask.headers).get(headers.ASK, ""),
-        }
-        data = json.dumps(page).encode()
-        if "size=" in target:
-            size = int(target.split("size=")[1].split("&")[0])
-            data += b" " * max(0, size - len(data))
+            status, _, long = fault.removeprefix("run_then_").partition("_")
+            data = b"busy" * (faults.LONG_BODY // 4 if long else 1)
+            return await self._say(talk, int(status), data, [("retry-after", "1"), *self._id()], ask)
+        data = pages.body(self.name, self.service, target, headers.fields(ask.headers))
         by = [("dykeswitch-served-by", "somebody-else")] if fault == "wrong_id" else None
         if fault not in (*faults.BROKEN, *faults.SURPLUS):
             return await self._say(talk, 200, data, by, ask)
         said = faults.said(fault, self._whole(talk, 200, data, by, ask), self._rng)
         await talk.write(said.data)
+        if said.pause_s:
+            await self._clock.sleep(said.pause_s)
         if said.soon:
             await self._clock.sleep(self._rng.uniform(0.0, faults.SOON_S))
             await talk.write(said.soon)
--- a/packages/standin/src/dykeswitch/standin/faults.py
+++ b/packages/standin/src/dykeswitch/standin/faults.py
@@ -18,6 +18,7 @@
     "cut_chunks",
     "cut_head",
     "cut_reset",
+    "cut_late",
 )
 # A whole reply, and then another that nobody asked for: with it, soon after it, or in the
 # place where the next one is expected; or bytes that are no reply.
@@ -35,10 +36,15 @@
     "wrong_id",
     "slow",
     "run_then_500",
+    "run_then_500_long",
     "run_then_503",
 )
 # How many times as slow an endpoint is that is told to be.
 SLOW: typing.Final = 25
+# The body of a failure that is too long for a proxy to hold before it passes it on, in bytes.
+LONG_BODY: typing.Final = 1_250_000
+# For how long an endpoint stays half way through an answer before it breaks off, in seconds.
+HALF_WAY_S: typing.Final = 3.0
 # How soon after a reply surplus bytes come: about when the next request may be on its way.
 SOON_S: typing.Final = 0.02
 NOT_HTTP: typing.Final = b"\x00\xff not HTTP at all \r\n\r\n"
@@ -98,6 +104,8 @@
     end: End
     soon: bytes = b""
     late: bytes = b""
+    # For how long the connection stays open, and silent, after the first bytes.
+    pause_s: float = 0.0
 
 
 def lost(fault: str) -> End:
@@ -107,7 +115,11 @@
 
 def said(fault: str, whole: bytes, rng: random.Random) -> Said:
     """What is sent in place of a whole reply, or after it."""
-    head, gap, body = whole.partition(b"\r\n\r\n")
+    return _surplus(fault, whole) if fault in SURPLUS else _broken(fault, whole, rng)
+
+
+def _surplus(fault: str, whole: bytes) -> Said:
+    """A whole reply, and bytes that nobody asked for."""
     # The same once more: a repeat of a reply belongs to nobody.
     if fault == "surplus":
         return Said(whole + whole, End.KEEP)
@@ -115,8 +127,12 @@
         return Said(whole, End.KEEP, soon=whole)
     if fault == "surplus_late":
         return Said(whole, End.KEEP, late=whole)
-    if fault == "surplus_bytes":
-        return Said(whole + NOT_HTTP, End.KEEP)
+    return Said(whole + NOT_HTTP, End.KEEP)
+
+
+def _broken(fault: str, whole: bytes, rng: random.Random) -> Said:
+    """Bytes that are no reply, or no whole one."""
+    head, gap, body = whole.partition(b"\r\n\r\n")
     if fault == "garbage":
         return Said(NOT_HTTP, End.CLOSE)
     if fault == "garbage_any":
@@ -125,10 +141,12 @@
         return Said(rng.choice(UNSIGNED), End.CLOSE)
     if fault == "cut_head":
         return Said(head[: rng.randrange(1, len(head))], End.CLOSE)
+    half = body[: len(body) // 2]
     if fault == "cut_chunks":
         fields = [f for f in head.split(b"\r\n") if not f.lower().startswith(b"content-length:")]
         fields.append(b"transfer-encoding: chunked")
-        half = body[: len(body) // 2]
         return Said(b"\r\n".join(fields) + gap + b"%x\r\n%s\r\n" % (len(half), half), End.CLOSE)
-    half = head + gap + body[: len(body) // 2]
-    return Said(half, End.RESET if fault == "cut_reset" else End.CLOSE)
+    data = head + gap + half
+    if fault == "cut_late":
+        return Said(data, End.CLOSE, pause_s=HALF_WAY_S)
+    return Said(data, End.RESET if fault == "cut_reset" else End.CLOSE)
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -18,6 +18,7 @@
 import dykeswitch.proxy.answering as answering
 import dykeswitch.proxy.budget as budgets
 import dykeswitch.proxy.carrier as carriers
+import dykeswitch.proxy.delivery as deliveries
 import dykeswitch.proxy.exchange as exchanges
 import dykeswitch.proxy.headers as headers
 import dykeswitch.proxy.program as proxies
@@ -66,6 +67,17 @@
     _no_budget(patch)
 
 
+def _keeps_what_failed(patch: pytest.MonkeyPatch) -> None:
+    deliver = deliveries.Delivery.deliver
+
+    async def delivered(self: deliveries.Delivery, x: exchanges.Exchange) -> None:
+        await deliver(self, x)
+        if x.head_came and x.answer is None:
+            x.answer = exchanges.Answer(connections.Head(200, []), b"", None)
+
+    patch.setattr(deliveries.Delivery, "deliver", delivered)
+
+
 def _hands_on_all_time(patch: pytest.MonkeyPatch) -> None:
     own = headers.request_heads
 
@@ -278,6 +290,10 @@
     (_always_retry, "lose_replies", "run_twice"),
     (_no_budget, "fail_service", "extra_bound"),
     (_tries_for_ever, "every_run_fails", "tries_bounded"),
+    # A route that changes between two attempts.
+    (_keeps_what_failed, "remove_route_amid_reads", "whole_replies"),
+    (_always_retry, "route_writes_amid_reads", "not_run_again"),
+    (_tries_for_ever, "route_has_one_try_amid_reads", "not_run_again"),
     (_hands_on_all_time, "hang", "no_time_added"),
     (_deaf_to_departures, "callers_leave", "nothing_run_for_nobody"),
     (_deaf_to_departures, "callers_leave_between_tries", "nothing_sent_for_nobody"),
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -142,6 +142,19 @@
     _rove(story, 95.3, "b1")
 
 
+def _runs_again(change: dict[str, typing.Any]) -> typing.Callable[[histories.History], None]:
+    """A request that ran runs again long after a change that lets it run but once."""
+
+    def break_it(story: histories.History) -> None:
+        rule = {"path": "/rove", "service": "b2", **change}
+        story.puts.append(_put(3, 97.0, body=json.dumps({"rules": [rule]})))
+        _rove(story, 96.5, "b2")
+        name = list(story.roves)[-1]
+        story.starts[name] = [callers.Run(name, f"b2-{n}", "b2", at) for n, at in enumerate((96.5, 99.5))]
+
+    return break_it
+
+
 def _phantom_race(story: histories.History) -> None:
     story.puts.append(_put(0, 99.0, body=_doc("x"), status=412, match=2))
 
@@ -309,6 +322,7 @@
     "layout_never_back": [_layout_back],
     "layout_by_traffic": [_old_rule, _no_rule_ever, _rule_denied],
     "layout_order_by_traffic": [_rule_slips],
+    "not_run_again": [_runs_again({"writing": True}), _runs_again({"max_tries": 1})],
     "refused_rightly": [_phantom_race],
     "broken_explained": [_connection_broke],
     "excuses_bounded": [_all_excused],
@@ -335,6 +349,12 @@
     assert histories.judge(sound()) == {}
 
 
+def test_a_request_may_run_again_where_the_layout_lets_it() -> None:
+    story = sound()
+    _runs_again({"max_tries": 2})(story)
+    assert histories.judge(story) == {}
+
+
 def test_a_refusal_by_status_alone_is_none_to_callers_who_do_not_ask_anew() -> None:
     story = sound()
     story.asks[0].status = 503
