--- a/packages/simulator/src/dykeswitch/simulator/exposure.py
+++ b/packages/simulator/src/dykeswitch/simulator/exposure.py
@@ -16,6 +16,7 @@
 import dykeswitch.register as register
 import dykeswitch.simulator.fleet as fleets
 import dykeswitch.simulator.loop as loops
+import dykeswitch.simulator.machines as machines
 import dykeswitch.standin.shape as shapes
 
 PAGES: typing.Final = shapes.ServiceShape("pages", 2, 1, "/pages", "GET", 0.02)
@@ -56,10 +57,10 @@
     stopped_s: float = 0.0
 
 
-Event = typing.Callable[[fleets.SimFleet, fleets.Core], typing.Coroutine[typing.Any, typing.Any, None]]
+Event = typing.Callable[[fleets.SimFleet, machines.Core], typing.Coroutine[typing.Any, typing.Any, None]]
 
 
-async def restart(fleet: fleets.SimFleet, core: fleets.Core) -> None:
+async def restart(fleet: fleets.SimFleet, core: machines.Core) -> None:
     """Both processes are killed, and come back with their disk."""
     core.registry.kill()
     core.store.kill()
@@ -68,7 +69,7 @@
     core.registry.restart()
 
 
-async def wipe(fleet: fleets.SimFleet, core: fleets.Core) -> None:
+async def wipe(fleet: fleets.SimFleet, core: machines.Core) -> None:
     """The machine loses power and its disk, and comes back empty at its address."""
     core.registry.lose_power()
     core.store.lose_power()
@@ -78,7 +79,7 @@
     core.registry.restart()
 
 
-def successor(fleet: fleets.SimFleet, old: fleets.Core, name: str = "core-new") -> fleets.Core:
+def successor(fleet: fleets.SimFleet, old: machines.Core, name: str = "core-new") -> machines.Core:
     """An empty machine in the old one's zone, at addresses of its own."""
     position = fleet.cores.index(old)
     address = fleet.world.address
@@ -89,7 +90,7 @@
     return fresh
 
 
-async def replace(fleet: fleets.SimFleet, core: fleets.Core) -> None:
+async def replace(fleet: fleets.SimFleet, core: machines.Core) -> None:
     """The machine goes dark for good; an empty one comes at another address."""
     core.registry.lose_power()
     core.store.lose_power()
@@ -97,7 +98,7 @@
     successor(fleet, core)
 
 
-async def replace_in_order(fleet: fleets.SimFleet, core: fleets.Core) -> None:
+async def replace_in_order(fleet: fleets.SimFleet, core: machines.Core) -> None:
     """An empty machine comes first; then the old one is asked to stop, and stays away."""
     successor(fleet, core)
     await asyncio.sleep(BACK_S)
--- a/packages/simulator/src/dykeswitch/simulator/faults/__init__.py
+++ b/packages/simulator/src/dykeswitch/simulator/faults/__init__.py
@@ -7,6 +7,7 @@
 import dykeswitch.simulator.faults.connections as connections
 import dykeswitch.simulator.faults.control as control
 import dykeswitch.simulator.faults.cores as cores
+import dykeswitch.simulator.faults.disks as disks
 import dykeswitch.simulator.faults.endpoints as endpoints
 import dykeswitch.simulator.faults.full as full
 import dykeswitch.simulator.faults.garbage as garbage
@@ -34,6 +35,7 @@
     **DATA_PATH,
     **proxies.FAULTS,
     **cores.FAULTS,
+    **disks.FAULTS,
     **operators.FAULTS,
     **control.FAULTS,
     **wires.FAULTS,
--- a/packages/simulator/src/dykeswitch/simulator/faults/control.py
+++ b/packages/simulator/src/dykeswitch/simulator/faults/control.py
@@ -5,8 +5,8 @@
 
 import dykeswitch.layout.documents as documents
 import dykeswitch.outcome as outcome
-import dykeswitch.simulator.fleet as fleets
 import dykeswitch.simulator.history as histories
+import dykeswitch.simulator.machines as machines
 import dykeswitch.simulator.operator as operators
 import dykeswitch.simulator.stage as stages
 
@@ -28,7 +28,7 @@
 LATE_FAULTS: typing.Final = ("surplus_late", "lose_reset", "none")
 
 
-async def _current(stage: stages.Stage, core: fleets.Core) -> None:
+async def _current(stage: stages.Stage, core: machines.Core) -> None:
     """Wait until a core's registry and store hold what was acknowledged last; late is a flaw."""
     due = max(p.version for p in stage.fleet.puts if p.status == 200)
     begun = stage.now
@@ -41,13 +41,13 @@
     stage.flaw(f"{core.registry.name} did not hold version {due} within {WHOLE_S:.0f} s of {begun:.2f}")
 
 
-def _held_version(core: fleets.Core) -> int:
+def _held_version(core: machines.Core) -> int:
     """The layout that a core's registry hands out to proxies."""
     daemon = core.registry.daemon
     return 0 if daemon is None else int(daemon.documents.version(documents.LAYOUT))
 
 
-async def _stored_version(core: fleets.Core) -> int:
+async def _stored_version(core: machines.Core) -> int:
     """The layout that a core's store holds, as it would tell whoever reads a majority."""
     daemon = core.store.daemon
     if daemon is None or not daemon.voter.disk_id:
@@ -65,7 +65,7 @@
         await asyncio.sleep(stage.rng.uniform(0.5, 1.5))
 
 
-async def _reads_until(stage: stages.Stage, core: fleets.Core, end: float) -> None:
+async def _reads_until(stage: stages.Stage, core: machines.Core, end: float) -> None:
     """Reads from one core, which may refuse to answer but may not answer with what is old."""
     while stage.now < end:
         await stage.fleet.get(core, 1.0)
@@ -145,7 +145,7 @@
     await _current(stage, core)
 
 
-def _ready(edge: fleets.Edge) -> bool:
+def _ready(edge: machines.Edge) -> bool:
     daemon = edge.node.daemon
     return daemon is not None and daemon.ready() is None
 
@@ -171,12 +171,12 @@
     await stage.fleet.get(stage.core())
 
 
-def _replace(stage: stages.Stage, gone: fleets.Core) -> fleets.Core:
+def _replace(stage: stages.Stage, gone: machines.Core) -> machines.Core:
     """An empty core in another's place, told of those that are there now."""
     return stage.new_core(gone, tuple(c.member for c in stage.fleet.cores if c is not gone))
 
 
-async def _change_held_by_few(stage: stages.Stage, core: fleets.Core) -> None:
+async def _change_held_by_few(stage: stages.Stage, core: machines.Core) -> None:
     """A change by one core while the other stores are far away: it is confirmed by the fewest."""
     far = [other.store.name for other in stage.fleet.cores if other is not core]
     stage.wires.slow = dict.fromkeys(far, FAR_S)
--- a/packages/simulator/src/dykeswitch/simulator/faults/cores.py
+++ b/packages/simulator/src/dykeswitch/simulator/faults/cores.py
@@ -1,4 +1,4 @@
-"""Failures of the cores: power, disks, swaps, clocks, freezes."""
+"""Failures of the cores: power, swaps, clocks, freezes, splits."""
 
 import asyncio
 import typing
@@ -6,9 +6,6 @@
 import dykeswitch.simulator.history as histories
 import dykeswitch.simulator.stage as stages
 
-# How long a disk that stalls answers nothing.
-STALL_S: typing.Final = 3.0
-
 
 async def lose_store_power(stage: stages.Stage) -> None:
     """Power goes right after a change was confirmed."""
@@ -24,18 +21,6 @@
     await stage.fleet.get(core)
 
 
-async def lose_store_disk(stage: stages.Stage) -> None:
-    """The disk goes right after a change was confirmed; an empty one comes."""
-    core = stage.core()
-    await stage.change(core)
-    core.store.lose_power()
-    core.store.wipe()
-    await asyncio.sleep(1.0)
-    core.store.restart()
-    await stage.seated()
-    await stage.fleet.get(core)
-
-
 async def swap_core(stage: stages.Stage) -> None:
     """A core goes for good; an empty one comes at a new address, with old seeds."""
     fleet = stage.fleet
@@ -50,11 +35,13 @@
 
 
 async def swap_two_cores(stage: stages.Stage) -> None:
+    """Two cores are replaced, one after the other."""
     await swap_core(stage)
     await swap_core(stage)
 
 
 async def restart_all_cores(stage: stages.Stage) -> None:
+    """All cores lose power at once, right after a change, and come back with their disks."""
     await stage.change()
     for core in stage.fleet.cores:
         core.registry.lose_power()
@@ -68,6 +55,7 @@
 
 
 async def jump_clock(stage: stages.Stage) -> None:
+    """One registry's clock jumps, and an order comes to it."""
     core = stage.core()
     core.registry.clock.jump += stage.rng.choice([-86400.0, -3.0, 3.0, 86400.0])
     await asyncio.sleep(1.0)
@@ -103,6 +91,7 @@
 
 
 async def split_all_cores(stage: stages.Stage) -> None:
+    """No core reaches another for a while."""
     names = [c.names() for c in stage.fleet.cores]
     for one in names:
         for two in names:
@@ -126,6 +115,7 @@
 
 
 async def freeze_store(stage: stages.Stage) -> None:
+    """A store stands still while a change is made."""
     core = stage.core()
     core.store.freeze()
     await stage.change()
@@ -216,82 +206,6 @@
     await stage.fleet.get(stage.core())
 
 
-async def fill_disk(stage: stages.Stage) -> None:
-    """A disk is full: its store votes no more and says so; it does again once there is room."""
-    await _spoil_disk(stage, "sync_file", "no space left on device")
-
-
-async def fail_sync(stage: stages.Stage) -> None:
-    """A disk refuses to sync a folder: what it wrote may or may not last."""
-    await _spoil_disk(stage, "sync_folder", "input/output error")
-
-
-async def fail_rename(stage: stages.Stage) -> None:
-    """A disk refuses the last step of a write."""
-    await _spoil_disk(stage, "rename", "input/output error")
-
-
-async def _spoil_disk(stage: stages.Stage, step: str, why: str) -> None:
-    core = stage.core()
-    disk = core.store.disk
-    assert disk is not None
-    disk.spoilt[step] = why
-    for _ in range(3):
-        await stage.change()
-    await stage.fleet.get(stage.core())
-    if core.store.daemon.voter.damaged != why:
-        stage.flaw(f"a store on a disk that said '{why}' goes on voting")
-    await asyncio.sleep(1.0)
-    core.store.kill()
-    disk.spoilt.clear()
-    core.store.restart()
-    await stage.seated()
-    await stage.change(core)
-    await stage.fleet.get(core)
-
-
-async def stall_disk(stage: stages.Stage) -> None:
-    """A disk answers nothing for a while: changes and reads go on, and its store votes again after."""
-    core = stage.core()
-    disk = core.store.disk
-    assert disk is not None
-    disk.stall(after=stage.rng.random() < 0.5)
-    begun = stage.fleet.clock.now()
-    for _ in range(3):
-        await stage.change()
-    await stage.fleet.get(core)
-    await asyncio.sleep(max(0.0, begun + STALL_S - stage.fleet.clock.now()))
-    disk.flow()
-    await stage.change(core)
-    if core.store.daemon.voter.damaged:
-        stage.flaw("a store whose disk goes on does not vote")
-    await stage.fleet.get(core)
-
-
-async def damage_disk(stage: stages.Stage) -> None:
-    """A file is found damaged at start: the store refuses, until its disk is emptied."""
-    core = stage.core()
-    await stage.change(core)
-    core.store.lose_power()
-    disk = core.store.disk
-    assert disk is not None
-    for path in sorted((disk.root / "register").glob("*/g*/db.dat"))[:1]:
-        data = bytearray(path.read_bytes())
-        data[3] ^= 1
-        path.write_bytes(bytes(data))
-    core.store.restart()
-    await asyncio.sleep(1.0)
-    if "Damage" not in core.store.flaw:
-        stage.flaw("a store took up a damaged file")
-    # That it ended by itself is what was asked for here.
-    core.store.flaw = ""
-    await stage.change()
-    core.store.wipe()
-    core.store.restart()
-    await stage.seated()
-    await stage.fleet.get(core)
-
-
 async def jump_all_clocks(stage: stages.Stage) -> None:
     """Clocks of every kind of machine jump, a little and by years, both ways."""
     nodes = [stage.core().registry, stage.core().store, *(e.node for e in stage.up_edges()[:3])]
@@ -383,7 +297,6 @@
 
 FAULTS: typing.Final[dict[str, stages.Fault]] = {
     "lose_store_power": lose_store_power,
-    "lose_store_disk": lose_store_disk,
     "swap_core": swap_core,
     "swap_two_cores": swap_two_cores,
     "swap_every_core": swap_every_core,
@@ -391,11 +304,6 @@
     "swap_while_two_restart": swap_while_two_restart,
     "restart_all_cores": restart_all_cores,
     "stop_cores_in_turn": stop_cores_in_turn,
-    "fill_disk": fill_disk,
-    "stall_disk": stall_disk,
-    "fail_sync": fail_sync,
-    "fail_rename": fail_rename,
-    "damage_disk": damage_disk,
     "jump_clock": jump_clock,
     "jump_all_clocks": jump_all_clocks,
     "cut_one_core": cut_one_core,
--- a/packages/simulator/src/dykeswitch/simulator/faults/operators.py
+++ b/packages/simulator/src/dykeswitch/simulator/faults/operators.py
@@ -6,12 +6,13 @@
 
 import dykeswitch.register.proposer as proposers
 import dykeswitch.simulator.faults.cores as cores
-import dykeswitch.simulator.fleet as fleets
 import dykeswitch.simulator.history as histories
+import dykeswitch.simulator.observations as observations
 import dykeswitch.simulator.stage as stages
 
 
 async def burst_layouts(stage: stages.Stage) -> None:
+    """Several changes, one right after the other."""
     for _ in range(6):
         await stage.change()
     await stage.fleet.get(stage.core())
@@ -57,6 +58,7 @@
 
 
 async def large_layout(stage: stages.Stage) -> None:
+    """A layout of thousands of rules, then a small one."""
     doc = stage.layout()
     service = stage.fleet.shape.services[0].name
     doc["rules"] += [{"path": f"/large/{n}/{'x' * 200}", "service": service} for n in range(3000)]
@@ -103,7 +105,7 @@
     await stage.fleet.get(stage.core())
 
 
-async def _again(stage: stages.Stage, put: fleets.Put) -> fleets.Put:
+async def _again(stage: stages.Stage, put: observations.Put) -> observations.Put:
     """The very same layout once more, by another registry if there is one."""
     doc = json.loads(put.body)
     for _ in range(10):
--- a/packages/simulator/src/dykeswitch/simulator/fleet.py
+++ b/packages/simulator/src/dykeswitch/simulator/fleet.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextvars
-import dataclasses
 import json
 import math
 import pathlib
@@ -17,12 +16,13 @@
 import dykeswitch.settings as settings
 import dykeswitch.simulator.disk as disks
 import dykeswitch.simulator.loop as loops
+import dykeswitch.simulator.machines as machines
 import dykeswitch.simulator.net as nets
+import dykeswitch.simulator.observations as observations
 import dykeswitch.simulator.web as webs
 import dykeswitch.simulator.world as worlds
 import dykeswitch.standin.caller as callers
 import dykeswitch.standin.endpoint as endpoints
-import dykeswitch.standin.headers as headers
 import dykeswitch.standin.nature as natures
 import dykeswitch.standin.shape as shapes
 import dykeswitch.store.program as stores
@@ -30,84 +30,6 @@
 FOUNDERS: typing.Final = 3
 
 
-class SealedEndpoints(adapters.Own):
-    """The product's interface towards endpoints that seal every success."""
-
-    heads = dataclasses.replace(adapters.Heads(), seal=headers.SEAL.encode())
-
-
-@dataclasses.dataclass(slots=True)
-class Core:
-    """A core machine: a registry and a store."""
-
-    registry: worlds.Node
-    store: worlds.Node
-    member: str
-    web: str
-    disk: str
-    zone: str
-
-    def names(self) -> list[str]:
-        return [self.registry.name, self.store.name]
-
-
-@dataclasses.dataclass(slots=True)
-class Edge:
-    """An edge machine with its proxy."""
-
-    node: worlds.Node
-    web: str
-    zone: str
-
-
-@dataclasses.dataclass(slots=True)
-class Put:
-    """One sending of an operator's order, and what came of it."""
-
-    begun: float
-    body: str
-    match: int | None
-    ended: float = 0.0
-    # What the operator was told; 0 where no answer came.
-    status: int = 0
-    version: int = 0
-    # The status of an answer that was lost on its way: the operator never learns of it.
-    lost_status: int = 0
-
-
-@dataclasses.dataclass(slots=True)
-class Got:
-    """An operator's read, and what it brought."""
-
-    begun: float
-    ended: float = 0.0
-    status: int = 0
-    version: int = 0
-    body: str = ""
-
-
-@dataclasses.dataclass(slots=True)
-class Handed:
-    """For how long an endpoint was told that it may work on a request, in seconds."""
-
-    at: float
-    ask: str
-    span_s: float
-    # Whether no link was in trouble, so that it came when it was sent.
-    calm: bool
-
-
-@dataclasses.dataclass(slots=True)
-class Sample:
-    """What one proxy carried at one moment."""
-
-    at: float
-    proxy: str
-    boot: int
-    layout: int
-    ready: bool
-
-
 class SimFleet:
     """Everything the brief names, on virtual time."""
 
@@ -123,7 +45,7 @@
         sealed: bool = False,
     ) -> None:
         # How the proxies speak with endpoints: these may be known to seal their successes.
-        self._adapter = SealedEndpoints() if sealed else adapters.Own()
+        self._adapter = machines.SealedEndpoints() if sealed else adapters.Own()
         # How many of the cores all are told of at first; the rest have to be learnt.
         self._known = known
         self.world = worlds.World(seed, scratch)
@@ -137,18 +59,18 @@
         self.outside = self.world.machine_for("outside")
         self.clock = self.outside.clock
         self.record = callers.Record(self.clock)
-        self.cores: list[Core] = []
-        self.edges: list[Edge] = []
+        self.cores: list[machines.Core] = []
+        self.edges: list[machines.Edge] = []
         self.endpoints: dict[str, endpoints.Endpoint] = {}
         self.hosts: dict[str, loops.Host] = {}
         self.left: dict[str, float] = {}
         self.hits: list[tuple[float, str, str]] = []
         # Requests that came to an endpoint and were meant for another.
         self.turned: list[tuple[float, str, str]] = []
-        self.handed: list[Handed] = []
-        self.puts: list[Put] = []
-        self.gots: list[Got] = []
-        self.samples: list[Sample] = []
+        self.handed: list[observations.Handed] = []
+        self.puts: list[observations.Put] = []
+        self.gots: list[observations.Got] = []
+        self.samples: list[observations.Sample] = []
         self._boots: dict[str, int] = {}
         self._tasks: set[asyncio.Task[typing.Any]] = set()
         self._build()
@@ -157,6 +79,7 @@
         )
 
     def settings(self, **own: typing.Any) -> settings.Settings:
+        """A program's settings: those of all, and its own."""
         return settings.Settings(**{**self._bounds, **own})
 
     def _build(self) -> None:
@@ -171,7 +94,7 @@
             for n in range(service.endpoints):
                 self.endpoint(f"{service.name}-{n}", service, world.address(), n)
 
-    def core(self, name: str, n: int, member: str, store: str, seeds: tuple[str, ...] = ()) -> Core:
+    def core(self, name: str, n: int, member: str, store: str, seeds: tuple[str, ...] = ()) -> machines.Core:
         """A core; also one that comes later, with the old seeds in its settings."""
         world = self.world
         web = world.address()
@@ -186,7 +109,7 @@
         keeper = world.add(
             "store",
             f"{name}-store",
-            lambda machine, log, rng: stores.Store(second, machine, _disk_of(keeper), log, rng),
+            lambda machine, log, rng: stores.Store(second, machine, machines.disk_of(keeper), log, rng),
         )
         world.wires.zones |= {name: zone, f"{name}-store": zone}
         keeper.disk = disks.SimDisk(world.folder(), world.rng)
@@ -195,9 +118,9 @@
             name,
             lambda machine, log, rng: registries.Registry(first, machine, log, rng),
         )
-        return Core(registry, keeper, member, web, store, zone)
+        return machines.Core(registry, keeper, member, web, store, zone)
 
-    def edge(self, name: str, n: int, web: str = "") -> Edge:
+    def edge(self, name: str, n: int, web: str = "") -> machines.Edge:
         """A proxy's machine; also one that comes later, or in another's place."""
         world = self.world
         bounds = self.settings(
@@ -213,11 +136,10 @@
             self._boots[name] = self._boots.get(name, 0) + 1
             return proxies.Proxy(bounds, machine, log, rng, self._adapter)
 
-        return Edge(world.add("proxy", name, build), bounds.web, bounds.zone)
-
-    # Endpoints are machines too, though they run no program of ours.
+        return machines.Edge(world.add("proxy", name, build), bounds.web, bounds.zone)
 
     def endpoint(self, name: str, service: shapes.ServiceShape, address: str, n: int) -> endpoints.Endpoint:
+        """One more endpoint, on a machine of its own that runs no program of ours."""
         machine = self.world.machine_for(name)
         zone = self.shape.zones[n % len(self.shape.zones)]
         self.world.wires.zones[name] = zone
@@ -245,7 +167,7 @@
         self.hits.append((self.clock.now(), name, endpoint.name))
         # One that is told of no end may work for ever.
         span = math.inf if endpoint.handed_s is None else endpoint.handed_s
-        self.handed.append(Handed(self.clock.now(), name, span, self.world.wires.calm()))
+        self.handed.append(observations.Handed(self.clock.now(), name, span, self.world.wires.calm()))
 
     def _turn(self, endpoint: endpoints.Endpoint, method: str, target: str) -> None:
         self.turned.append((self.clock.now(), callers.name_in(target), endpoint.name))
@@ -266,6 +188,7 @@
         self._keep(self.world.loop.create_task(live(), context=context))
 
     def machine_on(self, host: loops.Host) -> ports.Machine:
+        """What the programs of one machine see of it."""
         wires = self.world.wires
         return ports.Machine(
             worlds.SimClock(self.world.loop),
@@ -297,6 +220,7 @@
         task.add_done_callback(self._tasks.discard)
 
     def spawn(self, work: typing.Coroutine[typing.Any, typing.Any, typing.Any]) -> asyncio.Task[typing.Any]:
+        """Run something beside the day, for as long as it lasts."""
         task = asyncio.get_running_loop().create_task(work)
         self._keep(task)
         return task
@@ -329,6 +253,7 @@
         )
 
     async def until(self, test: typing.Callable[[], bool], wait: float, what: str) -> float:
+        """Wait until something is so; how long that took. Raises `TimeoutError`."""
         begun = self.clock.now()
         while not test():
             if self.clock.now() - begun > wait:
@@ -341,14 +266,14 @@
     async def put(
         self,
         layout: dict[str, typing.Any],
-        core: Core,
+        core: machines.Core,
         match: int | None = None,
         wait: float = 5.0,
         lose_answer: bool = False,
-    ) -> Put:
+    ) -> observations.Put:
         """Send an order to one core, whose answer may be lost on its way though it was taken."""
         body = json.dumps(layout, sort_keys=True)
-        put = Put(self.clock.now(), body, match)
+        put = observations.Put(self.clock.now(), body, match)
         self.puts.append(put)
         heads = [] if match is None else [("if-match", f'"{match}"')]
         try:
@@ -365,8 +290,9 @@
             put.version = int(json.loads(reply.body)["version"])
         return put
 
-    async def get(self, core: Core, wait: float = 5.0) -> Got:
-        got = Got(self.clock.now())
+    async def get(self, core: machines.Core, wait: float = 5.0) -> observations.Got:
+        """Read the newest layout from one core."""
+        got = observations.Got(self.clock.now())
         self.gots.append(got)
         try:
             reply = await self.outside.web.ask("GET", core.web, "/v1/layout", [], b"", wait)
@@ -380,7 +306,7 @@
             got.body = json.dumps(json.loads(reply.body), sort_keys=True)
         return got
 
-    async def query(self, text: str, core: Core, wait: float = 5.0) -> dict[str, typing.Any] | None:
+    async def query(self, text: str, core: machines.Core, wait: float = 5.0) -> dict[str, typing.Any] | None:
         """One sentence of the operators' language to one registry."""
         body = json.dumps({"text": text, "by": "operator"}).encode()
         try:
@@ -412,7 +338,7 @@
                 if daemon is None or node.host.dead or node.host.frozen:
                     continue
                 self.samples.append(
-                    Sample(
+                    observations.Sample(
                         now,
                         node.name,
                         self._boots.get(node.name, 0),
@@ -421,8 +347,3 @@
                     )
                 )
             await asyncio.sleep(0.05)
-
-
-def _disk_of(node: worlds.Node) -> disks.SimDisk:
-    assert node.disk is not None
-    return node.disk
--- a/packages/simulator/src/dykeswitch/simulator/history/configuration.py
+++ b/packages/simulator/src/dykeswitch/simulator/history/configuration.py
@@ -4,8 +4,8 @@
 import math
 import typing
 
-import dykeswitch.simulator.fleet as fleets
 import dykeswitch.simulator.history.record as record
+import dykeswitch.simulator.observations as observations
 import dykeswitch.simulator.standing as standing
 
 # Within how many seconds of its acknowledgement a change is in force.
@@ -17,7 +17,7 @@
 REFUSALS: typing.Final = (400, 409, 412, 422)
 
 
-def accepted(story: record.History) -> list[fleets.Put]:
+def accepted(story: record.History) -> list[observations.Put]:
     """The orders that were acknowledged."""
     return [p for p in story.puts if p.status == 200]
 
--- a/packages/simulator/src/dykeswitch/simulator/history/record.py
+++ b/packages/simulator/src/dykeswitch/simulator/history/record.py
@@ -3,7 +3,7 @@
 import dataclasses
 import typing
 
-import dykeswitch.simulator.fleet as fleets
+import dykeswitch.simulator.observations as observations
 import dykeswitch.standin.caller as callers
 
 # Figures of the brief, in seconds, and of what may be seen by chance.
@@ -37,14 +37,14 @@
     hits: list[tuple[float, str, str]] = dataclasses.field(default_factory=list)
     # Requests that were meant for another endpoint, and turned away by the one they reached.
     turned: list[tuple[float, str, str]] = dataclasses.field(default_factory=list)
-    handed: list[fleets.Handed] = dataclasses.field(default_factory=list)
+    handed: list[observations.Handed] = dataclasses.field(default_factory=list)
     owners: dict[str, str] = dataclasses.field(default_factory=dict)
     left: dict[str, float] = dataclasses.field(default_factory=dict)
-    puts: list[fleets.Put] = dataclasses.field(default_factory=list)
-    gots: list[fleets.Got] = dataclasses.field(default_factory=list)
+    puts: list[observations.Put] = dataclasses.field(default_factory=list)
+    gots: list[observations.Got] = dataclasses.field(default_factory=list)
     # What each core answers to a read once all is calm.
-    read_back: list[fleets.Got] = dataclasses.field(default_factory=list)
-    samples: list[fleets.Sample] = dataclasses.field(default_factory=list)
+    read_back: list[observations.Got] = dataclasses.field(default_factory=list)
+    samples: list[observations.Sample] = dataclasses.field(default_factory=list)
     # Requests that each layout sends elsewhere, and how late wires may bring them.
     roves: dict[str, callers.Ask] = dataclasses.field(default_factory=dict)
     wire_s: float = 0.0
--- a/packages/simulator/src/dykeswitch/simulator/history/requests.py
+++ b/packages/simulator/src/dykeswitch/simulator/history/requests.py
@@ -2,8 +2,8 @@
 
 import typing
 
-import dykeswitch.simulator.fleet as fleets
 import dykeswitch.simulator.history.record as record
+import dykeswitch.simulator.observations as observations
 import dykeswitch.standin.caller as callers
 
 # The most endpoints that one request may run on, by the layouts of simulated fleets; and how much later
@@ -130,7 +130,7 @@
     How long a request was held up by a link, or by a machine that stood still, nobody can know who
     gets it: a later attempt is held against the first one's end where links were calm.
     """
-    handed: dict[str, list[fleets.Handed]] = {}
+    handed: dict[str, list[observations.Handed]] = {}
     for one in sorted(story.handed, key=lambda one: one.at):
         handed.setdefault(one.ask, []).append(one)
     found = []
--- /dev/null
+++ b/packages/simulator/src/dykeswitch/simulator/machines.py
@@ -0,0 +1,45 @@
+"""The machines of a fleet that run programs of ours."""
+
+import dataclasses
+
+import dykeswitch.adapter as adapters
+import dykeswitch.simulator.disk as disks
+import dykeswitch.simulator.world as worlds
+import dykeswitch.standin.headers as headers
+
+
+class SealedEndpoints(adapters.Own):
+    """The product's interface towards endpoints that seal every success."""
+
+    heads = dataclasses.replace(adapters.Heads(), seal=headers.SEAL.encode())
+
+
+@dataclasses.dataclass(slots=True)
+class Core:
+    """A core machine: a registry and a store."""
+
+    registry: worlds.Node
+    store: worlds.Node
+    member: str
+    web: str
+    disk: str
+    zone: str
+
+    def names(self) -> list[str]:
+        """Its processes, as the simulated network knows them."""
+        return [self.registry.name, self.store.name]
+
+
+@dataclasses.dataclass(slots=True)
+class Edge:
+    """An edge machine with its proxy."""
+
+    node: worlds.Node
+    web: str
+    zone: str
+
+
+def disk_of(node: worlds.Node) -> disks.SimDisk:
+    """The disk of a machine that has one."""
+    assert node.disk is not None
+    return node.disk
--- a/packages/simulator/src/dykeswitch/simulator/operator.py
+++ b/packages/simulator/src/dykeswitch/simulator/operator.py
@@ -11,6 +11,8 @@
 import typing
 
 import dykeswitch.simulator.fleet as fleets
+import dykeswitch.simulator.machines as machines
+import dykeswitch.simulator.observations as observations
 
 # How long an operator waits for one answer, and between two sendings of the same order.
 ANSWER_S: typing.Final = 1.5
@@ -55,20 +57,20 @@
         self._conditions = conditions
         # Until when registries that gave no answer are passed over.
         self._silent: dict[str, float] = {}
-        self._duplicates: list[asyncio.Task[fleets.Put]] = []
+        self._duplicates: list[asyncio.Task[observations.Put]] = []
 
-    def _any_core(self) -> fleets.Core:
+    def _any_core(self) -> machines.Core:
         """Any registry but those that were silent just now, as long as there are others."""
         now = self._fleet.clock.now()
         heard = [core for core in self._fleet.cores if self._silent.get(core.registry.name, 0.0) <= now]
         return self._rng.choice(heard or self._fleet.cores)
 
-    def _note(self, core: fleets.Core, status: int) -> None:
+    def _note(self, core: machines.Core, status: int) -> None:
         """Remember for a while that a registry gave no answer."""
         if not status:
             self._silent[core.registry.name] = self._fleet.clock.now() + AVOID_S
 
-    async def order(self, layout: dict[str, typing.Any], match: int | None = None) -> fleets.Put:
+    async def order(self, layout: dict[str, typing.Any], match: int | None = None) -> observations.Put:
         """Send the very same order, each time to any registry, until its answer is clear."""
         begun = self._fleet.clock.now()
         pause = PAUSE_S
@@ -89,12 +91,12 @@
 
     async def _arrive_again(
         self, layout: dict[str, typing.Any], match: int | None, wait: float
-    ) -> fleets.Put:
+    ) -> observations.Put:
         """An older order comes in a second time; nobody hears its answer."""
         await asyncio.sleep(wait)
         return await self._fleet.put(layout, self._any_core(), match, ANSWER_S, lose_answer=True)
 
-    async def read(self) -> fleets.Got:
+    async def read(self) -> observations.Got:
         """What stands now, from whichever registry answers first."""
         begun = self._fleet.clock.now()
         while True:
@@ -107,7 +109,7 @@
                 raise UnsettledError(f"a read of {begun:.2f} had no answer in {GIVE_UP_S:.0f} s")
             await asyncio.sleep(PAUSE_S)
 
-    async def change(self) -> fleets.Put:
+    async def change(self) -> observations.Put:
         """One change on top of what stands; one that lost its race is made anew on what won."""
         while True:
             newest = await self.read()
--- a/packages/simulator/src/dykeswitch/simulator/realengine.py
+++ b/packages/simulator/src/dykeswitch/simulator/realengine.py
@@ -9,8 +9,8 @@
 import pathlib
 import typing
 
-import dykeswitch.simulator.fleet as fleets
 import dykeswitch.simulator.history as histories
+import dykeswitch.simulator.observations as observations
 import dykeswitch.simulator.realfaults as realfaults
 import dykeswitch.simulator.resources as resources
 import dykeswitch.simulator.scenario as scenarios
@@ -134,7 +134,7 @@
     begun = stage.now
     up_s = await stage.fleet.start()
     body = json.dumps(stage.fleet.first, sort_keys=True)
-    first = fleets.Put(begun, body, None, stage.now, 200, stage.fleet.first_version)
+    first = observations.Put(begun, body, None, stage.now, 200, stage.fleet.first_version)
     stage.story.puts.append(first)
     stage.fleet.spawn(stage.sample())
     await asyncio.sleep(scenarios.SETTLED_S)
--- a/packages/simulator/src/dykeswitch/simulator/realstage.py
+++ b/packages/simulator/src/dykeswitch/simulator/realstage.py
@@ -9,8 +9,8 @@
 import signal
 import typing
 
-import dykeswitch.simulator.fleet as fleets
 import dykeswitch.simulator.history as histories
+import dykeswitch.simulator.observations as observations
 import dykeswitch.simulator.stage as stages
 import dykeswitch.standin.fleet as real
 import dykeswitch.standin.shape as shapes
@@ -54,10 +54,10 @@
 
     async def put(
         self, core: tuple[real.Process, real.Process], doc: dict[str, typing.Any] | None = None
-    ) -> fleets.Put:
+    ) -> observations.Put:
         """Send a layout to a core, and note what came of it."""
         body = json.dumps(doc or self.layout(), sort_keys=True)
-        put = fleets.Put(self.now, body, None)
+        put = observations.Put(self.now, body, None)
         self.story.puts.append(put)
         try:
             reply = await self.fleet.machine.web.ask("PUT", core[0].web, "/v1/layout", [], body.encode(), 5)
@@ -69,9 +69,9 @@
         put.ended = self.now
         return put
 
-    async def get(self, core: tuple[real.Process, real.Process]) -> fleets.Got:
+    async def get(self, core: tuple[real.Process, real.Process]) -> observations.Got:
         """Read the newest layout back from a core, and note it."""
-        got = fleets.Got(self.now)
+        got = observations.Got(self.now)
         self.story.gots.append(got)
         try:
             reply = await self.fleet.machine.web.ask("GET", core[0].web, "/v1/layout", [], b"", 5)
@@ -97,7 +97,7 @@
                 return
             # What it said was so at some moment of the call: judge by the earliest.
             ready = bool(page["ready"])
-            self.story.samples.append(fleets.Sample(at, proxy.name, boot, page["layout"], ready))
+            self.story.samples.append(observations.Sample(at, proxy.name, boot, page["layout"], ready))
 
         while True:
             await asyncio.gather(*(one(p) for p in self.fleet.proxies if p.running()))
--- a/packages/simulator/src/dykeswitch/simulator/stage.py
+++ b/packages/simulator/src/dykeswitch/simulator/stage.py
@@ -9,6 +9,8 @@
 
 import dykeswitch.simulator.fleet as fleets
 import dykeswitch.simulator.history as histories
+import dykeswitch.simulator.machines as machines
+import dykeswitch.simulator.observations as observations
 import dykeswitch.simulator.operator as operators
 import dykeswitch.simulator.world as worlds
 import dykeswitch.standin.caller as callers
@@ -66,7 +68,7 @@
             doc["rulez"] = []
         return doc
 
-    async def change(self, core: fleets.Core | None = None) -> fleets.Put:
+    async def change(self, core: machines.Core | None = None) -> observations.Put:
         """One more layout, by some core."""
         return await self.fleet.put(self.layout(), core or self.core())
 
@@ -77,13 +79,13 @@
 
     # Who there is.
 
-    def core(self) -> fleets.Core:
+    def core(self) -> machines.Core:
         return self.rng.choice(self.fleet.cores)
 
-    def edge(self) -> fleets.Edge:
+    def edge(self) -> machines.Edge:
         return self.rng.choice(self.up_edges())
 
-    def up_edges(self) -> list[fleets.Edge]:
+    def up_edges(self) -> list[machines.Edge]:
         return [e for e in self.fleet.edges if e.node.up]
 
     def core_names(self) -> list[str]:
@@ -175,7 +177,7 @@
 
     # Machines that go and come.
 
-    def gone(self, edges: typing.Iterable[fleets.Edge], begun: float) -> None:
+    def gone(self, edges: typing.Iterable[machines.Edge], begun: float) -> None:
         """Proxies were gone or frozen until now: what callers lost by it is excused."""
         for edge in edges:
             span = histories.Span(edge.web, begun, self.now + PLATFORM_S)
@@ -207,7 +209,7 @@
         except TimeoutError:
             self.flaw(f"a store was not seated within 15 s of {begun:.2f}")
 
-    def new_core(self, old: fleets.Core, seeds: tuple[str, ...] = ()) -> fleets.Core:
+    def new_core(self, old: machines.Core, seeds: tuple[str, ...] = ()) -> machines.Core:
         """An empty core at a new address, the old seeds in its settings, for one that is gone."""
         fleet = self.fleet
         fleet.cores.remove(old)
@@ -221,7 +223,7 @@
 
     # Callers that hold on.
 
-    async def hold_on(self, edge: fleets.Edge, span: float) -> None:
+    async def hold_on(self, edge: machines.Edge, span: float) -> None:
         """Callers that come to one proxy all the time, whatever the platform or it may say."""
         end = self.now + span
         services = self.fleet.shape.services
--- a/packages/simulator/src/dykeswitch/simulator/standing.py
+++ b/packages/simulator/src/dykeswitch/simulator/standing.py
@@ -10,7 +10,7 @@
 import math
 import typing
 
-import dykeswitch.simulator.fleet as fleets
+import dykeswitch.simulator.observations as observations
 import dykeswitch.standin.caller as callers
 
 Doc = dict[str, typing.Any]
@@ -66,7 +66,7 @@
     return best[1] if best else None
 
 
-def all_of(puts: typing.Sequence[fleets.Put]) -> list[Standing]:
+def all_of(puts: typing.Sequence[observations.Put]) -> list[Standing]:
     """Every layout that may ever have stood."""
     good = sorted((p for p in puts if p.status == 200), key=lambda p: p.version)
     found: list[Standing] = []
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -14,6 +14,7 @@
 import dykeswitch.proxy.program as proxies
 import dykeswitch.simulator.fleet as fleets
 import dykeswitch.simulator.loop as loops
+import dykeswitch.simulator.machines as machines
 import dykeswitch.standin.shape as shapes
 import dykeswitch.timeline as timeline
 
@@ -82,7 +83,7 @@
     return layout
 
 
-async def _leave_at(fleet: fleets.SimFleet, core: fleets.Core, name: str) -> bool:
+async def _leave_at(fleet: fleets.SimFleet, core: machines.Core, name: str) -> bool:
     """An endpoint tells one core that it leaves; whether that was acknowledged."""
     result = await core.registry.daemon.beat({"id": name, "leaving": True})
     return not hasattr(result, "code")
--- a/tests/test_cut_off.py
+++ b/tests/test_cut_off.py
@@ -18,6 +18,7 @@
 import dykeswitch.registry.upkeep as upkeeps
 import dykeswitch.simulator.fleet as fleets
 import dykeswitch.simulator.loop as loops
+import dykeswitch.simulator.machines as machines
 import dykeswitch.standin.shape as shapes
 import dykeswitch.timeline as timeline
 
@@ -40,14 +41,14 @@
     loops.run(main())
 
 
-def _cut_off(fleet: fleets.SimFleet, core: fleets.Core) -> None:
+def _cut_off(fleet: fleets.SimFleet, core: machines.Core) -> None:
     """Cut a core from all other cores; endpoints, operators and proxies still reach it."""
     others = [name for other in fleet.cores if other is not core for name in other.names()]
     fleet.world.wires.cut(core.names(), others)
 
 
 async def _ask(
-    fleet: fleets.SimFleet, core: fleets.Core, method: str, path: str, page: object = None
+    fleet: fleets.SimFleet, core: machines.Core, method: str, path: str, page: object = None
 ) -> tuple[int, typing.Any, float]:
     """Status, page and seconds of a call from the outside."""
     begun = fleet.clock.now()
@@ -56,14 +57,14 @@
     return reply.status, json.loads(reply.body), fleet.clock.now() - begun
 
 
-async def _beat(fleet: fleets.SimFleet, core: fleets.Core, name: str = "new-1", **more: object) -> int:
+async def _beat(fleet: fleets.SimFleet, core: machines.Core, name: str = "new-1", **more: object) -> int:
     page = {"id": name, "service": "pages", "address": "10.9.0.1:80", "zone": "z1", **more}
     status, _, took = await _ask(fleet, core, "POST", "/v1/beat", page)
     assert took < PATIENCE_S
     return status
 
 
-async def _confirm(fleet: fleets.SimFleet, core: fleets.Core) -> str:
+async def _confirm(fleet: fleets.SimFleet, core: machines.Core) -> str:
     """What a proxy is told that asks what a majority holds."""
     ask: frames.Body = {"name": "proxy-9", "cursor": ["", 0]}
     told = await frames.Caller(fleet.outside.net).ask(ports.address_of(core.member), "confirm", ask, 3.0)
@@ -196,7 +197,7 @@
     _run(tmp_path, work)
 
 
-def _stall(core: fleets.Core) -> None:
+def _stall(core: machines.Core) -> None:
     """The disk answers nothing from now on."""
 
     async def never(work: typing.Callable[[], object]) -> object:
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -5,8 +5,8 @@
 
 import pytest
 
-import dykeswitch.simulator.fleet as fleets
 import dykeswitch.simulator.history as histories
+import dykeswitch.simulator.observations as observations
 import dykeswitch.standin.caller as callers
 
 
@@ -24,9 +24,11 @@
     return json.dumps({"rules": [{"path": "/rove", "service": service}]})
 
 
-def _put(version: int, ended: float, **more: typing.Any) -> fleets.Put:
+def _put(version: int, ended: float, **more: typing.Any) -> observations.Put:
     fields: dict[str, typing.Any] = {"body": _doc(f"b{version}"), "match": None, "status": 200, **more}
-    return fleets.Put(ended - 0.1, fields.pop("body"), fields.pop("match"), ended, version=version, **fields)
+    return observations.Put(
+        ended - 0.1, fields.pop("body"), fields.pop("match"), ended, version=version, **fields
+    )
 
 
 def _rove(story: histories.History, at: float, service: str, **more: typing.Any) -> None:
@@ -38,8 +40,8 @@
         story.hits.append((at, name, f"{service}-0"))
 
 
-def _sample(at: float, layout: int, boot: int = 1) -> fleets.Sample:
-    return fleets.Sample(at, "proxy0", boot, layout, True)
+def _sample(at: float, layout: int, boot: int = 1) -> observations.Sample:
+    return observations.Sample(at, "proxy0", boot, layout, True)
 
 
 def sound() -> histories.History:
@@ -51,7 +53,7 @@
         owners={"exports-0": "exports", "pages-0": "pages", **{f"b{n}-0": f"b{n}" for n in range(4)}},
         left={"exports-1": 90.0},
         puts=[_put(1, 90.0), _put(2, 95.0)],
-        gots=[fleets.Got(96.0, 96.1, 200, 2, _doc("b2"))],
+        gots=[observations.Got(96.0, 96.1, 200, 2, _doc("b2"))],
         samples=[_sample(96.0, 1), _sample(97.5, 2), _sample(98.0, 2, boot=2)],
         calm=95.0,
         end=120.0,
@@ -198,11 +200,11 @@
 
 
 def _stale_read(story: histories.History) -> None:
-    story.gots.append(fleets.Got(97.0, 97.1, 200, 1, _doc("b1")))
+    story.gots.append(observations.Got(97.0, 97.1, 200, 1, _doc("b1")))
 
 
 def _none_read(story: histories.History) -> None:
-    story.gots.append(fleets.Got(97.0, 97.1, 404))
+    story.gots.append(observations.Got(97.0, 97.1, 404))
 
 
 def _lost_layout(story: histories.History) -> None:
@@ -211,7 +213,7 @@
 
 def _refused_stands(story: histories.History) -> None:
     story.puts.append(_put(0, 99.0, body=_doc("never"), status=412))
-    story.gots.append(fleets.Got(99.5, 99.6, 200, 3, _doc("never")))
+    story.gots.append(observations.Got(99.5, 99.6, 200, 3, _doc("never")))
 
 
 def _broken_taken(story: histories.History) -> None:
@@ -254,7 +256,7 @@
 
 
 def _another_body_read(story: histories.History) -> None:
-    story.gots.append(fleets.Got(97.0, 97.1, 200, 2, _doc("b1")))
+    story.gots.append(observations.Got(97.0, 97.1, 200, 2, _doc("b1")))
 
 
 def _refused_when_sent_again(story: histories.History) -> None:
@@ -264,7 +266,7 @@
 def _lost_then_refused(story: histories.History) -> None:
     # The first answer was lost, and a read shows that the order was taken.
     story.puts += [_put(0, 96.0, body=_doc("b3"), match=2, status=0)]
-    story.gots.append(fleets.Got(96.2, 96.3, 200, 3, _doc("b3")))
+    story.gots.append(observations.Got(96.2, 96.3, 200, 3, _doc("b3")))
     story.puts += [_put(0, 97.0, body=_doc("b3"), match=2, status=409)]
 
 
@@ -275,11 +277,11 @@
 
 
 def _lags_at_the_end(story: histories.History) -> None:
-    story.read_back = [fleets.Got(119.0, 119.1, 200, 1, _doc("b1"))]
+    story.read_back = [observations.Got(119.0, 119.1, 200, 1, _doc("b1"))]
 
 
 def _silent_at_the_end(story: histories.History) -> None:
-    story.read_back = [fleets.Got(119.0, 119.1, 503)]
+    story.read_back = [observations.Got(119.0, 119.1, 503)]
 
 
 def _goes_on(writing: bool) -> typing.Callable[[histories.History], None]:
@@ -300,12 +302,12 @@
 
 
 def _time_added(story: histories.History) -> None:
-    story.handed = [fleets.Handed(100.0, "a", story.expiry_s + 0.6, False)]
+    story.handed = [observations.Handed(100.0, "a", story.expiry_s + 0.6, False)]
 
 
 def _time_begun_anew(story: histories.History) -> None:
     """A second attempt with all of the time again."""
-    story.handed = [fleets.Handed(at, "a", story.expiry_s, True) for at in (100.0, 100.6)]
+    story.handed = [observations.Handed(at, "a", story.expiry_s, True) for at in (100.0, 100.6)]
 
 
 BREAKS: typing.Final[dict[str, list[typing.Callable[[histories.History], None]]]] = {
@@ -372,7 +374,7 @@
     story.samples = [_sample(at, version) for at, version in ((96.5, 2), (98.5, 4), (99.5, 4))]
     assert histories.judge(story) == {}
     # The same version told to a read would be one that goes back.
-    story.gots.append(fleets.Got(97.5, 97.6, 200, 3, _doc("b3")))
+    story.gots.append(observations.Got(97.5, 97.6, 200, 3, _doc("b3")))
     assert set(histories.judge(story)) == {"register_holds"}
 
 
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -17,6 +17,7 @@
 import dykeswitch.registry.order_memory as order_memory
 import dykeswitch.simulator.fleet as fleets
 import dykeswitch.simulator.loop as loops
+import dykeswitch.simulator.observations as observations
 import dykeswitch.standin.shape as shapes
 
 PAGES: typing.Final = shapes.ServiceShape("pages", 1, 20, "/pages", "GET", 0.05)
@@ -70,7 +71,7 @@
         self.sent.append(sent)
         return sent
 
-    async def newest(self) -> fleets.Got:
+    async def newest(self) -> observations.Got:
         """The newest layout, from whichever registry tells it."""
         for _ in range(TRIES):
             got = await self._fleet.get(self._rng.choice(self._fleet.cores), PATIENCE_S)
--- a/tests/test_recall.py
+++ b/tests/test_recall.py
@@ -13,6 +13,7 @@
 import dykeswitch.registry.upkeep as upkeeps
 import dykeswitch.simulator.fleet as fleets
 import dykeswitch.simulator.loop as loops
+import dykeswitch.simulator.machines as machines
 import dykeswitch.standin.shape as shapes
 import dykeswitch.timeline as timeline
 
@@ -61,7 +62,7 @@
     _run(tmp_path, work)
 
 
-async def _leave(fleet: fleets.SimFleet, name: str, core: fleets.Core) -> int:
+async def _leave(fleet: fleets.SimFleet, name: str, core: machines.Core) -> int:
     body = json.dumps({"id": name, "leaving": True}).encode()
     reply = await fleet.outside.web.ask("POST", core.web, "/v1/beat", [], body, 2.0)
     return reply.status
--- a/tests/test_reconfiguration.py
+++ b/tests/test_reconfiguration.py
@@ -25,6 +25,8 @@
 import dykeswitch.simulator.exposure as exposure
 import dykeswitch.simulator.fleet as fleets
 import dykeswitch.simulator.loop as loops
+import dykeswitch.simulator.machines as machines
+import dykeswitch.simulator.observations as observations
 import dykeswitch.simulator.world as worlds
 import dykeswitch.standin.shape as shapes
 import dykeswitch.store.program as stores
@@ -55,16 +57,16 @@
     return set(max(held, key=lambda members: members.epoch).disks())
 
 
-def _disk(core: fleets.Core) -> str:
+def _disk(core: machines.Core) -> str:
     return str(core.store.daemon.voter.disk_id)
 
 
-def _dark(core: fleets.Core) -> None:
+def _dark(core: machines.Core) -> None:
     core.registry.lose_power()
     core.store.lose_power()
 
 
-async def _order(fleet: fleets.SimFleet, path: str) -> fleets.Put:
+async def _order(fleet: fleets.SimFleet, path: str) -> observations.Put:
     doc = fleet.shape.layout()
     doc["rules"].append({"path": path, "service": "pages"})
     up = next(c for c in fleet.cores if c.registry.up)
@@ -223,12 +225,12 @@
         self._point = point
         self._lost = lost
         self.voters: set[str] = set()
-        self.died: list[fleets.Core] = []
+        self.died: list[machines.Core] = []
 
-    def arm(self, core: fleets.Core) -> None:
+    def arm(self, core: machines.Core) -> None:
         core.registry.points.armed[self._point] = lambda: self._strike(core)
 
-    def _strike(self, driver: fleets.Core) -> None:
+    def _strike(self, driver: machines.Core) -> None:
         if self.died:
             return
         victim = driver if self._lost == "driver" else self._other(driver)
@@ -237,7 +239,7 @@
         if victim is driver:
             raise worlds.Killed("dark")
 
-    def _other(self, driver: fleets.Core) -> fleets.Core:
+    def _other(self, driver: machines.Core) -> machines.Core:
         voting = self._lost == "other voter"
         up = [core for core in self._fleet.cores if core.store.up and core is not driver]
         return next(core for core in up if (_disk(core) in self.voters) is voting)
--- a/tests/test_style.py
+++ b/tests/test_style.py
@@ -17,8 +17,6 @@
     {
         "membership/__init__.py",
         "proxy/program.py",
-        "simulator/faults/cores.py",
-        "simulator/fleet.py",
     }
 )
 LONG_FUNCTIONS: typing.Final = frozenset(
