--- a/review/lib2/rig.py
+++ b/review/lib2/rig.py
@@ -393,6 +393,7 @@
         self.runs: list[tuple[float, str]] = []
         self.connections: set[asyncio.StreamWriter] = set()
         self.accepted = 0
+        self.reports = True
         self._tasks: list[asyncio.Task[None]] = []
         self._server: asyncio.Server | None = None
 
@@ -433,8 +434,12 @@
             self._core += 1
         return False
 
+    def stop_reports(self) -> None:
+        """Send no more reports, as before the end."""
+        self.reports = False
+
     async def _report(self) -> None:
-        while True:
+        while self.reports:
             await self.heartbeat()
             await asyncio.sleep(1.5)
 
@@ -450,7 +455,8 @@
                 method, target, _ = request.first.split(" ")
                 if target == "/health" and "dykeswitch-attempt-id" not in request.fields:
                     fields = {"Dykeswitch-Served-By": self.id}
-                    writer.write(encode("HTTP/1.1 200 OK", fields, b"well"))
+                    status = "200 OK" if self.reports else "503 Service Unavailable"
+                    writer.write(encode(f"HTTP/1.1 {status}", fields, b"health"))
                     continue
                 if request.fields.get("dykeswitch-expected-server", self.id) != self.id:
                     fields = {"Dykeswitch-Served-By": self.id}
