--- a/review/lib2/rig.py
+++ b/review/lib2/rig.py
@@ -177,6 +177,16 @@
             self.process.send_signal(number)
             self.rig.record.note(f"{signal.Signals(number).name} to {self.name}")
 
+    def anonymous_peak_mb(self) -> float:
+        """The most memory that it held since its start, without pages of files, in MiB."""
+        assert self.process is not None
+        with contextlib.suppress(OSError, KeyError, ValueError):
+            lines = pathlib.Path(f"/proc/{self.process.pid}/status").read_text().splitlines()
+            fields = dict(line.split(":", 1) for line in lines)
+            kilobytes = [int(fields[name].split()[0]) for name in ("VmHWM", "RssFile", "RssShmem")]
+            return (kilobytes[0] - kilobytes[1] - kilobytes[2]) / 1024
+        return 0.0
+
     def end(self) -> None:
         """End it for good."""
         if self.process is not None and self.process.poll() is None:
@@ -246,7 +256,7 @@
                 "ip": ip,
                 "zone": "hall-a",
                 "region": "be-east",
-                "zones": {"hall-a": "be-east"},
+                "zones": {"hall-a": "be-east", "hall-b": "be-east"},
                 "bind": bind,
                 "internal_ports": [self.port + 10, self.port + 25],
                 "seed_nodes": [f"{seed}:{self.port}" for seed in self.core_ips],
@@ -386,6 +396,8 @@
         self.id = f"i-{random.getrandbits(40):010x}"
         self.address = f"{rig.server_ip}:{rig.next_server_port}"
         rig.next_server_port += 1
+        # Behind a relay `address`, which is reported, becomes the relay's.
+        self._listen_at = self.address
         self._handle = handle or Server.serve
         self._calls = 0
         self._core = random.randrange(3)
@@ -399,7 +411,7 @@
 
     async def open(self) -> None:
         """Listen, and begin to report."""
-        host, _, port = self.address.rpartition(":")
+        host, _, port = self._listen_at.rpartition(":")
         self._server = await asyncio.start_server(self._connection, host, int(port))
         self._tasks.append(asyncio.create_task(self._report()))
 
@@ -498,6 +510,74 @@
         return True
 
 
+# The network between an endpoint and all other machines.
+
+
+class Relay:
+    """A relay in front of one endpoint, at the address that the endpoint reports; it can be cut silently."""
+
+    def __init__(self, rig: Rig, server: Server) -> None:
+        self.rig, self.server = rig, server
+        self._target = server.address
+        server.address = f"{rig.server_ip}:{rig.next_server_port}"
+        rig.next_server_port += 1
+        self._open = asyncio.Event()
+        self._open.set()
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    async def open(self) -> None:
+        """Listen at the reported address; the endpoint itself listens at its own."""
+        host, _, port = self.server.address.rpartition(":")
+        self._server = await asyncio.start_server(self._connection, host, int(port), limit=1 << 18)
+
+    def cut(self) -> None:
+        """From here on nothing goes through, and nobody is told."""
+        self._open.clear()
+        self.rig.record.note(f"{self.server.id} is cut off")
+
+    def heal(self) -> None:
+        """End the cut; what it held up goes on."""
+        self._open.set()
+        self.rig.record.note(f"{self.server.id} is joined again")
+
+    @property
+    def is_cut(self) -> bool:
+        """Whether nothing goes through now."""
+        return not self._open.is_set()
+
+    async def _connection(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        host, _, port = self._target.rpartition(":")
+        self._writers.add(writer)
+        with contextlib.suppress(OSError, asyncio.CancelledError):
+            await self._open.wait()
+            back_reader, back_writer = await asyncio.open_connection(host, int(port), limit=1 << 18)
+            self._writers.add(back_writer)
+            pumps = [
+                asyncio.create_task(self._pump(reader, back_writer)),
+                asyncio.create_task(self._pump(back_reader, writer)),
+            ]
+            await asyncio.wait(pumps, return_when=asyncio.FIRST_COMPLETED)
+            for pump in pumps:
+                pump.cancel()
+            back_writer.close()
+        writer.close()
+
+    async def _pump(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with contextlib.suppress(OSError, asyncio.CancelledError):
+            while data := await reader.read(1 << 18):
+                await self._open.wait()
+                writer.write(data)
+                await writer.drain()
+
+    def close(self) -> None:
+        """End the relay."""
+        if self._server is not None:
+            self._server.close()
+        for writer in self._writers:
+            writer.transport.abort()
+
+
 # Clients.
 
 
