--- a/review/lib2/rig.py
+++ b/review/lib2/rig.py
@@ -281,6 +281,12 @@
             },
         )
 
+    def add_core(self, machine: str) -> None:
+        """Add a core machine at an address of its own, with an empty disk; its programs are not started."""
+        prefix, _, last = self.core_ips[-1].rpartition(".")
+        for role in ("store", "registry"):
+            self._add(role, machine, f"{prefix}.{int(last) + 1}", "core")
+
     def web(self, edge: int = 0) -> str:
         """The address of an edge machine for clients."""
         return f"{self.edge_ips[edge]}:{self.port + 1}"
@@ -575,7 +581,9 @@
         if self._server is not None:
             self._server.close()
         for writer in self._writers:
-            writer.transport.abort()
+            # One that has ended already has no transport any more.
+            with contextlib.suppress(Exception):
+                writer.transport.abort()
 
 
 # Clients.
